--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -66,6 +66,7 @@
 	hard    quorum.Hard
 	machine *Machine
 	waiting map[uint64]waiter
+	answers []pending
 	clock   groupClock
 	was     quorum.Role
 
@@ -261,6 +262,7 @@
 	}
 	n.noteRole()
 	n.publish()
+	n.sendAnswers()
 	return n.compact()
 }
 
@@ -301,7 +303,23 @@
 	if w.term != e.Term {
 		out = outcome{err: Unsure.New("another leader wrote entry %d", e.Index)}
 	}
-	w.reply <- out
+	n.answers = append(n.answers, pending{w.reply, out})
+}
+
+// pending is an answer that goes out once its effect is published.
+type pending struct {
+	reply chan outcome
+	out   outcome
+}
+
+// sendAnswers answers proposals. It comes after publish, so that whoever was told
+// of a change can read it here.
+func (n *Node) sendAnswers() {
+	for _, p := range n.answers {
+		p.reply <- p.out
+	}
+	clear(n.answers)
+	n.answers = n.answers[:0]
 }
 
 // tell writes the event of a table change on the leader.
