Compare policies in virtual time

Cause: the decision had no measurement. Change: bench replays a seeded trace of each deployment against small models of workers, links and stores (the real queue, block index and decision inside), under ten faults and seven policies; the same to the digit on every machine.

--- /dev/null
+++ b/bench/print.go
@@ -0,0 +1,19 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"time"
+)
+
+// Print writes the rows as a Markdown table.
+func Print(w io.Writer, rows []Row) {
+	fmt.Fprintln(w, "| deployment | fault | policy | first p50 | first p95 | look-up p95 | small p95 | gap p95 | recomputed | fetched GB | written GB |")
+	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, r := range rows {
+		fmt.Fprintf(w, "| %s | %s | %s | %s | %s | %s | %s | %s | %.3f | %.0f | %.0f |\n",
+			r.Deployment, r.Fault, r.Policy, ms(r.P50), ms(r.P95), ms(r.Urgent), ms(r.Small), ms(r.Gap), r.Recomputed, r.Link/1e9, r.Written/1e9)
+	}
+}
+
+func ms(d time.Duration) string { return fmt.Sprintf("%d ms", d.Milliseconds()) }
--- /dev/null
+++ b/bench/result.go
@@ -0,0 +1,120 @@
+package bench
+
+import (
+	"math"
+	"runtime"
+	"slices"
+	"sync"
+	"time"
+
+	"egretshunt/route"
+)
+
+// Result holds the measures of one run.
+type Result struct {
+	firsts, urgent, gaps []time.Duration
+	// small holds first tokens of the accounts that are not the largest.
+	small            []time.Duration
+	seen, again      float64
+	fetched, written float64
+	computed         float64
+}
+
+// note counts what of a returning prompt's known part is computed again.
+func (r *Result) note(k *work) {
+	if k.p.old > 0 {
+		r.again += max(0, k.split.Computed-(k.p.tokens-k.p.old))
+	}
+}
+
+func (r *Result) done(p prompt, first, gap time.Duration) {
+	r.firsts = append(r.firsts, first)
+	r.gaps = append(r.gaps, gap)
+	if p.rank == 0 {
+		r.urgent = append(r.urgent, first)
+	}
+	if p.account > 0 {
+		r.small = append(r.small, first)
+	}
+	r.seen += p.old
+}
+
+// Row is one line of the comparison.
+type Row struct {
+	Deployment, Policy, Fault string
+	// P50 and P95 are times to first token, Urgent and Small the p95 of look-ups and of small accounts.
+	P50, P95, Urgent, Small time.Duration
+	Gap                     time.Duration
+	// Recomputed is the share of returning prompts' known tokens that were computed again.
+	Recomputed float64
+	// Link is the bytes fetched from stores, Written those kept there.
+	Link, Written float64
+	Prompts       int
+}
+
+func percentile(d []time.Duration, share float64) time.Duration {
+	if len(d) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(d))
+	return sorted[min(len(sorted)-1, int(math.Ceil(share*float64(len(sorted))))-1)].Round(time.Millisecond)
+}
+
+// Row sums the run up.
+func (r *Result) Row(deployment, policy, fault string) Row {
+	return Row{
+		Deployment: deployment, Policy: policy, Fault: fault, Prompts: len(r.firsts),
+		P50: percentile(r.firsts, 0.5), P95: percentile(r.firsts, 0.95), Urgent: percentile(r.urgent, 0.95),
+		Small: percentile(r.small, 0.95), Gap: percentile(r.gaps, 0.95),
+		Recomputed: r.again / max(r.seen, 1), Link: r.fetched, Written: r.written,
+	}
+}
+
+// Policies lists the names of the compared policies, ours first.
+var Policies = []string{"weighted", "oracle", "random", "least loaded", "affinity only", "always fetch", "never fetch"}
+
+// Compare runs the named policy.
+func Compare(d Deployment, f Fault, policy string, seed uint64) Row {
+	var r *Result
+	switch policy {
+	case "weighted":
+		r = Run(d, f, route.Weighted{}, false, seed)
+	case "oracle":
+		r = Run(d, f, route.Weighted{}, true, seed)
+	case "random":
+		r = Run(d, f, route.Random{}, false, seed)
+	case "least loaded":
+		r = Run(d, f, route.LeastLoaded{}, false, seed)
+	case "affinity only":
+		r = Run(d, f, route.Affinity{}, false, seed)
+	case "always fetch":
+		r = Run(d, f, route.AlwaysFetch{}, false, seed)
+	default:
+		r = Run(d, f, route.NeverFetch{}, false, seed)
+	}
+	return r.Row(d.Name, policy, f.Name)
+}
+
+// Table runs every policy under every fault for the deployments, on all processors.
+// The rows come in a fixed order and are the same on every machine.
+func Table(deployments []Deployment, faults []Fault, policies []string, seed uint64) []Row {
+	rows := make([]Row, len(deployments)*len(faults)*len(policies))
+	slots := make(chan struct{}, runtime.GOMAXPROCS(0))
+	var work sync.WaitGroup
+	i := 0
+	for _, d := range deployments {
+		for _, f := range faults {
+			for _, p := range policies {
+				at := i
+				i++
+				slots <- struct{}{}
+				work.Go(func() {
+					defer func() { <-slots }()
+					rows[at] = Compare(d, f, p, seed)
+				})
+			}
+		}
+	}
+	work.Wait()
+	return rows
+}
--- a/value/cache.go
+++ b/value/cache.go
@@ -55,6 +55,25 @@
 	}
 }
 
+// All returns the values, the most recently used first.
+func (c *Cache[K, V]) All() []V {
+	all := make([]V, 0, len(c.items))
+	for it := c.head; it != nil && len(all) < len(c.items); it = it.next {
+		all = append(all, it.held)
+	}
+	return all
+}
+
+// Oldest drops the least recently used entry and returns it.
+func (c *Cache[K, V]) Oldest() (k K, v V, ok bool) {
+	if c.head == nil {
+		return k, v, false
+	}
+	it := c.head.prev
+	c.Drop(it.key)
+	return it.key, it.held, true
+}
+
 // Len returns how many entries are held.
 func (c *Cache[K, V]) Len() int { return len(c.items) }
 
