Test the path at the level a caller sees

Cause: the promises of the path had no test. Found: ports taken between choice and use when tests ran side by side (bind: in use, 1 of 1 runs).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -111,14 +112,31 @@
 	return nil
 }
 
+// Ports of demos lie below those that the system gives to outgoing connections,
+// which could otherwise take one between its choice and its use.
+const (
+	firstPort = 10_000
+	lastPort  = 31_000
+)
+
+// nextPort is where the next search begins; it differs from process to process.
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(uint32(os.Getpid()*97) % (lastPort - firstPort)) }
+
 // freeAddr returns a loopback address that nothing listens on.
 func freeAddr() (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, Failed.Wrap(err, "find a free port")
+	for range lastPort - firstPort {
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port))
+		l, err := net.Listen("tcp", a.String())
+		if err != nil {
+			continue
+		}
+		l.Close()
+		return a, nil
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+	return netip.AddrPort{}, Failed.New("there is no free port")
 }
 
 // addrs returns n free addresses.
--- /dev/null
+++ b/fleet/main_test.go
@@ -0,0 +1,157 @@
+package fleet_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"egretshunt/check"
+	"egretshunt/entry"
+	"egretshunt/fake"
+	"egretshunt/fleet"
+)
+
+func TestMain(m *testing.M) { check.Main(m) }
+
+func start(t *testing.T, change func(*fleet.Shape)) *fleet.Fleet {
+	t.Helper()
+	shape := fleet.Tiny()
+	if change != nil {
+		change(&shape)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
+	defer cancel()
+	f, err := fleet.Start(ctx, shape, t.TempDir(), nil)
+	check.Good(t, err)
+	t.Cleanup(f.Close)
+	return f
+}
+
+// answer is what a caller saw.
+type answer struct {
+	status int
+	code   string
+	ran    entry.Ran
+	text   string
+	header http.Header
+	// whole is true when the answer ended as a complete one does.
+	whole bool
+}
+
+// refusal is the JSON shape of errors.
+type refusal struct {
+	Error struct {
+		Code string    `json:"code"`
+		Ran  entry.Ran `json:"ran"`
+	} `json:"error"`
+}
+
+func promptBody(model, text string, tokens int, stream bool) []byte {
+	b, _ := json.Marshal(map[string]any{"model": model, "prompt": text, "max_tokens": tokens, "stream": stream})
+	return b
+}
+
+// ask sends one prompt and reads the answer to its end.
+func ask(ctx context.Context, f *fleet.Fleet, c *http.Client, e, account int, text string, tokens int, stream bool) (answer, error) {
+	resp, err := f.Call(ctx, c, e, account, http.MethodPost, "/v1/completions", promptBody(f.Shape.Model, text, tokens, stream), "")
+	if err != nil {
+		return answer{}, err
+	}
+	defer resp.Body.Close()
+	a := answer{status: resp.StatusCode, header: resp.Header}
+	if resp.StatusCode != http.StatusOK {
+		return refused(resp, a)
+	}
+	if !stream {
+		return readWhole(resp, a)
+	}
+	return readStream(resp, a), nil
+}
+
+func refused(resp *http.Response, a answer) (answer, error) {
+	var r refusal
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return a, err
+	}
+	if err := json.Unmarshal(body, &r); err != nil {
+		return a, fmt.Errorf("status %d without the error shape: %s", resp.StatusCode, body)
+	}
+	a.code, a.ran = r.Error.Code, r.Error.Ran
+	return a, nil
+}
+
+func readWhole(resp *http.Response, a answer) (answer, error) {
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return a, nil
+	}
+	var got struct {
+		Choices []struct {
+			Text string `json:"text"`
+		} `json:"choices"`
+	}
+	if json.Unmarshal(body, &got) == nil && len(got.Choices) == 1 {
+		a.text, a.whole = got.Choices[0].Text, true
+	}
+	return a, nil
+}
+
+// readStream collects the events; the answer is whole only with [DONE] and a clean end.
+func readStream(resp *http.Response, a answer) answer {
+	done := false
+	var text strings.Builder
+	lines := bufio.NewReader(resp.Body)
+	for {
+		line, err := lines.ReadString('\n')
+		if data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: "); ok {
+			done = done || data == "[DONE]"
+			var got struct {
+				Choices []struct {
+					Text string `json:"text"`
+				} `json:"choices"`
+			}
+			if json.Unmarshal([]byte(data), &got) == nil && len(got.Choices) == 1 {
+				text.WriteString(got.Choices[0].Text)
+			}
+		}
+		if err != nil {
+			a.text, a.whole = text.String(), done && err == io.EOF
+			return a
+		}
+	}
+}
+
+func wantText(text string, tokens int) string { return strings.Join(fake.Text(text, tokens), "") }
+
+// book sends one booking and reads the answer.
+func book(ctx context.Context, f *fleet.Fleet, c *http.Client, e, account int, key, body string) (answer, error) {
+	resp, err := f.Call(ctx, c, e, account, http.MethodPost, "/svc/"+f.Shape.Service+"/jobs", []byte(body), key)
+	if err != nil {
+		return answer{}, err
+	}
+	defer resp.Body.Close()
+	a := answer{status: resp.StatusCode, header: resp.Header}
+	if resp.StatusCode >= 300 {
+		return refused(resp, a)
+	}
+	text, err := io.ReadAll(resp.Body)
+	a.text, a.whole = string(bytes.TrimSpace(text)), err == nil
+	return a, nil
+}
+
+// runs adds up how often a key took effect on any service.
+func runs(f *fleet.Fleet, key string) int {
+	n := 0
+	for _, s := range f.Services {
+		n += s.Runs()[key]
+	}
+	return n
+}
--- a/node/process.go
+++ b/node/process.go
@@ -495,6 +495,9 @@
 	}
 }
 
+// BreakConnections loses every connection to other processes, as a network fault would.
+func (p *Process) BreakConnections() { p.pool.Break() }
+
 // Err returns why the process can't go on, or nil.
 func (p *Process) Err() error {
 	if p.member == nil {
--- a/wire/link.go
+++ b/wire/link.go
@@ -184,6 +184,19 @@
 	}
 }
 
+// Break loses every connection, as a network fault would; new ones can be made.
+func (p *Pool) Break() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.links {
+		l.mu.Lock()
+		if l.session != nil {
+			l.session.Close()
+		}
+		l.mu.Unlock()
+	}
+}
+
 // Close ends every connection.
 func (p *Pool) Close() {
 	p.mu.Lock()
