Prove bookings, leaving, swaps and staleness under faults

Cause: the promises of control and of at-most-once had no test on the whole path. Figures: 60 bookings x 3 callers under restarts and cuts: none twice, histories accepted by porcupine; 50 poisonous sendings crash at most two engines.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -214,7 +214,7 @@
 	case *wire.Frame_Watch:
 		a.watch(ctx, s)
 	case *wire.Frame_Order:
-		a.order(ctx, s, body.Order)
+		a.order(s, body.Order)
 	}
 }
 
@@ -267,9 +267,10 @@
 }
 
 // order passes a fenced order on to the engine.
-func (a *Agent) order(ctx context.Context, s *wire.Stream, o *wire.Order) {
+func (a *Agent) order(s *wire.Stream, o *wire.Order) {
 	done := &wire.Done{Id: o.GetId(), Epoch: o.GetEpoch(), Ok: true}
-	if err := a.obey(ctx, o); err != nil {
+	// Once begun, an order is carried through, though its owner dies meanwhile.
+	if err := a.obey(a.ctx, o); err != nil {
 		done.Ok, done.Text = false, err.Error()
 	}
 	// The owner asks again when the answer is lost; obey finds the work done.
--- a/agent/reuse.go
+++ b/agent/reuse.go
@@ -138,7 +138,12 @@
 		a.config.Events.Emit(event.StoreSlow, "store", to.Name, "err", err)
 		return 0
 	}
-	return min(int(f.GetFound().GetCount()), len(chain))
+	found := f.GetFound()
+	if found.GetCount() == 0 {
+		return 0
+	}
+	a.cache.sized(int(found.GetBytes() / uint64(found.GetCount())))
+	return min(int(found.GetCount()), len(chain))
 }
 
 // ask sends one frame to a store and returns the answer.
--- a/block/index.go
+++ b/block/index.go
@@ -269,14 +269,12 @@
 	return ok && b.State == Sealed && !b.doom && b.Account == account
 }
 
-// Longest returns how many blocks from the start of the chain are sealed here.
-func (x *Index) Longest(account string, chain []Name) int {
-	for i, name := range chain {
-		if !x.Has(account, name) {
-			return i
-		}
+// Size returns the bytes of a block that the account could pin.
+func (x *Index) Size(account string, name Name) (bytes int64, ok bool) {
+	if !x.Has(account, name) {
+		return 0, false
 	}
-	return len(chain)
+	return x.blocks[name].Bytes, true
 }
 
 // Used returns the bytes taken, those of one account, and the count of blocks.
--- a/ctrl/follow.go
+++ b/ctrl/follow.go
@@ -58,7 +58,12 @@
 	running sync.WaitGroup
 	changed *notice
 	life    uint64
-	save    chan *table.Tables
+
+	// ackMu makes the sequence of reports that of their contents; it guards ackSeq.
+	ackMu  sync.Mutex
+	ackSeq uint64
+
+	save chan *table.Tables
 
 	// Published for readers; what they point to is immutable.
 	tables atomic.Pointer[table.Tables]
@@ -271,7 +276,11 @@
 }
 
 func (f *Follow) ownAck() *wire.Ack {
+	f.ackMu.Lock()
+	defer f.ackMu.Unlock()
+	f.ackSeq++
 	a := &wire.Ack{
+		Seq:  f.ackSeq,
 		Node: f.config.Node, Role: f.config.Role, Place: f.config.Place, Rev: f.Tables().Rev,
 		Endpoint: f.config.Endpoint, Life: f.life,
 	}
--- a/ctrl/roster.go
+++ b/ctrl/roster.go
@@ -63,11 +63,15 @@
 		if a.GetNode() != from {
 			p.via = from
 		}
+		old, ok := r.seen[p]
+		if ok && old.ack.GetLife() == a.GetLife() && a.GetSeq() < old.ack.GetSeq() {
+			// Streams overtake each other; the later word stands.
+			continue
+		}
 		if a.GetGone() {
 			delete(r.seen, p)
 			continue
 		}
-		old, ok := r.seen[p]
 		same := ok && old.sent && equalAck(old.ack, a)
 		r.seen[p] = report{ack: a, at: now, sent: same, proven: old.proven}
 		fresh = fresh || !same
@@ -155,7 +159,7 @@
 		if !r.live(p, now) && now.Sub(rep.at) > r.lease {
 			delete(r.seen, p)
 			if !r.otherPath(p) {
-				acks = append(acks, &wire.Ack{Node: p.node, Gone: true})
+				acks = append(acks, &wire.Ack{Node: p.node, Gone: true, Life: rep.ack.GetLife(), Seq: rep.ack.GetSeq()})
 			}
 			continue
 		}
@@ -186,12 +190,18 @@
 func (r *Roster) Took(acks []*wire.Ack, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	carried := map[life]uint64{}
+	for _, a := range acks {
+		carried[life{a.GetNode(), a.GetLife()}] = a.GetSeq()
+	}
 	for p, rep := range r.seen {
-		if !slices.Contains(acks, rep.ack) {
+		seq, there := carried[lifeOf(p, rep)]
+		if !there {
 			continue
 		}
 		rep.proven = rep.proven || ok
-		rep.sent = rep.sent && ok
+		// What could not be sent is sent again, even if it was repeated meanwhile.
+		rep.sent = rep.sent && (ok || seq != rep.ack.GetSeq() && !equalTo(rep.ack, acks))
 		r.seen[p] = rep
 	}
 	if len(acks) > 0 {
@@ -199,6 +209,11 @@
 	}
 }
 
+// equalTo reports whether acks hold a report of the same content.
+func equalTo(a *wire.Ack, acks []*wire.Ack) bool {
+	return slices.ContainsFunc(acks, func(b *wire.Ack) bool { return b.GetNode() == a.GetNode() && equalAck(a, b) })
+}
+
 // Await waits until the upstream knows of every path in acks that came through from.
 func (r *Roster) Await(ctx context.Context, from string, acks []*wire.Ack) error {
 	for {
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -87,7 +87,7 @@
 
 // beforeRetry asks the route's budget and waits a little.
 func (e *Entry) beforeRetry(ctx context.Context, j *job, try int, last outcome) *Failure {
-	if !e.mayRetry(j.plan.Route) {
+	if !unreached(last.code) && !e.mayRetry(j.plan.Route) {
 		return e.givenUp(ctx, j, last)
 	}
 	e.Retries.Add(1)
@@ -100,6 +100,16 @@
 	}
 }
 
+// unreached reports whether an agent refused without troubling its endpoint. Such
+// a try adds no load, so that it costs nothing of the retry budget.
+func unreached(code string) bool {
+	switch code {
+	case "leaving", "loading", "down", "boot", "unlawful", "stale", "revoked", "suspect":
+		return true
+	}
+	return false
+}
+
 // worse returns the less certain of two findings, where yes is beyond doubt the worst for a repeat.
 func worse(a, b Ran) Ran {
 	rank := map[Ran]int{No: 0, Unknown: 1, Yes: 2}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -167,7 +167,7 @@
 
 // ready tells the balancer whether to send callers here.
 func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
-	if e.leaving.Load() || e.config.Follow.Tables().Rev == 0 {
+	if e.leaving.Load() || !e.config.Follow.Fresh(time.Now()) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/entry/http.go
+++ b/entry/http.go
@@ -62,7 +62,7 @@
 		}
 		plan, ok := e.plan(account, p.Model)
 		if !ok || !kindIs(e.config.Follow.Tables(), plan, table.Model) {
-			return nil, fail(http.StatusNotFound, CodeModel, No, "no route leads this account to a model of that name")
+			return nil, e.noRoute(CodeModel, "no route leads this account to a model of that name")
 		}
 		return &job{
 			target: p.Model, plan: plan, method: http.MethodPost, path: r.URL.Path, body: body, text: p.text,
@@ -78,7 +78,7 @@
 		name := chi.URLParam(r, "name")
 		plan, ok := e.plan(account, name)
 		if !ok || !kindIs(e.config.Follow.Tables(), plan, table.Service) {
-			return nil, fail(http.StatusNotFound, CodeService, No, "no route leads this account to a service of that name")
+			return nil, e.noRoute(CodeService, "no route leads this account to a service of that name")
 		}
 		key := r.Header.Get(HeaderKey)
 		if len(key) > maxKey {
@@ -107,6 +107,14 @@
 	})
 }
 
+// noRoute says that there is no route, where this entry's tables are fresh enough to know.
+func (e *Entry) noRoute(code, text string) *Failure {
+	if e.config.Follow.Fresh(time.Now()) {
+		return fail(http.StatusNotFound, code, No, text)
+	}
+	return fail(http.StatusServiceUnavailable, CodeStale, No, "this entry can't reach control, and knows no such route").after(time.Second)
+}
+
 func kindIs(t *table.Tables, p *route.Plan, kind table.Kind) bool {
 	if p == nil {
 		return false
--- /dev/null
+++ b/fleet/control_test.go
@@ -0,0 +1,248 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"egretshunt/check"
+	"egretshunt/entry"
+	"egretshunt/fleet"
+	"egretshunt/table"
+)
+
+// TestLeaving takes an endpoint away by table, by the platform's list and by TERM,
+// and checks that it gets nothing new afterwards while nothing is refused.
+func TestLeaving(t *testing.T) {
+	t.Parallel()
+	f := start(t, nil)
+	c := fleet.Client()
+	quiet := func(name string) {
+		t.Helper()
+		before := f.Engines[name].Seen().Runs
+		for i := range 60 {
+			text := fmt.Sprint(name, " leaves ", i)
+			a, err := ask(t.Context(), f, c, i, i%3, text, 2, false)
+			check.Good(t, err)
+			check.Equal(t, fmt.Sprintf("text (%d %s)", a.status, a.code), a.text, wantText(text, 2))
+		}
+		check.Equal(t, name+" got new work", f.Engines[name].Seen().Runs-before, 0)
+	}
+	t.Run("drained in the table", func(t *testing.T) {
+		var got struct {
+			Rev uint64 `json:"rev"`
+		}
+		check.Good(t, f.Admin(t.Context(), http.MethodPost, "/pools/workers/endpoints/worker-0/drain", nil, &got))
+		check.Good(t, f.Await(t.Context(), got.Rev))
+		quiet("worker-0")
+		check.Good(t, f.Admin(t.Context(), http.MethodPost, "/pools/workers/endpoints/worker-0/undrain", nil, &got))
+		check.Good(t, f.Await(t.Context(), got.Rev))
+	})
+	t.Run("on the platform's list", func(t *testing.T) {
+		check.Good(t, f.SetPlatform("worker-1"))
+		check.Soon(t, "the agent knows", func() bool {
+			v := f.Proc("worker-1").View()
+			return v.Leaves("worker-1")
+		})
+		check.Soon(t, "the entries know", func() bool {
+			for _, e := range f.Entries {
+				if !f.Proc(e).View().Leaves("worker-1") {
+					return false
+				}
+			}
+			return true
+		})
+		quiet("worker-1")
+		check.Good(t, f.SetPlatform())
+	})
+	t.Run("its agent gets TERM", func(t *testing.T) {
+		check.Equal(t, "cut off", f.StopGently(t.Context(), "worker-2"), 0)
+		quiet("worker-2")
+	})
+}
+
+// TestGracefulShutdown stops an entry and an agent while streams are open.
+func TestGracefulShutdown(t *testing.T) {
+	t.Parallel()
+	f := start(t, func(s *fleet.Shape) { s.Gap = 10 * time.Millisecond })
+	c := fleet.Client()
+	var begun, work sync.WaitGroup
+	for i := range 24 {
+		begun.Add(1)
+		work.Go(func() {
+			text := fmt.Sprint("stays whole ", i)
+			resp, err := f.Call(t.Context(), c, 0, i%3, http.MethodPost, "/v1/completions", promptBody(f.Shape.Model, text, 100, true), "")
+			begun.Done()
+			if err != nil {
+				t.Errorf("stream %d: %v", i, err)
+				return
+			}
+			defer resp.Body.Close()
+			if a := readStream(resp, answer{}); !a.whole || a.text != wantText(text, 100) {
+				t.Errorf("stream %d was cut off", i)
+			}
+		})
+	}
+	begun.Wait()
+	check.Equal(t, "cut off by the agent", f.StopGently(t.Context(), "worker-0"), 0)
+	check.Equal(t, "cut off by the entry", f.StopGently(t.Context(), "entry-0"), 0)
+	work.Wait()
+}
+
+// TestVersionSwap changes the weights under load: two loads at a time, none twice,
+// no answer lost, and no engine ever imports another version's bytes.
+func TestVersionSwap(t *testing.T) {
+	t.Parallel()
+	f := start(t, func(s *fleet.Shape) { s.Workers = 5 })
+	c := fleet.Client()
+	ctx, cancel := context.WithCancel(t.Context())
+	var load sync.WaitGroup
+	for n := range 6 {
+		load.Go(func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				text := history(n, i%4)
+				a, err := ask(t.Context(), f, c, i, n%3, text, 3, false)
+				if err != nil || a.ran == entry.No {
+					// The killed entry, or the restarted one that is not ready yet, as its balancer would see.
+					time.Sleep(20 * time.Millisecond)
+					continue
+				}
+				if a.status != http.StatusOK || (a.whole && a.text != wantText(text, 3)) {
+					t.Errorf("during the swap: %d %s", a.status, a.code)
+					return
+				}
+			}
+		})
+	}
+	p, err := f.Pool(t.Context(), fleet.WorkerPool)
+	check.Good(t, err)
+	base := p.Rev
+	p.Version, p.Rev = "v2", 0
+	_, err = f.Put(t.Context(), "pools", p.Name, base, p)
+	check.Good(t, err)
+	// The owner of orders dies in the middle.
+	time.Sleep(600 * time.Millisecond)
+	for _, e := range f.Entries {
+		if f.Proc(e).Leads() {
+			f.Kill(e)
+			check.Good(t, f.Run(e))
+			break
+		}
+	}
+	check.Soon(t, "all engines have the new version", func() bool {
+		for _, e := range f.Engines {
+			if e.Version() != "v2" {
+				return false
+			}
+		}
+		return true
+	})
+	cancel()
+	load.Wait()
+	for name, e := range f.Engines {
+		seen := e.Seen()
+		check.Equal(t, name+" orders", seen.Orders, 1)
+		check.Equal(t, name+" wrong imports", seen.Poisoned, 0)
+	}
+}
+
+// history is a prompt of a few blocks that grows with each return.
+func history(n, turn int) string {
+	text := ""
+	for i := range 8000 + 4000*turn {
+		text += string(rune('a' + (n*7+i*i)%26))
+	}
+	return text
+}
+
+// TestReuse returns to a history on another worker and finds its context kept.
+func TestReuse(t *testing.T) {
+	t.Parallel()
+	f := start(t, nil)
+	c := fleet.Client()
+	text := history(1, 2)
+	for i := range 3 {
+		a, err := ask(t.Context(), f, c, i, 0, text, 2, false)
+		check.Good(t, err)
+		check.Equal(t, "text", a.text, wantText(text, 2))
+	}
+	check.Soon(t, "blocks are kept", func() bool { return f.Proc("store-0").Blocks() >= 4 })
+	fetched := func() (n int) {
+		for _, e := range f.Engines {
+			n += e.Seen().Imported
+		}
+		return n
+	}
+	// Whoever served it goes; the store still has it.
+	for name, e := range f.Engines {
+		if e.Seen().Runs > 0 {
+			f.Kill(name)
+		}
+	}
+	check.Soon(t, "another worker fetches", func() bool {
+		a, err := ask(t.Context(), f, c, 0, 0, text, 2, false)
+		return err == nil && a.text == wantText(text, 2) && fetched() > 0
+	})
+	t.Run("another account computes its own", func(t *testing.T) {
+		before := fetched()
+		a, err := ask(t.Context(), f, c, 0, 1, text, 2, false)
+		check.Good(t, err)
+		check.Equal(t, "text", a.text, wantText(text, 2))
+		check.Equal(t, "fetched", fetched(), before)
+	})
+}
+
+// TestStale cuts control off: strict routes get refusals that say not run, and
+// routes that serve when stale go on.
+func TestStale(t *testing.T) {
+	t.Parallel()
+	f := start(t, nil)
+	c := fleet.Client()
+	var r table.Route
+	check.Good(t, f.Admin(t.Context(), http.MethodGet, "/routes/member-1-planner", nil, &r))
+	base := r.Rev
+	r.Stale, r.Rev = table.StaleServe, 0
+	rev, err := f.Put(t.Context(), "routes", r.Name, base, &r)
+	check.Good(t, err)
+	check.Good(t, f.Await(t.Context(), rev))
+	f.Kill("entry-1")
+	f.Kill("entry-2")
+	check.Soon(t, "the strict route refuses", func() bool {
+		a, err := ask(t.Context(), f, c, 0, 0, "strict", 1, false)
+		return err == nil && a.code == entry.CodeStale && a.ran == entry.No
+	})
+	a, err := ask(t.Context(), f, c, 0, 1, "lenient", 1, false)
+	check.Good(t, err)
+	check.Equal(t, "the lenient route", a.text, wantText("lenient", 1))
+	check.Good(t, f.Run("entry-1"))
+	check.Soon(t, "freshness returns", func() bool {
+		a, err := ask(t.Context(), f, c, 0, 0, "strict again", 1, false)
+		return err == nil && a.status == http.StatusOK
+	})
+}
+
+// TestBackAfterManyChanges restarts a node after 500 changes have gone by.
+func TestBackAfterManyChanges(t *testing.T) {
+	t.Parallel()
+	f := start(t, nil)
+	f.Kill("worker-2")
+	rev := uint64(0)
+	for i := range 500 {
+		row := &table.Pool{Name: fmt.Sprintf("fill-%d", i%50), Place: "north", Kind: table.Service, Endpoints: []table.Endpoint{}}
+		base := uint64(0)
+		if i >= 50 {
+			old, err := f.Pool(t.Context(), row.Name)
+			check.Good(t, err)
+			base = old.Rev
+		}
+		got, err := f.Put(t.Context(), "pools", row.Name, base, row)
+		check.Good(t, err)
+		rev = got
+	}
+	check.Good(t, f.Run("worker-2"))
+	check.Soon(t, "the node has caught up", func() bool { return f.Proc("worker-2").Rev() >= rev })
+	check.Good(t, f.Await(t.Context(), rev))
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -353,7 +353,30 @@
 			return err
 		}
 	}
-	return f.Await(ctx, rev)
+	if err := f.Await(ctx, rev); err != nil {
+		return err
+	}
+	return f.AwaitFresh(ctx, rev)
+}
+
+// AwaitFresh waits until every running process has installed the revision and is fresh.
+func (f *Fleet) AwaitFresh(ctx context.Context, rev uint64) error {
+	for {
+		behind := ""
+		for _, name := range f.order {
+			if p := f.Proc(name); p != nil && (p.Rev() < rev || !p.Fresh()) {
+				behind = name
+			}
+		}
+		if behind == "" {
+			return nil
+		}
+		select {
+		case <-time.After(5 * time.Millisecond):
+		case <-ctx.Done():
+			return Failed.New("%s is not fresh at revision %d", behind, rev)
+		}
+	}
 }
 
 // Admin makes one call to the administration API of whichever control VM answers for it.
@@ -448,14 +471,16 @@
 
 // Await waits until a revision is in force everywhere.
 func (f *Fleet) Await(ctx context.Context, rev uint64) error {
+	lagging := []string{}
 	for {
 		var got struct {
 			Force   bool     `json:"force"`
 			Lagging []string `json:"lagging"`
 		}
 		if err := f.Admin(ctx, http.MethodGet, fmt.Sprintf("/wait?rev=%d&time=2s", rev), nil, &got); err != nil {
-			return err
+			return Failed.Wrap(err, "wait for revision %d, not in force at %v", rev, lagging)
 		}
+		lagging = got.Lagging
 		if got.Force {
 			return nil
 		}
--- /dev/null
+++ b/fleet/once_test.go
@@ -0,0 +1,288 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"egretshunt/check"
+	"egretshunt/entry"
+	"egretshunt/fleet"
+	"egretshunt/ledger"
+)
+
+func TestBookingTakesEffectOnce(t *testing.T) {
+	t.Parallel()
+	f := start(t, nil)
+	c := fleet.Client()
+	t.Run("at once through all entries", func(t *testing.T) {
+		var mu sync.Mutex
+		texts := map[string]int{}
+		var work sync.WaitGroup
+		for i := range 40 {
+			work.Go(func() {
+				a, err := book(t.Context(), f, c, i, 0, "crowd", "one impeller")
+				if err != nil || a.status != http.StatusCreated {
+					t.Errorf("caller %d: %+v %v", i, a, err)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				texts[a.text]++
+			})
+		}
+		work.Wait()
+		check.Equal(t, "different answers", len(texts), 1)
+		check.Equal(t, "effects", runs(f, "crowd"), 1)
+	})
+	t.Run("same key, other body", func(t *testing.T) {
+		a, err := book(t.Context(), f, c, 1, 0, "crowd", "two impellers")
+		check.Good(t, err)
+		check.Equal(t, "answer", fmt.Sprint(a.status, a.code, a.ran), fmt.Sprint(422, entry.CodeReused, entry.No))
+	})
+	t.Run("same key, other account", func(t *testing.T) {
+		a, err := book(t.Context(), f, c, 1, 1, "crowd", "one impeller")
+		check.Good(t, err)
+		check.Equal(t, "status", a.status, http.StatusCreated)
+		check.Equal(t, "effects", runs(f, "crowd"), 2)
+	})
+	t.Run("headers and status again", func(t *testing.T) {
+		a, err := book(t.Context(), f, c, 2, 0, "crowd", "one impeller")
+		check.Good(t, err)
+		check.Equal(t, "job", a.header.Get("X-Job"), "crowd")
+		check.Equal(t, "replayed", a.header.Get("Idempotency-Replayed"), "true")
+	})
+}
+
+// bookOp is one caller's booking in a history.
+type bookOp struct {
+	answer
+	err bool
+}
+
+// bookModel allows a key to take effect once; a call that says no has had no
+// effect of its own, one that succeeds tells of the one effect there is.
+var bookModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{false} },
+	Step: func(state, _, out any) []any {
+		ran, o := state.(bool), out.(bookOp)
+		switch {
+		case o.err || o.ran == entry.Unknown:
+			// It may have run by now or not.
+			return []any{ran, true}
+		case o.status < 300 || o.ran == entry.Yes:
+			return []any{true}
+		}
+		// A refusal changes nothing.
+		return []any{ran}
+	},
+}
+
+// TestBookingsUnderFaults resends bookings through all entries while entries,
+// agents and services die and connections break. The services count: no key takes
+// effect twice, and what every caller was told agrees with the count.
+func TestBookingsUnderFaults(t *testing.T) {
+	t.Parallel()
+	f := start(t, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	var breaking sync.WaitGroup
+	breaking.Go(func() { breakThings(ctx, t, f) })
+	var mu sync.Mutex
+	said := map[string][]answer{}
+	history := map[string][]porcupine.Operation{}
+	began := time.Now()
+	var work sync.WaitGroup
+	const keys, callers = 60, 3
+	for k := range keys {
+		for n := range callers {
+			work.Go(func() {
+				time.Sleep(time.Duration(k) * 50 * time.Millisecond)
+				key := fmt.Sprintf("job-%d", k)
+				c := fleet.Client()
+				for try := range 4 {
+					call := time.Now()
+					each, stop := context.WithTimeout(t.Context(), 15*time.Second)
+					a, err := book(each, f, c, n+try, 0, key, "a crew")
+					stop()
+					mu.Lock()
+					history[key] = append(history[key], porcupine.Operation{
+						ClientId: n, Call: int64(call.Sub(began)), Output: bookOp{a, err != nil}, Return: int64(time.Since(began)),
+					})
+					if err == nil {
+						said[key] = append(said[key], a)
+					}
+					mu.Unlock()
+					if err == nil && a.status < 300 {
+						return
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+			})
+		}
+	}
+	work.Wait()
+	cancel()
+	breaking.Wait()
+	done, refused := 0, 0
+	for key, answers := range said {
+		n := runs(f, key)
+		if n > 1 {
+			t.Errorf("%s took effect %d times: %+v", key, n, answers)
+		}
+		told, allNo := 0, true
+		for _, a := range answers {
+			if a.status < 300 {
+				told++
+			}
+			allNo = allNo && a.ran == entry.No
+		}
+		if told > 0 {
+			done++
+			check.Equal(t, key+" took effect", n, 1)
+		}
+		if allNo && len(answers) == len(history[key]) {
+			refused++
+			check.Equal(t, key+" did not run, all were told", n, 0)
+		}
+		if porcupine.CheckOperations(bookModel.ToModel(), history[key]) == false {
+			t.Errorf("%s: the history is not that of one booking", key)
+		}
+	}
+	t.Logf("%d keys: %d done, %d refused for certain", keys, done, refused)
+	if done < keys/2 {
+		t.Errorf("only %d of %d bookings got through", done, keys)
+	}
+}
+
+// breakThings disturbs one thing after another, in a fixed order.
+func breakThings(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+	pause := func(d time.Duration) {
+		select {
+		case <-time.After(d):
+		case <-ctx.Done():
+		}
+	}
+	restart := func(name string) {
+		f.Kill(name)
+		pause(150 * time.Millisecond)
+		if err := f.Run(name); err != nil {
+			t.Errorf("restart %s: %v", name, err)
+		}
+	}
+	for i := 0; ctx.Err() == nil; i++ {
+		pause(200 * time.Millisecond)
+		switch i % 5 {
+		case 0:
+			f.Proc(f.Entries[i%3]).BreakConnections()
+		case 1:
+			restart(fmt.Sprintf("helper-%d", i%2))
+		case 2:
+			restart(f.Entries[(i/5)%3])
+		case 3:
+			f.Services["helper-0"].SetCut(true)
+			pause(200 * time.Millisecond)
+			f.Services["helper-0"].SetCut(false)
+		case 4:
+			f.Proc(f.Entries[i%3]).BreakConnections()
+		}
+	}
+}
+
+// TestUnknownIsFollowedUp lets the answer of a booking be lost with its agent.
+func TestUnknownIsFollowedUp(t *testing.T) {
+	t.Parallel()
+	f := start(t, func(s *fleet.Shape) { s.Helpers = 1 })
+	c := fleet.Client()
+	f.Services["helper-0"].SetCut(true)
+	a, err := book(t.Context(), f, c, 0, 0, "lost", "a part")
+	check.Good(t, err)
+	// The service tells the outcome by the key.
+	check.Equal(t, "status", a.status, http.StatusOK)
+	check.Equal(t, "effects", runs(f, "lost"), 1)
+	t.Run("without a look-up it stays unknown until settled", func(t *testing.T) {
+		p, err := f.Pool(t.Context(), fleet.HelperPool)
+		check.Good(t, err)
+		base := p.Rev
+		p.Lookup, p.Rev = "", 0
+		rev, err := f.Put(t.Context(), "pools", p.Name, base, p)
+		check.Good(t, err)
+		check.Good(t, f.Await(t.Context(), rev))
+		a, err := book(t.Context(), f, c, 1, 0, "open", "a part")
+		check.Good(t, err)
+		check.Equal(t, "answer", fmt.Sprint(a.code, a.ran), fmt.Sprint(entry.CodeOutcome, entry.Unknown))
+		f.Services["helper-0"].SetCut(false)
+		a, err = book(t.Context(), f, c, 2, 0, "open", "a part")
+		check.Good(t, err)
+		check.Equal(t, "resend", a.code, entry.CodeOutcome)
+		check.Equal(t, "effects", runs(f, "open"), 1)
+		var list []ledger.Claim
+		check.Soon(t, "the operator's list", func() bool {
+			return f.Admin(t.Context(), http.MethodGet, "/unknown", nil, &list) == nil && len(list) == 1
+		})
+		settle := map[string]string{"account": f.Shape.Account(0), "key": "open", "verdict": ledger.Done}
+		check.Good(t, f.Admin(t.Context(), http.MethodPost, "/unknown/settle", settle, nil))
+		a, err = book(t.Context(), f, c, 0, 0, "open", "a part")
+		check.Good(t, err)
+		check.Equal(t, "after settling", fmt.Sprint(a.code, a.ran), fmt.Sprint(entry.CodeAnswer, entry.Yes))
+	})
+}
+
+// TestRetryStorm takes all endpoints away and counts what callers' requests become.
+func TestRetryStorm(t *testing.T) {
+	t.Parallel()
+	f := start(t, nil)
+	c := fleet.Client()
+	for _, s := range f.Services {
+		s.SetFail(true)
+	}
+	var work sync.WaitGroup
+	for i := range 400 {
+		work.Go(func() {
+			a, err := book(t.Context(), f, c, i, i%3, fmt.Sprint("storm", i), "x")
+			if err == nil && a.status < 300 {
+				t.Errorf("booking %d succeeded at a service that is out of order", i)
+			}
+		})
+	}
+	work.Wait()
+	calls := 0
+	for _, s := range f.Services {
+		calls += s.Calls()
+	}
+	if calls > 480 {
+		t.Errorf("400 requests became %d calls", calls)
+	}
+}
+
+// TestPoison resends a prompt that crashes engines.
+func TestPoison(t *testing.T) {
+	t.Parallel()
+	f := start(t, nil)
+	c := fleet.Client()
+	poison := "please CRASH-THE-ENGINE now"
+	refused := 0
+	for i := range 50 {
+		a, err := ask(t.Context(), f, c, i, 0, poison, 5, false)
+		check.Good(t, err)
+		if a.code == entry.CodeQuarantined {
+			refused++
+		}
+		b, err := ask(t.Context(), f, c, i, 1, fmt.Sprint("innocent ", i), 5, false)
+		check.Good(t, err)
+		check.Equal(t, fmt.Sprintf("innocent prompt (%d %s)", b.status, b.code), b.text, wantText(fmt.Sprint("innocent ", i), 5))
+	}
+	crashes := 0
+	for _, e := range f.Engines {
+		crashes += e.Seen().Crashes
+	}
+	if crashes == 0 || crashes > 2 {
+		t.Errorf("50 sendings crashed %d engines", crashes)
+	}
+	if refused < 40 {
+		t.Errorf("only %d of 50 sendings were refused", refused)
+	}
+}
--- a/node/process.go
+++ b/node/process.go
@@ -498,6 +498,32 @@
 // BreakConnections loses every connection to other processes, as a network fault would.
 func (p *Process) BreakConnections() { p.pool.Break() }
 
+// View returns the small replicated state as installed here.
+func (p *Process) View() *ctrl.View { return p.follow.View() }
+
+// Rev returns the installed table revision.
+func (p *Process) Rev() uint64 { return p.follow.Rev() }
+
+// Fresh reports whether control has confirmed the tables within the lease.
+func (p *Process) Fresh() bool { return p.follow.Fresh(time.Now()) }
+
+// Leads reports whether this process's control VM leads.
+func (p *Process) Leads() bool {
+	if p.member == nil {
+		return false
+	}
+	_, ok := p.member.Leads()
+	return ok
+}
+
+// Blocks returns how many blocks this process's store holds in memory.
+func (p *Process) Blocks() int {
+	if p.store == nil {
+		return 0
+	}
+	return p.store.Counts().MemoryBlocks
+}
+
 // Err returns why the process can't go on, or nil.
 func (p *Process) Err() error {
 	if p.member == nil {
--- a/store/serve.go
+++ b/store/serve.go
@@ -95,7 +95,8 @@
 			}
 			chain = append(chain, n)
 		}
-		found.Count = uint32(s.config.Store.Longest(f.GetAccount(), chain))
+		count, bytes := s.config.Store.Longest(f.GetAccount(), chain)
+		found.Count, found.Bytes = uint32(count), uint64(bytes)
 	}
 	return &wire.Frame{Body: &wire.Frame_Found{Found: found}}
 }
--- a/store/store.go
+++ b/store/store.go
@@ -225,16 +225,22 @@
 	return k, nil
 }
 
-// Longest returns how many blocks from the start of the chain are kept here.
-func (s *Store) Longest(account string, chain []block.Name) int {
+// Longest returns how many blocks from the start of the chain are kept here, and their bytes.
+func (s *Store) Longest(account string, chain []block.Name) (count int, bytes int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i, name := range chain {
-		if !s.memory.Has(account, name) && !s.files.Has(account, name) {
-			return i
+	for _, name := range chain {
+		n, ok := s.memory.Size(account, name)
+		if !ok {
+			n, ok = s.files.Size(account, name)
 		}
+		if !ok {
+			break
+		}
+		count++
+		bytes += n
 	}
-	return len(chain)
+	return count, bytes
 }
 
 // header precedes the bytes in a block file.
