--- a/node/process.go
+++ b/node/process.go
@@ -507,6 +507,9 @@
 // Fresh reports whether control has confirmed the tables within the lease.
 func (p *Process) Fresh() bool { return p.follow.Fresh(time.Now()) }
 
+// Control returns the client by which this process asks the control plane.
+func (p *Process) Control() *ctrl.Client { return p.client }
+
 // Leads reports whether this process's control VM leads.
 func (p *Process) Leads() bool {
 	if p.member == nil {
--- /dev/null
+++ b/slopes/cores.go
@@ -0,0 +1,197 @@
+package slopes
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"egretshunt/block"
+	"egretshunt/ctrl"
+	"egretshunt/fleet"
+	"egretshunt/ledger"
+	"egretshunt/route"
+	"egretshunt/table"
+)
+
+// routesOf builds tables with n routes over the given endpoints.
+func routesOf(n, endpoints int) (*table.State, error) {
+	s := table.NewState()
+	p := &table.Pool{Name: "p", Place: "north", Kind: table.Model, Model: "m", Version: "v1"}
+	for i := range endpoints {
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
+		p.Endpoints = append(p.Endpoints, table.Endpoint{Name: fmt.Sprintf("worker-%d", i), Addr: a})
+	}
+	d := &table.Delta{Full: true, To: uint64(n + 1), Pools: []*table.Pool{p}}
+	p.Rev = 1
+	for i := range n {
+		d.Routes = append(d.Routes, &table.Route{
+			Name: fmt.Sprintf("account-%d-m", i), Account: fmt.Sprintf("account-%d", i), Target: "m", Pools: []string{"p"},
+			Class: table.Normal, Weights: table.Weights{First: 1}, Retry: 0.1, Rev: uint64(i + 2),
+		})
+	}
+	t, err := table.Empty().Install(d)
+	if err != nil {
+		return nil, err
+	}
+	data, err := json.Marshal(map[string]any{"tables": t})
+	if err != nil {
+		return nil, err
+	}
+	return s, json.Unmarshal(data, s)
+}
+
+// Tables measures memory and the cost of one change by the number of routes.
+func Tables(sizes []int, into map[string]Slope) error {
+	memory := Slope{Name: "tables", Of: "routes", Unit: "bytes of one node"}
+	change := Slope{Name: "apply", Of: "routes", Unit: "µs to apply one change"}
+	whole := Slope{Name: "whole", Of: "routes", Unit: "bytes of a whole snapshot, JSON"}
+	for _, n := range sizes {
+		before := heap()
+		s, err := routesOf(n, 600)
+		if err != nil {
+			return err
+		}
+		memory.Points = append(memory.Points, Point{float64(n), heap() - before})
+		data, err := json.Marshal(s.Tables().Since(0))
+		if err != nil {
+			return err
+		}
+		whole.Points = append(whole.Points, Point{float64(n), float64(len(data))})
+		began := time.Now()
+		const rounds = 20
+		for i := range rounds {
+			body := json.RawMessage(`{"place":"north","kind":"service","endpoints":[]}`)
+			s.Apply(table.Change{ID: fmt.Sprint(i), Table: "pools", Name: fmt.Sprint("x", i), Op: table.Put, Body: body})
+		}
+		change.Points = append(change.Points, Point{float64(n), float64(time.Since(began).Microseconds()) / rounds})
+	}
+	into["tables"], into["apply"], into["whole"] = memory, change, whole
+	return nil
+}
+
+// Decisions measures one decision by the number of endpoints.
+func Decisions(sizes []int, into map[string]Slope) error {
+	s := Slope{Name: "decide", Of: "endpoints", Unit: "µs of one decision"}
+	for _, n := range sizes {
+		state, err := routesOf(20_000, n)
+		if err != nil {
+			return err
+		}
+		t := state.Tables()
+		began := time.Now()
+		const rounds = 20_000
+		for i := range rounds {
+			r, _ := t.Find(fmt.Sprintf("account-%d", i), "m")
+			if i == 0 || plan == nil {
+				plan = route.Compile(t, r)
+			}
+			c := plan.Consider(uint64(i)*0x9e3779b97f4a7c15, "", func(int) bool { return true })
+			m := route.Measured{Queue: 1000, Rate: 25_000, Link: 1e9, Stored: 8000}
+			route.Decide(route.Weighted{}, plan, &c, route.Request{Root: uint64(i), Tokens: 20_000, Bytes: 1e5}, func(int) route.Measured { return m }, nil)
+		}
+		plan = nil
+		s.Points = append(s.Points, Point{float64(n), float64(time.Since(began).Nanoseconds()) / rounds / 1000})
+	}
+	into["decide"] = s
+	return nil
+}
+
+var plan *route.Plan
+
+// Blocks measures the memory and the throughput of a store's index.
+func Blocks(sizes []int, into map[string]Slope) {
+	memory := Slope{Name: "blocks", Of: "blocks", Unit: "bytes of one store's index"}
+	reserve := Slope{Name: "reserve", Of: "blocks", Unit: "µs to reserve, seal and evict one"}
+	for _, n := range sizes {
+		before := heap()
+		x := block.NewIndex(block.Config{Capacity: int64(n)})
+		write := func(i int) {
+			var name block.Name
+			for b := range 8 {
+				name[b] = byte(i >> (8 * b))
+			}
+			now := time.Unix(int64(i), 0)
+			if ref, _, err := x.Reserve(accountOf(i), name, 1, i%40, now); err == nil && x.Begin(ref) == nil {
+				_ = x.Seal(ref, 0, now)
+			}
+		}
+		for i := range n {
+			write(i)
+		}
+		memory.Points = append(memory.Points, Point{float64(n), heap() - before})
+		began := time.Now()
+		const rounds = 20_000
+		for i := range rounds {
+			write(n + i)
+		}
+		reserve.Points = append(reserve.Points, Point{float64(n), float64(time.Since(began).Nanoseconds()) / rounds / 1000})
+	}
+	into["blocks"], into["reserve"] = memory, reserve
+}
+
+func accountOf(i int) string { return [...]string{"a", "b", "c", "d", "e", "f", "g", "h"}[i%8] }
+
+// Claims measures claims of non-idempotent requests on three replicas that sync to disk.
+func Claims(ctx context.Context, sizes []int, into map[string]Slope) error {
+	rate := Slope{Name: "claims", Of: "callers", Unit: "claims a second"}
+	p50 := Slope{Name: "claim50", Of: "callers", Unit: "ms of one claim, p50"}
+	p99 := Slope{Name: "claim99", Of: "callers", Unit: "ms of one claim, p99"}
+	dir, err := os.MkdirTemp("", "egretshunt-claims-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	shape := fleet.Tiny()
+	shape.Workers, shape.Helpers, shape.Stores = 1, 1, 1
+	f, err := fleet.Start(ctx, shape, dir, nil)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	for _, n := range sizes {
+		times, span := claimers(ctx, f, n)
+		slices.Sort(times)
+		rate.Points = append(rate.Points, Point{float64(n), float64(len(times)) / span.Seconds()})
+		p50.Points = append(p50.Points, Point{float64(n), float64(times[len(times)/2].Microseconds()) / 1000})
+		p99.Points = append(p99.Points, Point{float64(n), float64(times[len(times)*99/100].Microseconds()) / 1000})
+	}
+	into["claims"], into["claim50"], into["claim99"] = rate, p50, p99
+	return nil
+}
+
+// claimTime is how long callers claim at each size.
+const claimTime = 2 * time.Second
+
+func claimers(ctx context.Context, f *fleet.Fleet, n int) ([]time.Duration, time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, claimTime)
+	defer cancel()
+	client := f.Proc(f.Entries[1]).Control()
+	var mu sync.Mutex
+	var times []time.Duration
+	began := time.Now()
+	var work sync.WaitGroup
+	for caller := range n {
+		work.Go(func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				at := time.Now()
+				_, err := client.Propose(ctx, ctrl.Command{Claim: &ledger.Command{Op: ledger.OpClaim, Claim: ledger.Claim{
+					Key: ledger.Key{Account: "a", Key: fmt.Sprint(n, "-", caller, "-", i)}, Print: "p", Owner: "e", Nonce: "n",
+					Endpoint: "helper-0", Boot: "b", Path: "/jobs", At: at, Until: at.Add(time.Minute),
+				}}})
+				if err != nil {
+					return
+				}
+				mu.Lock()
+				times = append(times, time.Since(at))
+				mu.Unlock()
+			}
+		})
+	}
+	work.Wait()
+	return times, time.Since(began)
+}
--- /dev/null
+++ b/slopes/nodes.go
@@ -0,0 +1,196 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"runtime"
+	"slices"
+	"syscall"
+	"time"
+
+	"egretshunt/ctrl"
+	"egretshunt/fleet"
+	"egretshunt/table"
+	"egretshunt/wire"
+)
+
+// crowd is a control group of real processes with many small stand-ins for nodes,
+// each of which follows the tables over its own connections.
+type crowd struct {
+	fleet   *fleet.Fleet
+	pools   []*wire.Pool
+	follows []*ctrl.Follow
+}
+
+// secret is that of the demo deployments.
+const secret = "demo secret of the wire, no secret at all"
+
+func gather(ctx context.Context, n int) (*crowd, error) {
+	dir, err := os.MkdirTemp("", "egretshunt-slopes-")
+	if err != nil {
+		return nil, err
+	}
+	shape := fleet.Tiny()
+	shape.Workers, shape.Helpers, shape.Stores = 1, 1, 1
+	f, err := fleet.Start(ctx, shape, dir, nil)
+	if err != nil {
+		return nil, err
+	}
+	c := &crowd{fleet: f}
+	keys, err := wire.NewKeys(secret)
+	if err != nil {
+		return nil, err
+	}
+	control := f.Settings(f.Entries[0]).Control
+	for i := range n {
+		pool := wire.NewPool(wire.PoolConfig{Keys: keys})
+		up := slices.Clone(control)
+		up = append(up[i%3:], up[:i%3]...)
+		follow, err := ctrl.NewFollow(ctrl.FollowConfig{
+			Node: fmt.Sprintf("stand-in-%d", i), Role: "entry", Place: "north", Pool: pool,
+			Upstreams: func() []netip.AddrPort { return up },
+		})
+		if err != nil {
+			return nil, err
+		}
+		c.pools, c.follows = append(c.pools, pool), append(c.follows, follow)
+	}
+	return c, c.await(ctx, c.follows[0].Rev())
+}
+
+// await waits until all stand-ins are fresh at a revision.
+func (c *crowd) await(ctx context.Context, rev uint64) error {
+	for _, f := range c.follows {
+		for f.Rev() < max(rev, 1) || !f.Fresh(time.Now()) {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func (c *crowd) close() {
+	for i := range c.follows {
+		c.follows[i].Close()
+		c.pools[i].Close()
+	}
+	c.fleet.Close()
+}
+
+// cpu returns the processor time that this process has used.
+func cpu() time.Duration {
+	var u syscall.Rusage
+	// Getrusage of the own process does not fail.
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
+// quiet is how long the crowd is watched while nothing changes.
+const quiet = 4 * time.Second
+
+// put makes one change and returns how long it took to be in force everywhere.
+func (c *crowd) put(ctx context.Context, i int) (time.Duration, error) {
+	row := &table.Pool{Name: fmt.Sprint("slope-", i), Place: "north", Kind: table.Service, Endpoints: []table.Endpoint{}}
+	began := time.Now()
+	rev, err := c.fleet.Put(ctx, "pools", row.Name, 0, row)
+	if err != nil {
+		return 0, err
+	}
+	if err := c.fleet.Await(ctx, rev); err != nil {
+		return 0, err
+	}
+	return time.Since(began), c.await(ctx, rev)
+}
+
+// Nodes measures what following the tables costs for each node, both ends together.
+func Nodes(ctx context.Context, sizes []int, into map[string]Slope) error {
+	get := func(name, unit string) Slope {
+		s, ok := into[name]
+		if !ok {
+			s = Slope{Name: name, Of: "nodes", Unit: unit}
+		}
+		return s
+	}
+	for _, n := range sizes {
+		before := heap()
+		c, err := gather(ctx, n)
+		if err != nil {
+			return err
+		}
+		got, err := c.measure(ctx, n)
+		if err != nil {
+			c.close()
+			return err
+		}
+		got["memory"] = heap() - before
+		for name, unit := range map[string]string{
+			"memory": "bytes in all", "cpu": "cores in all", "bytes": "bytes a second of one node",
+			"change": "bytes of one change for one node", "force": "ms until in force, p50", "slowest": "ms until in force, slowest of 20",
+			"burst": "ms until a burst of 50 is in force",
+		} {
+			s := get(name, unit)
+			s.Points = append(s.Points, Point{float64(n), got[name]})
+			into[name] = s
+		}
+		c.close()
+	}
+	return nil
+}
+
+func (c *crowd) measure(ctx context.Context, n int) (map[string]float64, error) {
+	got := map[string]float64{}
+	traffic := func() float64 {
+		sum := uint64(0)
+		for _, f := range c.follows {
+			received, sent, _, _ := f.Traffic()
+			sum += received + sent
+		}
+		return float64(sum) / float64(n)
+	}
+	time.Sleep(time.Second)
+	bytes, used, began := traffic(), cpu(), time.Now()
+	time.Sleep(quiet)
+	span := time.Since(began).Seconds()
+	got["bytes"] = (traffic() - bytes) / span
+	got["cpu"] = (cpu() - used).Seconds() / span
+	var times []time.Duration
+	bytes = traffic()
+	for i := range 20 {
+		took, err := c.put(ctx, i)
+		if err != nil {
+			return nil, err
+		}
+		times = append(times, took)
+	}
+	got["change"] = (traffic() - bytes) / 20
+	slices.Sort(times)
+	got["force"] = float64(times[10].Microseconds()) / 1000
+	got["slowest"] = float64(times[19].Microseconds()) / 1000
+	began = time.Now()
+	last := uint64(0)
+	for i := range 50 {
+		row := &table.Pool{Name: fmt.Sprint("burst-", i), Place: "north", Kind: table.Service, Endpoints: []table.Endpoint{}}
+		rev, err := c.fleet.Put(ctx, "pools", row.Name, 0, row)
+		if err != nil {
+			return nil, err
+		}
+		last = rev
+	}
+	if err := c.fleet.Await(ctx, last); err != nil {
+		return nil, err
+	}
+	got["burst"] = float64(time.Since(began).Milliseconds())
+	return got, nil
+}
--- /dev/null
+++ b/slopes/slopes.go
@@ -0,0 +1,126 @@
+// Package slopes measures what each role costs as the system grows and works out
+// the two-years' size from it.
+//
+// It owns the measurements, the fits and the tables of docs/CAPACITY.md. The
+// figures it keeps are those of the machine that ran it; the test compares the
+// page with the kept figures, never with a limit of time.
+package slopes
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"strings"
+)
+
+// Point is one measurement.
+type Point struct {
+	Size  float64 `json:"size"`
+	Value float64 `json:"value"`
+}
+
+// Slope is a quantity measured at several sizes.
+type Slope struct {
+	// Name is one word, Of tells what grows, Unit what is measured.
+	Name   string  `json:"name"`
+	Of     string  `json:"of"`
+	Unit   string  `json:"unit"`
+	Points []Point `json:"points"`
+}
+
+// Fit returns the least-squares line through the points.
+func (s Slope) Fit() (base, slope float64) {
+	n := float64(len(s.Points))
+	var x, y, xx, xy float64
+	for _, p := range s.Points {
+		x += p.Size
+		y += p.Value
+		xx += p.Size * p.Size
+		xy += p.Size * p.Value
+	}
+	det := n*xx - x*x
+	if det == 0 {
+		return y / max(n, 1), 0
+	}
+	slope = (n*xy - x*y) / det
+	return (y - slope*x) / n, slope
+}
+
+// At returns the fitted value at a size, never below zero.
+func (s Slope) At(size float64) float64 {
+	base, slope := s.Fit()
+	return math.Max(0, base+slope*size)
+}
+
+// Data is everything that was measured in one go.
+type Data struct {
+	Machine string           `json:"machine"`
+	Slopes  map[string]Slope `json:"slopes"`
+}
+
+// Write returns the data file's content.
+func (d Data) Write() ([]byte, error) { return json.MarshalIndent(d, "", "  ") }
+
+// Points returns the table of all points and fits as Markdown.
+func (d Data) Points(order []string) string {
+	var b strings.Builder
+	b.WriteString("| measured | points (size: value) | fit |\n| --- | --- | --- |\n")
+	for _, name := range order {
+		s, ok := d.Slopes[name]
+		if !ok {
+			continue
+		}
+		var points []string
+		for _, p := range s.Points {
+			points = append(points, fmt.Sprintf("%g: %s", p.Size, short(p.Value)))
+		}
+		base, slope := s.Fit()
+		fmt.Fprintf(&b, "| %s, %s by %s | %s | %s + %s × %s |\n", name, s.Unit, s.Of, strings.Join(points, ", "), short(base), short(slope), s.Of)
+	}
+	return b.String()
+}
+
+func short(v float64) string {
+	switch a := math.Abs(v); {
+	case a == 0:
+		return "0"
+	case a >= 1000:
+		return fmt.Sprintf("%.0f", v)
+	case a >= 1:
+		return fmt.Sprintf("%.3g", v)
+	}
+	return fmt.Sprintf("%.2g", v)
+}
+
+// Row is one figure at the two-years' size.
+type Row struct {
+	Role, Figure string
+	Value        float64
+	Unit         string
+	// Limit is the stated target; zero when none is stated.
+	Limit     float64
+	Mechanism string
+	// Change tells what would make a red row fit.
+	Change string
+}
+
+func (r Row) red() bool { return r.Limit > 0 && r.Value > r.Limit }
+
+// Rows renders the figures as Markdown.
+func Rows(rows []Row) string {
+	var b strings.Builder
+	b.WriteString("| role | figure at the two-years' size | worked out | target | | carried by |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, r := range rows {
+		limit, verdict := "none stated", ""
+		if r.Limit > 0 {
+			limit, verdict = short(r.Limit)+" "+r.Unit, "holds"
+		}
+		mechanism := r.Mechanism
+		if r.red() {
+			verdict = "**red**"
+			mechanism += "; would fit with: " + r.Change
+		}
+		fmt.Fprintf(&b, "| %s | %s | %s %s | %s | %s | %s |\n", r.Role, r.Figure, short(r.Value), r.Unit, limit, verdict, mechanism)
+	}
+	return b.String()
+}
