Run the deployment as real processes; abort streams at once

Cause: closing 100 followers took 55 s: closing a yamux stream waits for what the peer still holds. Conclusion: cancelled work ends at once.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -235,7 +235,7 @@
 
 // watch tells an entry the load, at once when it changes.
 func (a *Agent) watch(ctx context.Context, s *wire.Stream) {
-	stop := context.AfterFunc(ctx, func() { s.Close() })
+	stop := context.AfterFunc(ctx, s.Abort)
 	defer stop()
 	var last *wire.Load
 	var at time.Time
--- a/agent/reuse.go
+++ b/agent/reuse.go
@@ -160,7 +160,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		s.SetDeadline(deadline)
 	}
-	stop := context.AfterFunc(ctx, func() { s.Close() })
+	stop := context.AfterFunc(ctx, s.Abort)
 	defer stop()
 	if err := s.Send(f); err != nil {
 		return nil, err
--- a/ctrl/follow.go
+++ b/ctrl/follow.go
@@ -149,7 +149,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	stop := context.AfterFunc(ctx, func() { s.Close() })
+	stop := context.AfterFunc(ctx, s.Abort)
 	defer stop()
 	defer s.Close()
 	var reporting sync.WaitGroup
@@ -205,7 +205,7 @@
 	if err != nil {
 		return
 	}
-	stop := context.AfterFunc(ctx, func() { s.Close() })
+	stop := context.AfterFunc(ctx, s.Abort)
 	defer stop()
 	defer s.Close()
 	var sent *wire.Ack
--- a/ctrl/owner.go
+++ b/ctrl/owner.go
@@ -188,7 +188,7 @@
 	}
 	defer s.Close()
 	s.SetDeadline(time.Now().Add(orderTimeout))
-	stop := context.AfterFunc(ctx, func() { s.Close() })
+	stop := context.AfterFunc(ctx, s.Abort)
 	defer stop()
 	frame := &wire.Order{Epoch: epoch, Id: uuid.NewString(), Endpoint: order.Endpoint, Kind: fence.LoadVersion, Version: order.Version}
 	if err := s.Send(&wire.Frame{Body: &wire.Frame_Order{Order: frame}}); err != nil {
--- a/ctrl/server.go
+++ b/ctrl/server.go
@@ -64,7 +64,7 @@
 
 // messages takes the log's messages of one other member.
 func (s *Server) messages(ctx context.Context, stream *wire.Stream, w *wire.Raft) {
-	stop := context.AfterFunc(ctx, func() { stream.Close() })
+	stop := context.AfterFunc(ctx, stream.Abort)
 	defer stop()
 	for {
 		m, err := fromWire(w)
@@ -82,7 +82,7 @@
 
 // proposals answers the proposals of one client, one after another.
 func (s *Server) proposals(ctx context.Context, stream *wire.Stream, p *wire.Propose) {
-	stop := context.AfterFunc(ctx, func() { stream.Close() })
+	stop := context.AfterFunc(ctx, stream.Abort)
 	defer stop()
 	for {
 		if err := stream.Send(&wire.Frame{Body: &wire.Frame_Result{Result: s.propose(ctx, p)}}); err != nil {
--- a/ctrl/spread.go
+++ b/ctrl/spread.go
@@ -26,7 +26,7 @@
 
 // ServePulls answers the pulls of one downstream until its stream ends.
 func ServePulls(ctx context.Context, s *wire.Stream, first *wire.Pull, pick func() source, leader func() netip.AddrPort) {
-	stop := context.AfterFunc(ctx, func() { s.Close() })
+	stop := context.AfterFunc(ctx, s.Abort)
 	defer stop()
 	pull := first
 	for {
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -284,7 +284,7 @@
 	stop := context.AfterFunc(ctx, func() {
 		// The caller is gone or out of time: the agent stops the endpoint.
 		_ = s.Send(&wire.Frame{Body: &wire.Frame_Cancel{Cancel: &wire.Cancel{}}})
-		s.Close()
+		s.Abort()
 	})
 	defer stop()
 	if err := s.Send(first); err != nil {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -111,7 +111,7 @@
 		w.fail(time.Now())
 		return
 	}
-	stop := context.AfterFunc(p.ctx, func() { s.Close() })
+	stop := context.AfterFunc(p.ctx, s.Abort)
 	defer stop()
 	defer s.Close()
 	if err := s.Send(&wire.Frame{Body: &wire.Frame_Watch{Watch: &wire.Watch{}}}); err != nil {
--- /dev/null
+++ b/fleet/procs.go
@@ -0,0 +1,137 @@
+package fleet
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/BurntSushi/toml"
+)
+
+// WriteSettings writes the settings file of every planned process and returns their paths.
+func (f *Fleet) WriteSettings() (map[string]string, error) {
+	paths := map[string]string{}
+	for name, s := range f.settings {
+		path := f.path(name + ".toml")
+		data, err := toml.Marshal(s)
+		if err != nil {
+			return nil, Failed.Wrap(err, "write settings of %s", name)
+		}
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			return nil, Failed.Wrap(err, "write settings of %s", name)
+		}
+		paths[name] = path
+	}
+	return paths, nil
+}
+
+// Procs runs the planned processes as processes of the built binary. Tests and
+// measurements use it; the system itself starts no process.
+type Procs struct {
+	Fleet  *Fleet
+	binary string
+	paths  map[string]string
+
+	// mu guards running.
+	mu      sync.Mutex
+	running map[string]*exec.Cmd
+}
+
+// StartProcs starts every planned process and waits until the tables are in force.
+func StartProcs(ctx context.Context, f *Fleet, binary string) (*Procs, error) {
+	paths, err := f.WriteSettings()
+	if err != nil {
+		return nil, err
+	}
+	p := &Procs{Fleet: f, binary: binary, paths: paths, running: map[string]*exec.Cmd{}}
+	for _, name := range f.order {
+		if err := p.Run(name); err != nil {
+			p.Close()
+			return nil, err
+		}
+	}
+	if err := f.Fill(ctx); err != nil {
+		p.Close()
+		return nil, err
+	}
+	// The last nodes learn that they are fresh a moment after the tables are in force.
+	time.Sleep(settleTime)
+	return p, nil
+}
+
+const settleTime = 500 * time.Millisecond
+
+// Build makes the binary of the module that holds the working folder's parent.
+func Build(ctx context.Context, dir string) (string, error) {
+	out := filepath.Join(dir, "egretshunt")
+	cmd := exec.CommandContext(ctx, "go", "build", "-o", out, "egretshunt")
+	if text, err := cmd.CombinedOutput(); err != nil {
+		return "", Failed.Wrap(err, "build: %s", text)
+	}
+	return out, nil
+}
+
+func (p *Procs) command(name string) string {
+	switch s := p.Fleet.settings[name]; {
+	case s.Entry != nil:
+		return "entry"
+	case s.Store != nil:
+		return "store"
+	}
+	return "agent"
+}
+
+// Run starts the named process.
+func (p *Procs) Run(name string) error {
+	cmd := exec.Command(p.binary, p.command(name), p.paths[name])
+	log, err := os.OpenFile(p.Fleet.path(name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return Failed.Wrap(err, "open log of %s", name)
+	}
+	defer log.Close()
+	cmd.Stderr = log
+	if err := cmd.Start(); err != nil {
+		return Failed.Wrap(err, "start %s", name)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running[name] = cmd
+	return nil
+}
+
+// PID returns the named process's id, or 0 while it does not run.
+func (p *Procs) PID(name string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if cmd := p.running[name]; cmd != nil {
+		return cmd.Process.Pid
+	}
+	return 0
+}
+
+// End sends the named process a signal and waits for its end; it returns the exit code.
+func (p *Procs) End(name string, sig syscall.Signal) int {
+	p.mu.Lock()
+	cmd := p.running[name]
+	delete(p.running, name)
+	p.mu.Unlock()
+	if cmd == nil {
+		return -1
+	}
+	// A process that has ended already needs no signal.
+	_ = cmd.Process.Signal(sig)
+	_ = cmd.Wait()
+	return cmd.ProcessState.ExitCode()
+}
+
+// Close kills every process that is still running.
+func (p *Procs) Close() {
+	for _, name := range p.Fleet.order {
+		p.End(name, syscall.SIGKILL)
+	}
+	p.Fleet.Close()
+}
--- a/store/serve.go
+++ b/store/serve.go
@@ -42,7 +42,7 @@
 
 // Handle serves one stream whose first frame was already read.
 func (s *Service) Handle(ctx context.Context, stream *wire.Stream, first *wire.Frame) {
-	stop := context.AfterFunc(ctx, func() { stream.Close() })
+	stop := context.AfterFunc(ctx, stream.Abort)
 	defer stop()
 	frame := first
 	for {
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -95,6 +95,14 @@
 	_ = s.conn.SetDeadline(t)
 }
 
+// Abort ends the stream and wakes whoever sends or receives on it: Close alone
+// waits for what the peer still has to say.
+func (s *Stream) Abort() {
+	s.SetDeadline(time.Unix(1, 0))
+	// A stream that is closed already needs nothing more.
+	_ = s.conn.Close()
+}
+
 // Close ends the stream for both sides.
 func (s *Stream) Close() error { return s.conn.Close() }
 
