--- a/prog/ctl.go
+++ b/prog/ctl.go
@@ -1,8 +1,276 @@
 package prog
 
-import "io"
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"os"
+	"time"
 
-// ctlArgs operate a system.
-type ctlArgs struct{}
+	"github.com/google/uuid"
+)
 
-func (a *ctlArgs) run(io.Writer) error { return Usage.New("not yet") }
+// ctlArgs operate a system through its administration API.
+type ctlArgs struct {
+	Admin []netip.AddrPort `arg:"--admin,separate,env:EGRETSHUNT_ADMIN" help:"administration address of a control VM; give several, the one that leads is found"`
+	Key   string           `arg:"--key,env:EGRETSHUNT_KEY" help:"operator's key"`
+	JSON  bool             `arg:"--json" help:"print JSON as it came"`
+	Time  time.Duration    `arg:"--time" default:"15s" help:"how long to try"`
+
+	Routes   *rowsArgs    `arg:"subcommand:routes" help:"list, show, put, delete routes"`
+	Pools    *rowsArgs    `arg:"subcommand:pools" help:"list, show, put, delete pools"`
+	Drain    *drainArgs   `arg:"subcommand:drain" help:"keep new work from a pool or endpoint"`
+	Undrain  *drainArgs   `arg:"subcommand:undrain" help:"give a pool or endpoint work again"`
+	Export   *exportArgs  `arg:"subcommand:export" help:"write both tables as TOML"`
+	Import   *importArgs  `arg:"subcommand:import" help:"put all rows of a TOML file"`
+	Wait     *waitArgs    `arg:"subcommand:wait" help:"wait until a revision is in force"`
+	Audit    *auditArgs   `arg:"subcommand:audit" help:"list changes, newest first"`
+	Status   *emptyArgs   `arg:"subcommand:status" help:"show every control VM"`
+	Nodes    *emptyArgs   `arg:"subcommand:nodes" help:"list the nodes and their revisions"`
+	Members  *memberArgs  `arg:"subcommand:members" help:"add, remove or replace a control VM"`
+	Unknown  *unknownArgs `arg:"subcommand:unknown" help:"list or settle requests of unknown outcome"`
+	Suspect  *suspectArgs `arg:"subcommand:suspect" help:"list or pardon requests that crash endpoints"`
+	Snapshot *emptyArgs   `arg:"subcommand:snapshot" help:"write the whole state to standard output"`
+	Why      *whyArgs     `arg:"subcommand:why" help:"explain where a recent request went"`
+}
+
+type emptyArgs struct{}
+
+// Epilogue implements arg.Epilogued.
+func (*ctlArgs) Epilogue() string {
+	return `Examples:
+  egretshunt ctl routes list
+  egretshunt ctl pools put workers --base 12 --file workers.json --dry
+  egretshunt ctl drain workers worker-3
+  egretshunt ctl wait 57
+  egretshunt ctl members replace c2 c4 10.0.0.9:7000`
+}
+
+// call is one request to the administration API.
+type call struct {
+	method, path string
+	query        url.Values
+	body         any
+}
+
+// problem is a refused request.
+type problem struct {
+	Code string          `json:"code"`
+	Text string          `json:"text"`
+	Row  json.RawMessage `json:"row"`
+}
+
+func (a *ctlArgs) run(out io.Writer) error {
+	if len(a.Admin) == 0 && a.Why == nil {
+		return Usage.New("no control VM is named: give --admin or EGRETSHUNT_ADMIN")
+	}
+	switch {
+	case a.Routes != nil:
+		return a.Routes.run(a, "routes", out)
+	case a.Pools != nil:
+		return a.Pools.run(a, "pools", out)
+	case a.Drain != nil:
+		return a.Drain.run(a, "drain", out)
+	case a.Undrain != nil:
+		return a.Undrain.run(a, "undrain", out)
+	case a.Export != nil:
+		return a.Export.run(a, out)
+	case a.Import != nil:
+		return a.Import.run(a, out)
+	case a.Wait != nil:
+		return a.Wait.run(a, out)
+	case a.Audit != nil:
+		return a.Audit.run(a, out)
+	case a.Status != nil:
+		return a.status(out)
+	case a.Nodes != nil:
+		return a.nodes(out)
+	case a.Members != nil:
+		return a.Members.run(a, out)
+	case a.Unknown != nil:
+		return a.Unknown.run(a, out)
+	case a.Suspect != nil:
+		return a.Suspect.run(a, out)
+	case a.Snapshot != nil:
+		return a.snapshot(out)
+	case a.Why != nil:
+		return a.Why.run(a, out)
+	}
+	return Usage.New("ctl needs a command; see egretshunt ctl --help")
+}
+
+// ask tries the control VMs in turn until one answers for good, and decodes its answer.
+func (a *ctlArgs) ask(c call, into any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), a.Time)
+	defer cancel()
+	var last error
+	for try := 0; ; try++ {
+		data, final, err := a.once(ctx, a.Admin[try%len(a.Admin)], c)
+		if err == nil {
+			return decodeInto(data, into)
+		}
+		if final {
+			return err
+		}
+		last = err
+		select {
+		case <-time.After(50 * time.Millisecond):
+		case <-ctx.Done():
+			return Failed.Wrap(last, "no control VM answered for good in %s", a.Time)
+		}
+	}
+}
+
+func decodeInto(data []byte, into any) error {
+	switch v := into.(type) {
+	case nil:
+		return nil
+	case *[]byte:
+		*v = data
+		return nil
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return Failed.Wrap(err, "read answer")
+	}
+	return nil
+}
+
+// once asks one control VM. Final is false when another one may answer better.
+func (a *ctlArgs) once(ctx context.Context, at netip.AddrPort, c call) (data []byte, final bool, err error) {
+	var body bytes.Buffer
+	if c.body != nil {
+		if raw, ok := c.body.(json.RawMessage); ok {
+			body.Write(raw)
+		} else if err := json.NewEncoder(&body).Encode(c.body); err != nil {
+			return nil, true, Failed.Wrap(err, "write body")
+		}
+	}
+	u := url.URL{Scheme: "http", Host: at.String(), Path: "/admin/v1" + c.path, RawQuery: c.query.Encode()}
+	req, err := http.NewRequestWithContext(ctx, c.method, u.String(), &body)
+	if err != nil {
+		return nil, true, Failed.Wrap(err, "make request")
+	}
+	req.Header.Set("Authorization", "Bearer "+a.Key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, false, Failed.Wrap(err, "reach %s", at)
+	}
+	defer resp.Body.Close()
+	data, err = io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, false, Failed.Wrap(err, "read answer of %s", at)
+	}
+	if resp.StatusCode < 300 {
+		return data, true, nil
+	}
+	return nil, resp.StatusCode < 500 && resp.StatusCode != http.StatusMisdirectedRequest, refusedBy(resp.StatusCode, data)
+}
+
+func refusedBy(status int, data []byte) error {
+	var p problem
+	if json.Unmarshal(data, &p) != nil || p.Code == "" {
+		return Failed.New("status %d: %.200s", status, data)
+	}
+	text := p.Code + ": " + p.Text
+	if len(p.Row) > 0 {
+		text += "\nthe row is now: " + string(p.Row)
+	}
+	return Refused.New("%s", text)
+}
+
+// print writes an answer as JSON, indented for people.
+func (a *ctlArgs) print(out io.Writer, data []byte) error {
+	if a.JSON {
+		_, err := out.Write(append(bytes.TrimSpace(data), '\n'))
+		return err
+	}
+	var b bytes.Buffer
+	if err := json.Indent(&b, bytes.TrimSpace(data), "", "  "); err != nil {
+		return Failed.Wrap(err, "read answer")
+	}
+	_, err := fmt.Fprintln(out, b.String())
+	return err
+}
+
+// show asks and prints.
+func (a *ctlArgs) show(c call, out io.Writer) error {
+	var data []byte
+	if err := a.ask(c, &data); err != nil {
+		return err
+	}
+	return a.print(out, data)
+}
+
+func get(path string, query url.Values) call {
+	return call{method: http.MethodGet, path: path, query: query}
+}
+
+// status asks every control VM for its own view.
+func (a *ctlArgs) status(out io.Writer) error {
+	for _, at := range a.Admin {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		data, _, err := a.once(ctx, at, get("/status", nil))
+		cancel()
+		if err != nil {
+			fmt.Fprintf(out, "%s: %v\n", at, err)
+			continue
+		}
+		fmt.Fprintf(out, "%s: %s\n", at, bytes.TrimSpace(data))
+	}
+	return nil
+}
+
+func (a *ctlArgs) nodes(out io.Writer) error {
+	if a.JSON {
+		return a.show(get("/nodes", nil), out)
+	}
+	var nodes []struct {
+		Node, Role, Place, Via string
+		Rev                    uint64
+		Live                   bool
+	}
+	if err := a.ask(get("/nodes", nil), &nodes); err != nil {
+		return err
+	}
+	for _, n := range nodes {
+		state := "fresh"
+		if !n.Live {
+			state = "silent"
+		}
+		fmt.Fprintf(out, "%-20s %-8s %-10s revision %-6d %-6s %s\n", n.Node, n.Role, n.Place, n.Rev, state, n.Via)
+	}
+	return nil
+}
+
+func (a *ctlArgs) snapshot(out io.Writer) error {
+	var data []byte
+	if err := a.ask(get("/snapshot", nil), &data); err != nil {
+		return err
+	}
+	_, err := out.Write(data)
+	return err
+}
+
+// newID identifies a change, so that asking again after a lost answer is safe.
+func newID() string { return uuid.NewString() }
+
+// readFile reads a file, or standard input for "-".
+func readFile(path string) ([]byte, error) {
+	if path == "-" {
+		data, err := io.ReadAll(os.Stdin)
+		if err != nil {
+			return nil, Failed.Wrap(err, "read standard input")
+		}
+		return data, nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, Failed.Wrap(err, "read file")
+	}
+	return data, nil
+}
--- /dev/null
+++ b/prog/rows.go
@@ -0,0 +1,257 @@
+package prog
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"egretshunt/admin"
+	"egretshunt/table"
+)
+
+// rowsArgs work on the rows of one table.
+type rowsArgs struct {
+	List   *emptyArgs  `arg:"subcommand:list" help:"list all rows"`
+	Show   *nameArgs   `arg:"subcommand:show" help:"show one row with its version"`
+	Put    *putArgs    `arg:"subcommand:put" help:"make or change a row"`
+	Delete *deleteArgs `arg:"subcommand:delete" help:"delete a row"`
+}
+
+type nameArgs struct {
+	Name string `arg:"positional,required"`
+}
+
+type putArgs struct {
+	Name string `arg:"positional,required"`
+	Base uint64 `arg:"--base" help:"version that the change starts from; 0 makes a new row"`
+	File string `arg:"--file" default:"-" help:"file with the row as JSON; - reads standard input"`
+	ID   string `arg:"--id" help:"identity of the change; give it again to ask again"`
+	Dry  bool   `arg:"--dry" help:"only tell what would happen"`
+	Wait bool   `arg:"--wait" help:"wait until the change is in force"`
+}
+
+type deleteArgs struct {
+	Name string `arg:"positional,required"`
+	Base uint64 `arg:"--base,required" help:"version of the row to delete"`
+	ID   string `arg:"--id" help:"identity of the change"`
+	Wait bool   `arg:"--wait" help:"wait until the change is in force"`
+}
+
+func (r *rowsArgs) run(a *ctlArgs, tableName string, out io.Writer) error {
+	switch {
+	case r.Show != nil:
+		return a.show(get("/"+tableName+"/"+url.PathEscape(r.Show.Name), nil), out)
+	case r.Put != nil:
+		return r.Put.run(a, tableName, out)
+	case r.Delete != nil:
+		q := url.Values{"base": {strconv.FormatUint(r.Delete.Base, 10)}, "id": {orNew(r.Delete.ID)}}
+		c := call{method: http.MethodDelete, path: "/" + tableName + "/" + url.PathEscape(r.Delete.Name), query: q}
+		return a.change(c, r.Delete.Wait, out)
+	}
+	return r.list(a, tableName, out)
+}
+
+func orNew(id string) string {
+	if id == "" {
+		return newID()
+	}
+	return id
+}
+
+func (r *rowsArgs) list(a *ctlArgs, tableName string, out io.Writer) error {
+	if a.JSON {
+		return a.show(get("/"+tableName, nil), out)
+	}
+	if tableName == "pools" {
+		var pools []table.Pool
+		if err := a.ask(get("/pools", nil), &pools); err != nil {
+			return err
+		}
+		for _, p := range pools {
+			fmt.Fprintf(out, "%-24s version %-6d %-8s in %-10s %d endpoints%s\n", p.Name, p.Rev, p.Kind, p.Place, len(p.Endpoints), drained(p))
+		}
+		return nil
+	}
+	var routes []table.Route
+	if err := a.ask(get("/routes", nil), &routes); err != nil {
+		return err
+	}
+	for _, r := range routes {
+		fmt.Fprintf(out, "%-28s version %-6d %s -> %s by %v\n", r.Name, r.Rev, r.Account, r.Target, r.Pools)
+	}
+	return nil
+}
+
+func drained(p table.Pool) string {
+	if p.Drain {
+		return ", drained"
+	}
+	n := 0
+	for _, e := range p.Endpoints {
+		if e.Drain {
+			n++
+		}
+	}
+	if n > 0 {
+		return fmt.Sprintf(", %d drained", n)
+	}
+	return ""
+}
+
+func (p *putArgs) run(a *ctlArgs, tableName string, out io.Writer) error {
+	body, err := readFile(p.File)
+	if err != nil {
+		return err
+	}
+	if !json.Valid(body) {
+		return Usage.New("%s is not JSON", p.File)
+	}
+	path := "/" + tableName + "/" + url.PathEscape(p.Name)
+	q := url.Values{"base": {strconv.FormatUint(p.Base, 10)}, "id": {orNew(p.ID)}}
+	c := call{method: http.MethodPut, path: path, query: q, body: json.RawMessage(body)}
+	if !p.Dry {
+		return a.change(c, p.Wait, out)
+	}
+	q.Set("dry", "true")
+	var before json.RawMessage
+	if p.Base > 0 {
+		if err := a.ask(get(path, nil), &before); err != nil {
+			return err
+		}
+	}
+	var after admin.Outcome
+	if err := a.ask(c, &after); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "- %s\n+ %s\n", before, after.Row)
+	return nil
+}
+
+// change makes a change and prints its revision.
+func (a *ctlArgs) change(c call, wait bool, out io.Writer) error {
+	var got admin.Outcome
+	if err := a.ask(c, &got); err != nil {
+		return err
+	}
+	if a.JSON {
+		if err := json.NewEncoder(out).Encode(got); err != nil {
+			return Failed.Wrap(err, "print")
+		}
+	} else {
+		fmt.Fprintf(out, "accepted as revision %d (change %s)\n", got.Rev, got.ID)
+	}
+	if !wait {
+		return nil
+	}
+	return (&waitArgs{Rev: got.Rev}).run(a, out)
+}
+
+// drainArgs name a pool, or one endpoint of it.
+type drainArgs struct {
+	Pool     string `arg:"positional,required"`
+	Endpoint string `arg:"positional"`
+	Wait     bool   `arg:"--wait" help:"wait until the change is in force"`
+}
+
+func (d *drainArgs) run(a *ctlArgs, verb string, out io.Writer) error {
+	path := "/pools/" + url.PathEscape(d.Pool)
+	if d.Endpoint != "" {
+		path += "/endpoints/" + url.PathEscape(d.Endpoint)
+	}
+	return a.change(call{method: http.MethodPost, path: path + "/" + verb, query: url.Values{"id": {newID()}}}, d.Wait, out)
+}
+
+// waitArgs wait for a revision.
+type waitArgs struct {
+	Rev uint64 `arg:"positional,required" help:"revision to wait for"`
+}
+
+// waitStep is how long the leader is asked to wait at a time.
+const waitStep = 2 * time.Second
+
+func (w *waitArgs) run(a *ctlArgs, out io.Writer) error {
+	deadline := time.Now().Add(a.Time)
+	for {
+		var got admin.Wait
+		q := url.Values{"rev": {strconv.FormatUint(w.Rev, 10)}, "time": {waitStep.String()}}
+		if err := a.ask(get("/wait", q), &got); err != nil {
+			return err
+		}
+		if got.InForce {
+			fmt.Fprintf(out, "revision %d is in force everywhere\n", w.Rev)
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return Failed.New("revision %d is not in force yet at: %v", w.Rev, got.Lagging)
+		}
+	}
+}
+
+// exportArgs write both tables.
+type exportArgs struct{}
+
+func (e *exportArgs) run(a *ctlArgs, out io.Writer) error {
+	var got admin.Export
+	if err := a.ask(get("/tables", nil), &got); err != nil {
+		return err
+	}
+	if err := toml.NewEncoder(out).Encode(got); err != nil {
+		return Failed.Wrap(err, "write TOML")
+	}
+	return nil
+}
+
+// importArgs put all rows of a file, each over the version that it has now.
+type importArgs struct {
+	File string `arg:"positional,required" help:"TOML file as export writes it; - reads standard input"`
+}
+
+func (i *importArgs) run(a *ctlArgs, out io.Writer) error {
+	text, err := readFile(i.File)
+	if err != nil {
+		return err
+	}
+	var file admin.Export
+	meta, err := toml.Decode(string(text), &file)
+	if err != nil {
+		return Usage.New("%s: %v", i.File, err)
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return Usage.New("%s: unknown key: %s", i.File, unknown[0])
+	}
+	var now admin.Export
+	if err := a.ask(get("/tables", nil), &now); err != nil {
+		return err
+	}
+	base := map[string]uint64{}
+	for _, p := range now.Pools {
+		base["pools/"+p.Name] = p.Rev
+	}
+	for _, r := range now.Routes {
+		base["routes/"+r.Name] = r.Rev
+	}
+	// Pools go first, for routes are joined to them.
+	for _, p := range file.Pools {
+		if err := i.put(a, "pools/"+p.Name, base, p, out); err != nil {
+			return err
+		}
+	}
+	for _, r := range file.Routes {
+		if err := i.put(a, "routes/"+r.Name, base, r, out); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (i *importArgs) put(a *ctlArgs, path string, base map[string]uint64, row any, out io.Writer) error {
+	q := url.Values{"base": {strconv.FormatUint(base[path], 10)}, "id": {newID()}}
+	fmt.Fprintf(out, "%s: ", path)
+	return a.change(call{method: http.MethodPut, path: "/" + path, query: q, body: row}, false, out)
+}
