--- /dev/null
+++ b/agent/mirror_test.go
@@ -0,0 +1,58 @@
+package agent
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"egretshunt/block"
+	"egretshunt/check"
+	"egretshunt/wire"
+)
+
+func offerOf(key string) *wire.Offer { return &wire.Offer{Account: "a", Key: key} }
+
+func nameOf(i byte) (n block.Name) {
+	n[0] = i
+	return n
+}
+
+func TestMirrorDoubtsAfterGaps(t *testing.T) {
+	add := func(seq uint64, i byte) CacheEvent { return CacheEvent{Seq: seq, Op: "add", Name: nameOf(i).String()} }
+	chain := []block.Name{nameOf(1), nameOf(2)}
+	m := newMirror()
+	m.apply(CacheEvents{Boot: "b", Last: 2, Events: []CacheEvent{add(1, 1), add(2, 2)}})
+	check.Equal(t, "held", m.longest(chain), 2)
+	m.apply(CacheEvents{Boot: "b", Last: 5, Events: []CacheEvent{add(5, 1)}})
+	check.Equal(t, "after a gap only what came later", m.longest(chain), 1)
+	m.apply(CacheEvents{Boot: "b", Last: 7})
+	check.Equal(t, "after missing the newest", m.longest(chain), 0)
+	m.apply(CacheEvents{Boot: "c", Last: 1, Events: []CacheEvent{add(1, 1)}})
+	check.Equal(t, "another incarnation", m.longest(chain), 1)
+}
+
+func FuzzMirror(f *testing.F) {
+	f.Add("b", uint64(1), "add", strings.Repeat("00", 32))
+	f.Fuzz(func(_ *testing.T, boot string, seq uint64, op, name string) {
+		m := newMirror()
+		m.apply(CacheEvents{Boot: boot, Last: seq, Events: []CacheEvent{{Seq: seq, Op: op, Name: name}}})
+		m.longest([]block.Name{nameOf(1)})
+	})
+}
+
+func TestOnceBook(t *testing.T) {
+	b := newOnceBook()
+	k := keyOf(offerOf("k"))
+	x := newExchange(offerOf("k"), func() {})
+	now := time.Unix(1000, 0)
+	check.Equal(t, "not accepted yet", b.judge(k, 1, now).GetState(), verdictNever)
+	ok, _ := b.accept(k, 1, x, now)
+	check.Equal(t, "accept of a revoked attempt", ok, false)
+	ok, _ = b.accept(k, 2, x, now)
+	check.Equal(t, "accept of the next", ok, true)
+	_, repeated := b.accept(k, 2, x, now)
+	check.Equal(t, "accept again", repeated, true)
+	check.Equal(t, "running", b.judge(k, 2, now).GetState(), verdictRunning)
+	b.undo(k, 2)
+	check.Equal(t, "taken back", b.judge(k, 2, now).GetState(), verdictNever)
+}
--- /dev/null
+++ b/conf/conf_test.go
@@ -0,0 +1,103 @@
+package conf_test
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"egretshunt/check"
+	"egretshunt/conf"
+)
+
+var update = flag.Bool("update", false, "write docs/SETTINGS.md anew")
+
+const good = `
+node = "e0"
+place = "north"
+data = "data/e0"
+control = ["127.0.0.1:7000"]
+[wire]
+listen = "127.0.0.1:7000"
+secrets = ["a secret of sixteen letters"]
+[entry]
+listen = "127.0.0.1:8000"
+keys = "keys.toml"
+`
+
+func TestParse(t *testing.T) {
+	s, err := conf.Parse(good)
+	check.Good(t, err)
+	check.Equal(t, "default", s.Entry.Open, 4096)
+	for _, tc := range []struct{ what, old, new, want string }{
+		{"unknown key", "place =", "colour = 1\nplace =", "unknown key: colour"},
+		{"missing", `node = "e0"`, "", "node is missing"},
+		{"short secret", "a secret of sixteen letters", "short", "wire.secrets[0]"},
+		{"not an address", "127.0.0.1:8000", "nowhere", "line"},
+		{"negative", `keys = "keys.toml"`, "keys = \"k\"\nopen = -1", "entry.open"},
+		{"negative time", `keys = "keys.toml"`, "keys = \"k\"\nwrite = \"-1s\"", "negative"},
+		{"no role", "[entry]\nlisten = \"127.0.0.1:8000\"\nkeys = \"keys.toml\"", "", "roles"},
+		{"half a certificate", `keys = "keys.toml"`, "keys = \"k\"\ncert = \"c\"", "entry.cert"},
+	} {
+		t.Run(tc.what, func(t *testing.T) {
+			text := strings.Replace(good, tc.old, tc.new, 1)
+			if _, err := conf.Parse(text); err == nil || !strings.Contains(err.Error(), tc.want) {
+				t.Fatalf("error %v does not say %q", err, tc.want)
+			}
+		})
+	}
+}
+
+// TestDoc keeps the settings page in step with the code.
+func TestDoc(t *testing.T) {
+	const page = "../docs/SETTINGS.md"
+	if *update {
+		check.Good(t, os.WriteFile(page, []byte(conf.Doc()), 0o644))
+	}
+	text, err := os.ReadFile(page)
+	check.Good(t, err)
+	check.Equal(t, page+"; make it anew with -update", string(text), conf.Doc())
+}
+
+func TestSamples(t *testing.T) {
+	found, err := filepath.Glob("../samples/*/*.toml")
+	check.Good(t, err)
+	n := 0
+	for _, path := range found {
+		switch base := filepath.Base(path); {
+		case base == "keys.toml":
+			_, err = conf.LoadKeys(path)
+		case base == "operators.toml":
+			_, err = conf.LoadOperators(path)
+		case base == "tables.toml":
+			continue
+		default:
+			_, err = conf.Load(path)
+			n++
+		}
+		check.Good(t, err)
+	}
+	if n < 10 {
+		t.Fatalf("only %d sample settings", n)
+	}
+}
+
+func TestKeysAreHashes(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "keys.toml")
+	check.Good(t, os.WriteFile(path, []byte(`a = ["plain key"]`), 0o600))
+	_, err := conf.LoadKeys(path)
+	check.Kind(t, err, conf.Invalid)
+	if strings.Contains(err.Error(), "plain key") {
+		t.Fatal("the error shows the key")
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(good)
+	f.Fuzz(func(t *testing.T, text string) {
+		if s, err := conf.Parse(text); err == nil && len(s.Check()) > 0 {
+			t.Fatal("accepted settings that fail their check")
+		}
+	})
+}
--- a/ctrl/follow.go
+++ b/ctrl/follow.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,6 +62,17 @@
 	ackMu  sync.Mutex
 	ackSeq uint64
 
+	// installMu serialises installing.
+	installMu sync.Mutex
+
+	// pullMu does the same for pulls; it guards pullSeq.
+	pullMu  sync.Mutex
+	pullSeq uint64
+	// retell is set when the upstream must be told everything again.
+	retell atomic.Bool
+	// upstream is the roster that answered last.
+	upstream atomic.Uint64
+
 	save chan *table.Tables
 
 	// Published for readers; what they point to is immutable.
@@ -166,7 +176,7 @@
 			first = false
 			reporting.Go(func() { f.report(ctx, to) })
 		}
-		if fresh {
+		if fresh || f.retell.Load() {
 			staleFrom = time.Now()
 			continue
 		}
@@ -233,16 +243,25 @@
 // exchange sends one pull with the pending reports and installs the answer.
 func (f *Follow) exchange(s *wire.Stream, hold time.Duration, all bool) (fresh bool, err error) {
 	began := time.Now()
-	acks := f.roster.Pending(began, all)
-	got, err := f.ask(s, acks, hold)
-	f.roster.Took(acks, err == nil)
+	// After a failure it is not known what the upstream has, nor whom it still counts.
+	all = f.retell.Swap(false) || all
+	pull := f.compose(began, all, hold)
+	got, err := f.ask(s, pull, hold)
+	f.roster.Took(pull.GetAcks(), err == nil)
 	if err != nil {
+		f.retell.Store(true)
 		return false, err
 	}
 	f.pulls.Add(1)
 	if err := f.install(got); err != nil {
 		return false, err
 	}
+	if f.upstream.Swap(got.GetRoster()) != got.GetRoster() {
+		// Another roster answered: it must know of everybody before freshness is worth anything.
+		f.roster.Unprove()
+		f.retell.Store(true)
+		return false, nil
+	}
 	if !got.GetFresh() {
 		return false, nil
 	}
@@ -253,21 +272,30 @@
 	return true, nil
 }
 
-// ask sends one pull and returns the answer.
-func (f *Follow) ask(s *wire.Stream, acks []*wire.Ack, hold time.Duration) (*wire.Tables, error) {
-	pull := &wire.Frame{Body: &wire.Frame_Pull{Pull: &wire.Pull{
+// compose makes a pull with the pending reports. Its sequence is that of its contents.
+func (f *Follow) compose(now time.Time, all bool, hold time.Duration) *wire.Pull {
+	f.pullMu.Lock()
+	defer f.pullMu.Unlock()
+	f.pullSeq++
+	return &wire.Pull{
 		Node: f.config.Node, Role: f.config.Role, Place: f.config.Place, Rev: f.Tables().Rev,
-		HoldMs: uint32(hold.Milliseconds()), Acks: append(slices.Clone(acks), f.ownAck()), View: f.View().Rev,
-	}}}
+		HoldMs: uint32(hold.Milliseconds()), Acks: append(f.roster.Pending(now, all), f.ownAck()), View: f.View().Rev,
+		Whole: all, Life: f.life, Seq: f.pullSeq,
+	}
+}
+
+// ask sends one pull and returns the answer.
+func (f *Follow) ask(s *wire.Stream, pull *wire.Pull, hold time.Duration) (*wire.Tables, error) {
+	sent := &wire.Frame{Body: &wire.Frame_Pull{Pull: pull}}
 	s.SetDeadline(time.Now().Add(hold + pullTimeout))
-	if err := s.Send(pull); err != nil {
+	if err := s.Send(sent); err != nil {
 		return nil, err
 	}
 	frame, err := s.Recv()
 	if err != nil {
 		return nil, err
 	}
-	f.sent.Add(uint64(proto.Size(pull)))
+	f.sent.Add(uint64(proto.Size(sent)))
 	f.received.Add(uint64(proto.Size(frame)))
 	if frame.GetTables() == nil {
 		return nil, Malformed.New("upstream answered a pull with something else")
@@ -292,6 +320,9 @@
 
 // install publishes newer tables and a newer view; it never goes back.
 func (f *Follow) install(got *wire.Tables) error {
+	// Two streams bring tables; the older must not replace the newer.
+	f.installMu.Lock()
+	defer f.installMu.Unlock()
 	if len(got.GetRows()) > 0 {
 		var d table.Delta
 		if err := unpack(got.GetRows(), &d); err != nil {
--- a/ctrl/roster.go
+++ b/ctrl/roster.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sort"
 	"strings"
@@ -22,6 +24,8 @@
 // roster of a relay can tell its own upstream when a child's freshness is gone.
 type Roster struct {
 	lease time.Duration
+	// id tells downstreams that they speak to another roster, which knows nothing yet.
+	id uint64
 
 	// mu guards seen and granted.
 	mu sync.Mutex
@@ -44,21 +48,29 @@
 	at  time.Time
 	// sent is false while the report must still go upstream.
 	sent bool
+	// life and seq are those of the pull that carried the report.
+	life, seq uint64
+	// until is when freshness given by an earlier life of the relay has run out; zero when it lives.
+	until time.Time
 	// proven is true once the upstream has answered a report of this path.
 	proven bool
 }
 
 // NewRoster returns a roster that knows nobody.
 func NewRoster(lease time.Duration) *Roster {
-	return &Roster{lease: lease, seen: map[path]report{}, granted: map[string]time.Time{}, news: newNotice()}
+	return &Roster{lease: lease, id: rand.Uint64() | 1, seen: map[path]report{}, granted: map[string]time.Time{}, news: newNotice()}
 }
 
-// Note takes the acks that came from a direct downstream named from.
-func (r *Roster) Note(from string, acks []*wire.Ack, now time.Time) {
+// Note takes the acks of a direct downstream's pull.
+func (r *Roster) Note(pull *wire.Pull, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	from := pull.GetNode()
 	fresh := false
-	for _, a := range acks {
+	if pull.GetWhole() {
+		r.forgetOthers(pull, now)
+	}
+	for _, a := range pull.GetAcks() {
 		p := path{node: a.GetNode()}
 		if a.GetNode() != from {
 			p.via = from
@@ -73,7 +85,7 @@
 			continue
 		}
 		same := ok && old.sent && equalAck(old.ack, a)
-		r.seen[p] = report{ack: a, at: now, sent: same, proven: old.proven}
+		r.seen[p] = report{ack: a, at: now, sent: same, proven: old.proven, life: pull.GetLife(), seq: pull.GetSeq()}
 		fresh = fresh || !same
 	}
 	if fresh {
@@ -81,6 +93,24 @@
 	}
 }
 
+// forgetOthers drops what a relay no longer reports: at once what it has let go
+// itself, and after a lease what an earlier life of it may have told to be fresh.
+// The caller holds mu.
+func (r *Roster) forgetOthers(pull *wire.Pull, now time.Time) {
+	for p, rep := range r.seen {
+		switch {
+		case p.via != pull.GetNode():
+		case rep.life != pull.GetLife():
+			if rep.until.IsZero() {
+				rep.until = now.Add(r.lease)
+				r.seen[p] = rep
+			}
+		case rep.seq < pull.GetSeq():
+			delete(r.seen, p)
+		}
+	}
+}
+
 func equalAck(a, b *wire.Ack) bool {
 	x, y := a.GetLoad(), b.GetLoad()
 	return a.GetRev() == b.GetRev() && a.GetLife() == b.GetLife() && x.GetBoot() == y.GetBoot() && x.GetVersion() == y.GetVersion() &&
@@ -96,6 +126,9 @@
 
 // live reports whether a node on a path may still trust what it has.
 func (r *Roster) live(p path, now time.Time) bool {
+	if until := r.seen[p].until; !until.IsZero() {
+		return now.Before(until)
+	}
 	giver := p.via
 	if giver == "" {
 		giver = p.node
@@ -214,6 +247,16 @@
 	return slices.ContainsFunc(acks, func(b *wire.Ack) bool { return b.GetNode() == a.GetNode() && equalAck(a, b) })
 }
 
+// Unprove notes that the upstream is another one, which knows nothing yet.
+func (r *Roster) Unprove() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p, rep := range r.seen {
+		rep.proven, rep.sent = false, false
+		r.seen[p] = rep
+	}
+}
+
 // Await waits until the upstream knows of every path in acks that came through from.
 func (r *Roster) Await(ctx context.Context, from string, acks []*wire.Ack) error {
 	for {
@@ -264,6 +307,17 @@
 	return false
 }
 
+// Dump describes every path, for tests.
+func (r *Roster) Dump(now time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for p, rep := range r.seen {
+		out = append(out, fmt.Sprintf("%s via %q rev %d life %d seq %d live %v until %v age %v granted %v", p.node, p.via, rep.ack.GetRev(), rep.ack.GetLife(), rep.seq, r.live(p, now), rep.until, now.Sub(rep.at), now.Sub(r.granted[p.via])))
+	}
+	return out
+}
+
 // Entry describes one node to operators and to the owner of orders.
 type Entry struct {
 	Node     string     `json:"node"`
--- /dev/null
+++ b/ctrl/roster_test.go
@@ -0,0 +1,120 @@
+package ctrl_test
+
+import (
+	"testing"
+	"time"
+
+	"egretshunt/check"
+	"egretshunt/ctrl"
+	"egretshunt/wire"
+)
+
+const lease = 4 * time.Second
+
+var start = time.Unix(1_000_000, 0)
+
+// pull is one pull of a relay that reports a child at a revision.
+func pull(relay string, life, seq uint64, whole bool, acks ...*wire.Ack) *wire.Pull {
+	return &wire.Pull{Node: relay, Life: life, Seq: seq, Whole: whole, Acks: acks}
+}
+
+func ack(node string, life, seq, rev uint64) *wire.Ack {
+	return &wire.Ack{Node: node, Life: life, Seq: seq, Rev: rev}
+}
+
+func registered(names ...string) map[string]ctrl.Joined {
+	all := map[string]ctrl.Joined{}
+	for _, n := range names {
+		all[n] = ctrl.Joined{Node: n}
+	}
+	return all
+}
+
+func TestRoster(t *testing.T) {
+	old := start.Add(-time.Hour)
+	lagging := func(t *testing.T, r *ctrl.Roster, since, now time.Time, want ...string) {
+		t.Helper()
+		if want == nil {
+			want = []string{}
+		}
+		got := append([]string{}, r.Lagging(7, registered("child", "relay"), since, now)...)
+		check.Equal(t, "lagging", got, want)
+	}
+	t.Run("behind until installed or its freshness has run out", func(t *testing.T) {
+		r := ctrl.NewRoster(lease)
+		r.Note(pull("relay", 1, 1, true, ack("child", 5, 1, 6), ack("relay", 1, 1, 7)), start)
+		r.Grant("relay", start)
+		lagging(t, r, old, start, "child")
+		lagging(t, r, old, start.Add(lease+time.Second))
+		r.Note(pull("relay", 1, 2, false, ack("child", 5, 2, 7)), start)
+		lagging(t, r, old, start)
+	})
+	t.Run("a new leader waits a lease for those it has not heard", func(t *testing.T) {
+		r := ctrl.NewRoster(lease)
+		lagging(t, r, start, start.Add(time.Second), "child", "relay")
+		lagging(t, r, start, start.Add(lease+time.Second))
+	})
+	t.Run("reports that overtake each other", func(t *testing.T) {
+		r := ctrl.NewRoster(lease)
+		r.Note(pull("relay", 1, 2, false, ack("child", 5, 2, 7), ack("relay", 1, 2, 7)), start)
+		r.Grant("relay", start)
+		r.Note(pull("relay", 1, 1, false, ack("child", 5, 1, 6)), start)
+		lagging(t, r, old, start)
+	})
+	t.Run("an old report on another path of the same life", func(t *testing.T) {
+		r := ctrl.NewRoster(lease)
+		r.Note(pull("relay", 1, 1, true, ack("child", 5, 1, 6), ack("relay", 1, 1, 7)), start)
+		r.Grant("relay", start)
+		r.Note(pull("child", 5, 1, true, ack("child", 5, 2, 7)), start)
+		r.Grant("child", start)
+		lagging(t, r, old, start)
+	})
+	t.Run("another life of the node counts by itself", func(t *testing.T) {
+		r := ctrl.NewRoster(lease)
+		r.Note(pull("relay", 1, 1, true, ack("child", 5, 1, 7), ack("relay", 1, 1, 7)), start)
+		r.Note(pull("child", 6, 1, true, ack("child", 6, 1, 3)), start)
+		r.Grant("relay", start)
+		r.Grant("child", start)
+		lagging(t, r, old, start, "child")
+	})
+	t.Run("a whole report drops what the relay has let go", func(t *testing.T) {
+		r := ctrl.NewRoster(lease)
+		r.Note(pull("relay", 1, 1, true, ack("child", 5, 1, 6), ack("relay", 1, 1, 7)), start)
+		r.Note(pull("relay", 1, 2, true, ack("relay", 1, 2, 7)), start)
+		r.Grant("relay", start)
+		lagging(t, r, old, start)
+	})
+	t.Run("but not what a later pull has told", func(t *testing.T) {
+		r := ctrl.NewRoster(lease)
+		r.Note(pull("relay", 1, 3, false, ack("child", 5, 1, 6)), start)
+		r.Note(pull("relay", 1, 2, true, ack("relay", 1, 2, 7)), start)
+		r.Grant("relay", start)
+		lagging(t, r, old, start, "child")
+	})
+	t.Run("and after a lease what an earlier life of the relay had told", func(t *testing.T) {
+		r := ctrl.NewRoster(lease)
+		r.Note(pull("relay", 1, 1, true, ack("child", 5, 1, 6)), start)
+		r.Note(pull("relay", 2, 1, true, ack("relay", 2, 1, 7)), start)
+		r.Grant("relay", start)
+		lagging(t, r, old, start, "child")
+		r.Grant("relay", start.Add(2*lease))
+		lagging(t, r, old, start.Add(2*lease))
+	})
+	t.Run("a relay tells upstream of a child whose freshness ran out", func(t *testing.T) {
+		r := ctrl.NewRoster(lease)
+		r.Note(pull("child", 5, 1, true, ack("child", 5, 1, 6)), start)
+		r.Grant("child", start)
+		check.Equal(t, "reports", len(r.Pending(start, false)), 1)
+		check.Equal(t, "nothing new", len(r.Pending(start, false)), 0)
+		gone := r.Pending(start.Add(2*lease), false)
+		check.Equal(t, "gone", len(gone) == 1 && gone[0].GetGone(), true)
+	})
+	t.Run("what was not taken is told again", func(t *testing.T) {
+		r := ctrl.NewRoster(lease)
+		r.Note(pull("child", 5, 1, true, ack("child", 5, 1, 6)), start)
+		sent := r.Pending(start, false)
+		r.Note(pull("child", 5, 2, false, ack("child", 5, 2, 6)), start)
+		r.Took(sent, false)
+		check.Equal(t, "reports", len(r.Pending(start, false)), 1)
+	})
+}
--- a/ctrl/server.go
+++ b/ctrl/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -24,6 +25,11 @@
 // Server answers the other processes' messages to one control VM.
 type Server struct {
 	config ServerConfig
+
+	// mu guards reign and roster.
+	mu sync.Mutex
+	// reign is since when this member leads, as far as the roster knows.
+	reign  time.Time
 	roster *Roster
 }
 
@@ -49,12 +55,24 @@
 
 // pick returns what pulls are answered from now.
 func (s *Server) pick() source {
-	if _, ok := s.config.Node.Leads(); ok || s.config.Follow == nil {
-		return leading{server: s}
+	since, ok := s.config.Node.Leads()
+	if ok || s.config.Follow == nil {
+		return leading{server: s, roster: s.rosterOf(since)}
 	}
 	return s.config.Follow
 }
 
+// rosterOf returns the roster of a reign. Reports of an earlier one are worth
+// nothing: what they came through may have changed since.
+func (s *Server) rosterOf(since time.Time) *Roster {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !since.IsZero() && !since.Equal(s.reign) {
+		s.reign, s.roster = since, NewRoster(s.config.Lease)
+	}
+	return s.roster
+}
+
 // leaderAddr returns where the leader listens, or the zero address.
 func (s *Server) leaderAddr() netip.AddrPort {
 	st := s.config.Node.Status()
@@ -151,11 +169,17 @@
 	if !ok {
 		return nil, NotLeader.New("the leader is %q", s.config.Node.Status().Leader)
 	}
-	return s.roster.Lagging(rev, s.config.Node.Registered(), since, now), nil
+	return s.rosterOf(since).Lagging(rev, s.config.Node.Registered(), since, now), nil
 }
 
 // Nodes describes the nodes that the leader hears of.
-func (s *Server) Nodes(now time.Time) []Entry { return s.roster.Entries(now) }
+func (s *Server) Nodes(now time.Time) []Entry { return s.current().Entries(now) }
+
+// current returns the roster of the present reign, or of the last one.
+func (s *Server) current() *Roster {
+	since, _ := s.config.Node.Leads()
+	return s.rosterOf(since)
+}
 
 // dead reports whether the entry that holds a claim is known to have lost its freshness long ago.
 func (s *Server) dead(taker, account, key string) bool {
@@ -168,7 +192,7 @@
 	if owner == "" || owner == taker {
 		return false
 	}
-	for _, e := range s.roster.Entries(now) {
+	for _, e := range s.rosterOf(since).Entries(now) {
 		if e.Node == owner {
 			return !e.Live
 		}
@@ -178,3 +202,8 @@
 
 // Member returns this member's identity.
 func (s *Server) Member() quorum.ID { return s.config.Node.config.ID }
+
+// Dump is for debugging.
+func (s *Server) Dump() []string {
+	return append(s.current().Dump(time.Now()), s.config.Follow.roster.Dump(time.Now())...)
+}
--- a/ctrl/spread.go
+++ b/ctrl/spread.go
@@ -44,7 +44,7 @@
 
 func answer(ctx context.Context, s *wire.Stream, pull *wire.Pull, src source, leader netip.AddrPort) error {
 	began := time.Now()
-	src.Roster().Note(pull.GetNode(), pull.GetAcks(), began)
+	src.Roster().Note(pull, began)
 	confirmed := src.confirm(ctx, pull.GetNode(), pull.GetAcks()) == nil
 	if confirmed {
 		hold(ctx, pull, src, began)
@@ -53,7 +53,7 @@
 	age, fresh := src.freshness(now)
 	reply := &wire.Tables{
 		HeldMs: uint32(now.Sub(began).Milliseconds()), AgeMs: uint32(age.Milliseconds() + 1),
-		Fresh: fresh && confirmed,
+		Fresh: fresh && confirmed, Roster: src.Roster().id,
 	}
 	if leader.IsValid() {
 		reply.Leader = leader.String()
@@ -132,12 +132,14 @@
 // leading is the source of a control VM that leads.
 type leading struct {
 	server *Server
+	// roster is that of the present reign.
+	roster *Roster
 }
 
 func (l leading) Tables() *table.Tables    { return l.server.config.Node.Tables() }
 func (l leading) View() *View              { return l.server.config.Node.View() }
 func (l leading) Changed() <-chan struct{} { return l.server.config.Node.Changed() }
-func (l leading) Roster() *Roster          { return l.server.roster }
+func (l leading) Roster() *Roster          { return l.roster }
 
 // confirm registers nodes that are new, so that a later leader knows whom to wait for.
 func (l leading) confirm(ctx context.Context, from string, acks []*wire.Ack) error {
--- /dev/null
+++ b/event/event_test.go
@@ -0,0 +1,42 @@
+package event_test
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"egretshunt/check"
+	"egretshunt/event"
+)
+
+var update = flag.Bool("update", false, "write docs/EVENTS.md anew")
+
+func page() string {
+	var b strings.Builder
+	b.WriteString("# Events\n\nEach log line carries `event`, the number of its kind. Numbers are stable.\nThis page is made from the code: `go test ./event -update`.\n\n| number | name | level | meaning |\n| --- | --- | --- | --- |\n")
+	for _, k := range event.All() {
+		fmt.Fprintf(&b, "| %d | %s | %s | %s |\n", k.Number, k.Name, k.Level, k.Text)
+	}
+	return b.String()
+}
+
+func TestCatalogue(t *testing.T) {
+	const path = "../docs/EVENTS.md"
+	if *update {
+		check.Good(t, os.WriteFile(path, []byte(page()), 0o644))
+	}
+	text, err := os.ReadFile(path)
+	check.Good(t, err)
+	check.Equal(t, path+"; make it anew with -update", string(text), page())
+}
+
+func TestSecretsStayOut(t *testing.T) {
+	var out bytes.Buffer
+	event.New(event.Config{Out: &out, Node: "n"}).Emit(event.Started, "secret", "hunter2", "place", "north")
+	if strings.Contains(out.String(), "hunter2") || !strings.Contains(out.String(), "place=north") {
+		t.Fatalf("line: %s", out.String())
+	}
+}
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -63,7 +63,7 @@
 	epoch   uint64
 	down    bool
 	slow    time.Duration
-	cache   map[string]struct{}
+	cache   map[string]string
 	order   []string
 	events  []CacheEvent
 	seq     uint64
@@ -72,9 +72,10 @@
 
 // Counts are what an Engine has seen.
 type Counts struct {
-	Runs, Crashes, Orders, Fenced, Poisoned, Computed, Imported int
-	// MaxLoads is the most orders carried out at once.
-	Running, MaxRunning int
+	Runs, Crashes, Orders, Fenced, Computed, Imported, Running, MaxRunning int
+	// Reused counts blocks found in the cache, Crossed those of them that another
+	// weight version had made, Poisoned imports with other bytes than the block's.
+	Reused, Crossed, Poisoned int
 }
 
 // CacheEvent tells that a block came into or left the prefix cache.
@@ -95,7 +96,7 @@
 	if c.KV == 0 {
 		c.KV = 4096
 	}
-	e := &Engine{config: c, version: c.Version, boot: uuid.NewString(), cache: map[string]struct{}{}, slots: make(chan struct{}, c.Slots)}
+	e := &Engine{config: c, version: c.Version, boot: uuid.NewString(), cache: map[string]string{}, slots: make(chan struct{}, c.Slots)}
 	return e, e.listen(netip.MustParseAddrPort("127.0.0.1:0"))
 }
 
@@ -156,7 +157,7 @@
 	e.down = true
 	e.Counts.Crashes++
 	e.boot = uuid.NewString()
-	e.cache, e.order, e.events = map[string]struct{}{}, nil, nil
+	e.cache, e.order, e.events = map[string]string{}, nil, nil
 	e.seq += 1000
 	server := e.server
 	e.mu.Unlock()
@@ -292,9 +293,14 @@
 	e.mu.Lock()
 	held := 0
 	for _, name := range chain {
-		if _, ok := e.cache[name]; !ok {
+		version, ok := e.cache[name]
+		if !ok {
 			break
 		}
+		if version != e.version {
+			e.Crossed++
+		}
+		e.Reused++
 		held++
 	}
 	fresh := max(0, bytes/4-held*1000)
@@ -316,7 +322,7 @@
 	if _, ok := e.cache[name]; ok {
 		return
 	}
-	e.cache[name] = struct{}{}
+	e.cache[name] = e.version
 	e.order = append(e.order, name)
 	e.note("add", name)
 	for len(e.order) > max(e.config.Blocks, 1) {
--- a/fleet/control_test.go
+++ b/fleet/control_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -11,6 +13,7 @@
 	"egretshunt/check"
 	"egretshunt/entry"
 	"egretshunt/fleet"
+	"egretshunt/node"
 	"egretshunt/table"
 )
 
@@ -224,6 +227,57 @@
 	})
 }
 
+// TestRestore lays a snapshot into new data folders.
+func TestRestore(t *testing.T) {
+	t.Parallel()
+	f := start(t, nil)
+	c := fleet.Client()
+	a, err := book(t.Context(), f, c, 0, 0, "before", "x")
+	check.Good(t, err)
+	check.Equal(t, "booked", a.status, http.StatusCreated)
+	var state json.RawMessage
+	check.Soon(t, "a snapshot", func() bool { return f.Admin(t.Context(), http.MethodGet, "/snapshot", nil, &state) == nil })
+	for _, e := range f.Entries {
+		f.Kill(e)
+	}
+	for _, e := range f.Entries {
+		check.Good(t, os.RemoveAll(f.Settings(e).Data))
+		if err := f.Run(e); err == nil && f.Settings(e).Member.Start != "new" {
+			t.Fatal("a control VM that lost its disk started")
+		}
+		f.Kill(e)
+		check.Good(t, os.RemoveAll(f.Settings(e).Data))
+		check.Good(t, node.Restore(f.Settings(e), state))
+		if err := node.Restore(f.Settings(e), state); err == nil {
+			t.Fatal("a second restore went over the first")
+		}
+	}
+	for _, e := range f.Entries {
+		check.Good(t, f.Run(e))
+	}
+	check.Soon(t, "the booking is known", func() bool {
+		a, err := book(t.Context(), f, c, 1, 0, "before", "x")
+		return err == nil && a.status == http.StatusCreated
+	})
+	check.Equal(t, "effects", runs(f, "before"), 1)
+}
+
+// TestLostDisk starts a control VM whose data folder is gone; it must not vote again.
+func TestLostDisk(t *testing.T) {
+	t.Parallel()
+	f := start(t, nil)
+	f.Kill("entry-2")
+	s := *f.Settings("entry-2")
+	m := *s.Member
+	m.Start = ""
+	s.Member = &m
+	check.Good(t, os.RemoveAll(s.Data))
+	if p, err := node.Start(&s, nil); err == nil {
+		p.Kill()
+		t.Fatal("a control VM without its state started under its old name")
+	}
+}
+
 // TestBackAfterManyChanges restarts a node after 500 changes have gone by.
 func TestBackAfterManyChanges(t *testing.T) {
 	t.Parallel()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -463,6 +463,26 @@
 	return got.Rev, err
 }
 
+// Race puts a pool over the version base. It returns the row's version after it, and
+// whether another change had come first.
+func (f *Fleet) Race(ctx context.Context, name string, base uint64, row any, id string) (version uint64, conflict bool, err error) {
+	rev, err := f.PutAs(ctx, "pools", name, base, row, id)
+	var refusal *Refusal
+	if !errors.As(err, &refusal) || refusal.Code != table.CodeConflict {
+		return rev, false, err
+	}
+	var now table.Pool
+	if len(refusal.Row) > 0 {
+		if err := json.Unmarshal(refusal.Row, &now); err != nil {
+			return 0, true, Failed.Wrap(err, "read row")
+		}
+	}
+	return now.Rev, true, nil
+}
+
+// Names returns the names of all planned processes.
+func (f *Fleet) Names() []string { return f.order }
+
 // Pool returns a pool's row.
 func (f *Fleet) Pool(ctx context.Context, name string) (*table.Pool, error) {
 	p := &table.Pool{}
--- a/node/process.go
+++ b/node/process.go
@@ -498,6 +498,12 @@
 // BreakConnections loses every connection to other processes, as a network fault would.
 func (p *Process) BreakConnections() { p.pool.Break() }
 
+// SetCut cuts this process off from all others, or heals it; its callers still reach it.
+func (p *Process) SetCut(cut bool) {
+	p.pool.SetCut(cut)
+	p.server.SetCut(cut)
+}
+
 // View returns the small replicated state as installed here.
 func (p *Process) View() *ctrl.View { return p.follow.View() }
 
@@ -537,3 +543,6 @@
 
 // String names the process.
 func (p *Process) String() string { return fmt.Sprintf("%s (%s)", p.settings.Node, p.role()) }
+
+// Dump is for debugging.
+func (p *Process) Dump() []string { return p.control.Dump() }
--- /dev/null
+++ b/node/restore.go
@@ -0,0 +1,52 @@
+package node
+
+import (
+	"encoding/json"
+	"slices"
+
+	"egretshunt/conf"
+	"egretshunt/ctrl"
+	"egretshunt/disk"
+	"egretshunt/ledger"
+	"egretshunt/quorum"
+)
+
+// Restore lays a snapshot, as ctl snapshot wrote it, into the empty data folder of
+// a control VM. Every control VM of the group is restored from the same snapshot.
+func Restore(s *conf.Settings, snapshot []byte) error {
+	if s.Member == nil {
+		return Failed.New("the settings have no [member] section")
+	}
+	if err := ctrl.NewMachine(ledger.Config{}).Restore(snapshot); err != nil {
+		return Failed.Wrap(err, "read the snapshot")
+	}
+	folder, err := disk.Open(s.Data)
+	if err != nil {
+		return Failed.Wrap(err, "open data folder %s", s.Data)
+	}
+	defer folder.Close()
+	names, err := folder.List()
+	if err != nil {
+		return Failed.Wrap(err, "list data folder")
+	}
+	if slices.Contains(names, "snap") || slices.ContainsFunc(names, func(n string) bool { return len(n) > 4 && n[:4] == "log-" }) {
+		return Failed.New("the data folder %s holds state already; move it away first", s.Data)
+	}
+	data, err := json.Marshal(quorum.Snapshot{Index: 1, Term: 1, Members: quorum.Members{Voters: s.Member.Members}, Data: snapshot})
+	if err != nil {
+		return Failed.Wrap(err, "write snapshot")
+	}
+	log, _, err := disk.OpenLog(folder)
+	if err != nil {
+		return Failed.Wrap(err, "open log")
+	}
+	defer log.Close()
+	hard, err := json.Marshal(quorum.Hard{Term: 1})
+	if err != nil {
+		return Failed.Wrap(err, "write term")
+	}
+	if err := log.Reset(data, [][]byte{append([]byte{'h'}, hard...)}); err != nil {
+		return Failed.Wrap(err, "write snapshot")
+	}
+	return nil
+}
--- a/prog/demo.go
+++ b/prog/demo.go
@@ -17,8 +17,16 @@
 	Shape string        `arg:"--shape" default:"caroni" help:"caroni, barua or tiny"`
 	Time  time.Duration `arg:"--time" help:"how long to run; until interrupted when missing"`
 	Log   string        `arg:"--log" help:"file for events; none when missing"`
+	Drill bool          `arg:"--drill" help:"drive load and faults, print the promises and the measures, exit 1 if a promise broke"`
+	Seed  uint64        `arg:"--seed" default:"1" help:"seed of a drill"`
+	Fault []string      `arg:"--faults" help:"faults of a drill by name; all when missing"`
+	Pairs bool          `arg:"--pairs" help:"cause two faults at a time now and then"`
+	JSON  bool          `arg:"--json" help:"print a drill's report as JSON"`
 }
 
+// drillTime is how long a drill goes on when no time is given.
+const drillTime = 20 * time.Second
+
 // startTime bounds the start of a demo.
 const startTime = 30 * time.Second
 
@@ -34,7 +42,7 @@
 	return fleet.Shape{}, Usage.New("there is no shape %q; want caroni, barua or tiny", name)
 }
 
-func (a *demoArgs) run(out, _ io.Writer) error {
+func (a *demoArgs) run(out io.Writer) error {
 	shape, err := shapeOf(a.Shape)
 	if err != nil {
 		return err
@@ -45,6 +53,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	if a.Drill {
+		return a.drill(ctx, shape, log, out)
+	}
 	dir, err := os.MkdirTemp("", "egretshunt-demo-")
 	if err != nil {
 		return Failed.Wrap(err, "make a folder for the demo")
--- /dev/null
+++ b/prog/drill.go
@@ -0,0 +1,59 @@
+package prog
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+
+	"egretshunt/drill"
+	"egretshunt/fleet"
+)
+
+// drill tries a deployment under load and faults.
+func (a *demoArgs) drill(ctx context.Context, shape fleet.Shape, log io.Writer, out io.Writer) error {
+	for _, name := range a.Fault {
+		if !slices.Contains(drill.FaultNames(), name) {
+			return Usage.New("there is no fault %q; there are: %q", name, drill.FaultNames())
+		}
+	}
+	if a.Time == 0 {
+		a.Time = drillTime
+	}
+	report, err := drill.Run(ctx, drill.Config{Shape: shape, Seed: a.Seed, Time: a.Time, Faults: a.Fault, Pairs: a.Pairs, Log: log})
+	if err != nil {
+		return Failed.Wrap(err, "run the drill")
+	}
+	if a.JSON {
+		e := json.NewEncoder(out)
+		e.SetIndent("", "  ")
+		if err := e.Encode(report); err != nil {
+			return Failed.Wrap(err, "print report")
+		}
+	} else {
+		printReport(out, report)
+	}
+	if report.Broken() {
+		return Broken.New("a promise was broken")
+	}
+	return nil
+}
+
+func printReport(out io.Writer, r *drill.Report) {
+	fmt.Fprintf(out, "drill of %s, seed %d\n\n", r.Shape, r.Seed)
+	for _, p := range r.Promises {
+		fmt.Fprintf(out, "%8d checked %4d broken  %s\n", p.Checked, p.Broken, p.Name)
+		for _, c := range p.Cases {
+			fmt.Fprintf(out, "                              %s\n", c)
+		}
+	}
+	fmt.Fprintf(out, "\n%d prompts, %d bookings, %d refused as not run\n", r.Prompts, r.Bookings, r.Refusals)
+	fmt.Fprintf(out, "first token p50 %.0f ms, p95 %.0f ms; gap p95 %.0f ms; in force p95 %.0f ms; %d tokens reused, %d computed\n",
+		r.First50, r.First95, r.Gap95, r.Force95, r.Reused, r.Computed)
+	fmt.Fprintln(out, "\nfaults:")
+	for _, name := range slices.Sorted(maps.Keys(r.Faults)) {
+		fmt.Fprintf(out, "%8d %s\n", r.Faults[name], name)
+	}
+}
--- a/prog/prog.go
+++ b/prog/prog.go
@@ -39,14 +39,16 @@
 
 // args is the whole command line.
 type args struct {
-	Entry   *runArgs   `arg:"subcommand:entry" help:"serve callers"`
-	Control *runArgs   `arg:"subcommand:control" help:"keep the tables"`
-	Agent   *runArgs   `arg:"subcommand:agent" help:"stand beside an endpoint"`
-	Store   *runArgs   `arg:"subcommand:store" help:"keep KV blocks"`
-	Ctl     *ctlArgs   `arg:"subcommand:ctl" help:"operate a system"`
-	Check   *checkArgs `arg:"subcommand:check" help:"check a settings file"`
-	Key     *keyArgs   `arg:"subcommand:key" help:"make a key, or hash one"`
-	Demo    *demoArgs  `arg:"subcommand:demo" help:"run a whole deployment here"`
+	Entry   *runArgs     `arg:"subcommand:entry" help:"serve callers"`
+	Control *runArgs     `arg:"subcommand:control" help:"keep the tables"`
+	Agent   *runArgs     `arg:"subcommand:agent" help:"stand beside an endpoint"`
+	Store   *runArgs     `arg:"subcommand:store" help:"keep KV blocks"`
+	Ctl     *ctlArgs     `arg:"subcommand:ctl" help:"operate a system"`
+	Check   *checkArgs   `arg:"subcommand:check" help:"check a settings file"`
+	Key     *keyArgs     `arg:"subcommand:key" help:"make a key, or hash one"`
+	Load    *loadArgs    `arg:"subcommand:load" help:"replay load against entries"`
+	Restore *restoreArgs `arg:"subcommand:restore" help:"restore a control VM from a snapshot"`
+	Demo    *demoArgs    `arg:"subcommand:demo" help:"run a whole deployment here"`
 }
 
 // Description implements arg.Described.
@@ -60,8 +62,9 @@
   egretshunt demo --shape caroni
   egretshunt check samples/caroni/entry-0.toml
   egretshunt entry samples/caroni/entry-0.toml
+  egretshunt load --entry http://127.0.0.1:8080 --key "$KEY" --rate 20
   egretshunt ctl --admin 127.0.0.1:9001 --key "$KEY" routes list
-Exit codes: 0 done, 1 failed, 2 wrong command line, 3 wrong settings, 4 requests were cut off, 5 refused by control.`
+Exit codes: 0 done, 1 failed or a promise broke, 2 wrong command line, 3 wrong settings, 4 requests were cut off, 5 refused by control.`
 }
 
 // Main runs one command and returns the exit code.
@@ -100,8 +103,12 @@
 		return a.Check.run(out)
 	case a.Key != nil:
 		return a.Key.run(out)
+	case a.Load != nil:
+		return a.Load.run(out)
+	case a.Restore != nil:
+		return a.Restore.run(out)
 	case a.Demo != nil:
-		return a.Demo.run(out, errs)
+		return a.Demo.run(out)
 	}
 	p.WriteHelp(out)
 	return Usage.New("no command")
--- /dev/null
+++ b/store/store_test.go
@@ -0,0 +1,168 @@
+package store_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"egretshunt/block"
+	"egretshunt/check"
+	"egretshunt/disk"
+	"egretshunt/fake"
+	"egretshunt/store"
+)
+
+func kept(account, what string, data []byte) store.Kept {
+	var n block.Name
+	copy(n[:], what)
+	return store.Kept{Account: account, Name: n, Data: data, Sum: disk.Sum(data)}
+}
+
+func build(t check.T, d disk.FS, memory, files int64) *store.Store {
+	t.Helper()
+	c := store.Config{Memory: memory, Disk: files, Share: 1}
+	if d != nil {
+		c.FS = d
+	}
+	s, err := store.New(c)
+	check.Good(t, err)
+	return s
+}
+
+func TestStore(t *testing.T) {
+	d := fake.NewDisk()
+	s := build(t, d, 1000, 10_000)
+	k := kept("a", "one", []byte("some bytes"))
+	check.Good(t, s.Put(k))
+	t.Run("another account", func(t *testing.T) {
+		_, err := s.Read("b", k.Name)
+		check.Kind(t, err, store.Gone)
+	})
+	t.Run("wrong bytes are not taken", func(t *testing.T) {
+		bad := kept("a", "bad", []byte("x"))
+		bad.Sum++
+		check.Kind(t, s.Put(bad), store.Wrong)
+	})
+	t.Run("evicted from memory, read from disk", func(t *testing.T) {
+		check.Soon(t, "written to disk", func() bool { return s.Counts().DiskBlocks == 1 })
+		for i := range 40 {
+			check.Good(t, s.Put(kept("a", fmt.Sprint("fill", i), make([]byte, 100))))
+		}
+		got, err := s.Read("a", k.Name)
+		check.Good(t, err)
+		check.Equal(t, "bytes", string(got.Data), "some bytes")
+	})
+	t.Run("a restart keeps sealed blocks only", func(t *testing.T) {
+		check.Soon(t, "written to disk", func() bool { return s.Counts().DiskBlocks > 30 })
+		s.Close()
+		d.CrashAfter(3)
+		half := build2(d)
+		if half != nil {
+			_ = half.Put(kept("a", "half", make([]byte, 500)))
+			half.Close()
+		}
+		d.Restart(100)
+		again := build(t, d, 1000, 10_000)
+		defer again.Close()
+		got, err := again.Read("a", k.Name)
+		check.Good(t, err)
+		check.Equal(t, "bytes", string(got.Data), "some bytes")
+		_, err = again.Read("a", kept("a", "half", nil).Name)
+		check.Kind(t, err, store.Gone)
+	})
+	t.Run("a flipped bit on disk", func(t *testing.T) {
+		d := fake.NewDisk()
+		s := build(t, d, 150, 10_000)
+		defer s.Close()
+		check.Good(t, s.Put(k))
+		check.Soon(t, "written", func() bool { return s.Counts().DiskBlocks == 1 })
+		check.Good(t, s.Put(kept("a", "other", make([]byte, 150))))
+		d.Flip("kv-"+k.Name.String(), 100)
+		_, err := s.Read("a", k.Name)
+		check.Kind(t, err, store.Wrong)
+		_, err = s.Read("a", k.Name)
+		check.Kind(t, err, store.Gone)
+	})
+	t.Run("a full disk harms no read", func(t *testing.T) {
+		d := fake.NewDisk()
+		s := build(t, d, 1000, 10_000)
+		defer s.Close()
+		d.SetFull(true)
+		check.Good(t, s.Put(k))
+		got, err := s.Read("a", k.Name)
+		check.Good(t, err)
+		check.Equal(t, "bytes", string(got.Data), "some bytes")
+	})
+}
+
+func build2(d disk.FS) *store.Store {
+	s, err := store.New(store.Config{Memory: 1000, Disk: 10_000, Share: 1, FS: d})
+	if err != nil {
+		return nil
+	}
+	return s
+}
+
+// TestReadsAndFreesRace reads blocks while others push them out. Whatever is read
+// must be whole and the block that was asked for.
+func TestReadsAndFreesRace(t *testing.T) {
+	s := build(t, fake.NewDisk(), 2000, 4000)
+	defer s.Close()
+	data := func(i int) []byte { return []byte(fmt.Sprintf("block %04d %0100d", i, i)) }
+	var work sync.WaitGroup
+	for w := range 6 {
+		work.Go(func() {
+			for n := range 2000 {
+				i := (n*7 + w*13) % 80
+				k := kept("a", fmt.Sprint("k", i), data(i))
+				if w%2 == 0 {
+					_ = s.Put(k)
+					continue
+				}
+				if got, err := s.Read("a", k.Name); err == nil && string(got.Data) != string(k.Data) {
+					t.Errorf("block %d gave %q", i, got.Data)
+				}
+			}
+		})
+	}
+	work.Wait()
+}
+
+// TestFuzz compares a store over a crashing disk with a map of what was put.
+func TestFuzz(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := fake.NewDisk()
+		s := build(t, d, 300, 600)
+		put := map[string][]byte{}
+		t.Repeat(map[string]func(*rapid.T){
+			"put": func(t *rapid.T) {
+				what := rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "block")
+				if put[what] == nil {
+					put[what] = rapid.SliceOfN(rapid.Byte(), 1, 120).Draw(t, "data")
+				}
+				_ = s.Put(kept("x", what, put[what]))
+			},
+			"read": func(t *rapid.T) {
+				what := rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "block")
+				got, err := s.Read("x", kept("x", what, nil).Name)
+				if err == nil && string(got.Data) != string(put[what]) {
+					t.Fatalf("read %q, put %q", got.Data, put[what])
+				}
+				if _, err := s.Read("y", kept("y", what, nil).Name); err == nil {
+					t.Fatal("another account read the block")
+				}
+			},
+			"crash": func(t *rapid.T) {
+				d.CrashAfter(rapid.IntRange(0, 6).Draw(t, "after"))
+			},
+			"restart": func(t *rapid.T) {
+				s.Close()
+				d.Restart(rapid.IntRange(0, 200).Draw(t, "torn"))
+				s = build(t, d, 300, 600)
+			},
+		})
+		s.Close()
+	})
+}
--- a/wire/link.go
+++ b/wire/link.go
@@ -73,10 +73,11 @@
 type Pool struct {
 	config PoolConfig
 
-	// mu guards links and closed.
+	// mu guards links, closed and cut.
 	mu     sync.Mutex
 	links  map[netip.AddrPort]*link
 	closed bool
+	cut    bool
 }
 
 // link is the connection to one peer.
@@ -119,7 +120,7 @@
 func (p *Pool) link(to netip.AddrPort) (*link, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
+	if p.closed || p.cut {
 		return nil, Lost.New("connections are closed")
 	}
 	l, ok := p.links[to]
@@ -184,6 +185,16 @@
 	}
 }
 
+// SetCut keeps the pool from making connections, as a network partition would.
+func (p *Pool) SetCut(cut bool) {
+	p.mu.Lock()
+	p.cut = cut
+	p.mu.Unlock()
+	if cut {
+		p.Break()
+	}
+}
+
 // Break loses every connection, as a network fault would; new ones can be made.
 func (p *Pool) Break() {
 	p.mu.Lock()
--- a/wire/server.go
+++ b/wire/server.go
@@ -37,9 +37,10 @@
 	slots    chan struct{}
 	running  sync.WaitGroup
 
-	// mu guards conns.
+	// mu guards conns and cut.
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
+	cut   bool
 }
 
 // Serve listens on c.Addr and accepts connections until Close.
@@ -127,7 +128,7 @@
 func (s *Server) track(c net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ctx.Err() != nil {
+	if s.ctx.Err() != nil || s.cut {
 		c.Close()
 		return false
 	}
@@ -142,6 +143,19 @@
 	c.Close()
 }
 
+// SetCut loses every connection and takes no new one, as a network partition would.
+func (s *Server) SetCut(cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut = cut
+	if !cut {
+		return
+	}
+	for c := range s.conns {
+		c.Close()
+	}
+}
+
 // Close stops accepting, breaks all connections and waits for the handlers.
 func (s *Server) Close() {
 	s.mu.Lock()
