--- a/admin/admin.go
+++ b/admin/admin.go
@@ -597,6 +597,11 @@
 		refuse(w, http.StatusForbidden, CodeRole, "only an operator without a scope may take a snapshot")
 		return
 	}
+	// Another member may not have applied what callers were told already.
+	if _, ok := a.config.Node.Leads(); !ok {
+		a.failed(w, ctrl.NotLeader.New("the leader is %q", a.config.Node.Status().Leader))
+		return
+	}
 	data, err := a.config.Node.Snapshot(r.Context())
 	if err != nil {
 		a.failed(w, err)
--- a/ctrl/follow.go
+++ b/ctrl/follow.go
@@ -447,6 +447,9 @@
 // has a pull under way already, held by its upstream only while that has no news.
 func (f *Follow) Heard(uint64) {}
 
+// Life identifies this run of the node's process.
+func (f *Follow) Life() uint64 { return f.life }
+
 // Roster returns the reports of the nodes that pull from this one.
 func (f *Follow) Roster() *Roster { return f.roster }
 
--- a/ctrl/roster.go
+++ b/ctrl/roster.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -307,17 +306,6 @@
 	return false
 }
 
-// Dump describes every path, for tests.
-func (r *Roster) Dump(now time.Time) []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var out []string
-	for p, rep := range r.seen {
-		out = append(out, fmt.Sprintf("%s via %q rev %d life %d seq %d live %v until %v age %v granted %v", p.node, p.via, rep.ack.GetRev(), rep.ack.GetLife(), rep.seq, r.live(p, now), rep.until, now.Sub(rep.at), now.Sub(r.granted[p.via])))
-	}
-	return out
-}
-
 // Entry describes one node to operators and to the owner of orders.
 type Entry struct {
 	Node     string     `json:"node"`
@@ -326,6 +314,7 @@
 	Rev      uint64     `json:"rev"`
 	Via      string     `json:"via,omitempty"`
 	Endpoint string     `json:"endpoint,omitempty"`
+	Life     uint64     `json:"life"`
 	Live     bool       `json:"live"`
 	At       time.Time  `json:"at"`
 	Load     *wire.Load `json:"load,omitempty"`
@@ -339,7 +328,7 @@
 	for p, rep := range r.seen {
 		e := Entry{
 			Node: p.node, Role: rep.ack.GetRole(), Place: rep.ack.GetPlace(), Rev: rep.ack.GetRev(), Via: p.via,
-			Endpoint: rep.ack.GetEndpoint(), Live: r.live(p, now), At: rep.at, Load: rep.ack.GetLoad(),
+			Endpoint: rep.ack.GetEndpoint(), Life: rep.ack.GetLife(), Live: r.live(p, now), At: rep.at, Load: rep.ack.GetLoad(),
 		}
 		// A relay repeats a child's report only when it changes; while the relay lives, the report stands.
 		if p.via != "" && e.Live {
--- a/ctrl/server.go
+++ b/ctrl/server.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -181,6 +183,12 @@
 	return s.rosterOf(since)
 }
 
+// lifeMark parts a node's name from its life in the owner of a claim.
+const lifeMark = "#"
+
+// Owned names the owner of a claim: a node in one life. After a restart the node is another owner.
+func Owned(node string, life uint64) string { return fmt.Sprintf("%s%s%x", node, lifeMark, life) }
+
 // dead reports whether the entry that holds a claim is known to have lost its freshness long ago.
 func (s *Server) dead(taker, account, key string) bool {
 	since, ok := s.config.Node.Leads()
@@ -193,8 +201,8 @@
 		return false
 	}
 	for _, e := range s.rosterOf(since).Entries(now) {
-		if e.Node == owner {
-			return !e.Live
+		if strings.HasPrefix(owner, e.Node+lifeMark) {
+			return !e.Live || owner != Owned(e.Node, e.Life)
 		}
 	}
 	return true
@@ -202,8 +210,3 @@
 
 // Member returns this member's identity.
 func (s *Server) Member() quorum.ID { return s.config.Node.config.ID }
-
-// Dump is for debugging.
-func (s *Server) Dump() []string {
-	return append(s.current().Dump(time.Now()), s.config.Follow.roster.Dump(time.Now())...)
-}
--- a/drill/calls.go
+++ b/drill/calls.go
@@ -252,16 +252,6 @@
 			accepted := time.Now()
 			err := d.fleet.Await(each, rev)
 			d.check(inForce, err == nil, "revision %d: %v", rev, err)
-			if err != nil {
-				for _, e := range d.fleet.Entries {
-					if p := d.fleet.Proc(e); p != nil {
-						fmt.Println(e, p.Leads())
-						for _, l := range p.Dump() {
-							fmt.Println("   ", l)
-						}
-					}
-				}
-			}
 			d.mu.Lock()
 			d.forces = append(d.forces, time.Since(accepted))
 			d.mu.Unlock()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -33,7 +33,8 @@
 
 // Config constructs an Entry.
 type Config struct {
-	Node    string
+	// Owner names this run of the process in claims.
+	Owner   string
 	Keys    *Keyring
 	Follow  *ctrl.Follow
 	Control Proposer
--- a/entry/once.go
+++ b/entry/once.go
@@ -84,7 +84,7 @@
 	defer cancel()
 	now := time.Now()
 	r, err := c.e.config.Control.Propose(ctx, ctrl.Command{Claim: &ledger.Command{Op: op, Claim: ledger.Claim{
-		Key: ledger.Key{Account: c.j.account, Key: c.j.key}, Print: c.j.print, Owner: c.e.config.Node, Nonce: c.j.id,
+		Key: ledger.Key{Account: c.j.account, Key: c.j.key}, Print: c.j.print, Owner: c.e.config.Owner, Nonce: c.j.id,
 		Attempt: c.attempt.no, Route: c.j.plan.Route.Name, Pool: poolName(target), Endpoint: target.Name, Boot: boot,
 		Path: c.j.path, At: now, Until: now.Add(time.Until(c.j.deadline) + claimSlack), Answer: answer,
 	}}})
--- a/node/process.go
+++ b/node/process.go
@@ -342,7 +342,7 @@
 	}
 	p.keyring = entry.NewKeyring(accounts)
 	p.entry = entry.New(entry.Config{
-		Node: p.settings.Node, Keys: p.keyring, Follow: p.follow, Control: p.client, Peers: p.pool, Events: p.events,
+		Owner: ctrl.Owned(p.settings.Node, p.follow.Life()), Keys: p.keyring, Follow: p.follow, Control: p.client, Peers: p.pool, Events: p.events,
 		MaxBody: s.Body, MaxOpen: s.Open, AccountOpen: s.Share, WriteTime: s.Write.Duration, Seed: uint64(time.Now().UnixNano()),
 	})
 	p.callers = &http.Server{
@@ -543,6 +543,3 @@
 
 // String names the process.
 func (p *Process) String() string { return fmt.Sprintf("%s (%s)", p.settings.Node, p.role()) }
-
-// Dump is for debugging.
-func (p *Process) Dump() []string { return p.control.Dump() }
