--- a/bench/run.go
+++ b/bench/run.go
@@ -60,6 +60,14 @@
 	// reports holds the queue as it was, for lagged views.
 	reports []report
 	pending float64
+	// sent holds what entries gave it lately.
+	sent []shipment
+}
+
+type shipment struct {
+	at     time.Duration
+	entry  int
+	tokens float64
 }
 
 type report struct {
@@ -125,6 +133,7 @@
 type hint struct {
 	worker int
 	tokens float64
+	at     time.Duration
 }
 
 // Run replays a trace under a policy and a fault. With oracle set the policy sees the true state.
@@ -331,6 +340,10 @@
 	}
 	w := r.workers[choice.Index]
 	w.pending += choice.Computed
+	w.sent = append(w.sent, shipment{r.now, p.entry, choice.Computed})
+	if len(w.sent) > 256 {
+		w.sent = append([]shipment(nil), w.sent[128:]...)
+	}
 	it := &limit.Item[*work]{Account: string(rune('a' + p.account)), Rank: p.rank, Cost: choice.Computed, Value: &work{p: p, worker: choice.Index, begun: begun}}
 	w.queue.Push(it)
 	r.report(w)
@@ -354,23 +367,22 @@
 			break
 		}
 	}
-	m.Backlog = max(0, (w.linkFree-r.now).Seconds()) * w.link
-	switch {
-	case p.history < 0:
-	case known:
-		m.Stored = min(h.tokens, p.tokens)
-		if h.worker == i {
-			m.Cached = m.Stored
+	// The entry adds what it has sent itself since then.
+	for j := len(w.sent) - 1; j >= 0 && w.sent[j].at > r.now-r.f.Lag; j-- {
+		if w.sent[j].entry == p.entry {
+			m.Queue += w.sent[j].tokens
 		}
-	case i == top:
-		m.Cached = homeChance * p.tokens
+	}
+	m.Backlog = max(0, (w.linkFree-r.now).Seconds()) * w.link
+	if p.history >= 0 {
+		q := route.Request{Tokens: p.tokens}
+		m.Cached, m.Stored = route.Believe(route.Hint{
+			Known: known, Here: h.worker == i, Top: i == top, Tokens: h.tokens, Age: r.now - h.at, Stores: true,
+		}, q)
 	}
 	return m
 }
 
-// homeChance is the entry's own guess; see package entry.
-const homeChance = 0.5
-
 // truth is the state as it is.
 func (r *run[P]) truth(i int, p prompt) route.Measured {
 	w := r.workers[i]
@@ -465,5 +477,5 @@
 	}
 	w.remember(p, r.d.Cache)
 	r.keep(p, w.version)
-	r.hints[p.entry].Put(p.root, hint{worker: k.worker, tokens: p.tokens})
+	r.hints[p.entry].Put(p.root, hint{worker: k.worker, tokens: p.tokens, at: r.now})
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -291,7 +291,7 @@
 		return !tried.Has(t.Name) && !view.Leaves(t.Name) && e.peers.of(t).usable(now)
 	}
 	e.mu.Lock()
-	h, _ := e.hints.Look(j.root)
+	h, known := e.hints.Look(j.root)
 	e.mu.Unlock()
 	c := p.Consider(j.root, h.endpoint, usable)
 	q := route.Request{Root: j.root, Tokens: float64(j.size), Bytes: float64(bytesPerToken)}
@@ -301,7 +301,12 @@
 	d := Decision{ID: j.id, Account: j.account, Route: p.Route.Name, At: now, Rev: p.Rev, Tokens: q.Tokens}
 	state := func(i int) route.Measured {
 		m := e.peers.of(p.Targets[i]).measure(now)
-		m.Cached, m.Stored = believe(h, p, i, q, c.Top())
+		if q.Tokens > 0 {
+			m.Cached, m.Stored = route.Believe(route.Hint{
+				Known: known, Here: p.Targets[i].Name == h.endpoint, Top: i == c.Top(), Tokens: h.tokens,
+				Age: now.Sub(h.at), Stores: len(p.Stores) > 0,
+			}, q)
+		}
 		return m
 	}
 	choice, ok := route.Decide(route.Weighted{}, p, &c, q, state, func(s route.Score) { d.Scores = append(d.Scores, s) })
@@ -315,33 +320,8 @@
 	return p.Targets[choice.Index], choice, true
 }
 
-const (
-	// bytesPerToken is the assumed size of the kept state of a token before agents report one.
-	bytesPerToken = 1024
-	// homeChance is the chance that the rendezvous endpoint holds a history this entry never saw.
-	homeChance = 0.5
-)
-
-// believe estimates how much of a prompt an endpoint and the stores hold.
-func believe(h hint, p *route.Plan, i int, q route.Request, top int) (cached, stored float64) {
-	if q.Tokens == 0 {
-		return 0, 0
-	}
-	if h.endpoint == "" {
-		if i == top {
-			cached = homeChance * q.Tokens
-		}
-		return cached, 0
-	}
-	known := min(h.tokens, q.Tokens)
-	if p.Targets[i].Name == h.endpoint {
-		cached = known
-	}
-	if len(p.Stores) > 0 {
-		stored = known
-	}
-	return cached, stored
-}
+// bytesPerToken is the assumed size of the kept state of a token before agents report one.
+const bytesPerToken = 1024
 
 // learn notes where a history now lies.
 func (e *Entry) learn(j *job, endpoint string, tokens float64) {
