--- a/route/split.go
+++ b/route/split.go
@@ -1,8 +1,10 @@
 package route
 
 import (
+	"math"
 	"time"
 
+	"egretshunt/block"
 	"egretshunt/table"
 )
 
@@ -81,7 +83,8 @@
 	ahead := m.Backlog / m.Link
 	// (gap - fetch) / rate == ahead + fetch * perToken
 	fetch := (gap/m.Rate - ahead) / (perToken + 1/m.Rate)
-	return max(0, min(fetch, gap))
+	// Only whole blocks can be fetched.
+	return max(0, math.Floor(min(fetch, gap)/block.Tokens)*block.Tokens)
 }
 
 // crowding is what a second of computing costs those who wait behind it, in seconds.
