--- a/route/split.go
+++ b/route/split.go
@@ -87,9 +87,6 @@
 	return max(0, math.Floor(min(fetch, gap)/block.Tokens)*block.Tokens)
 }
 
-// crowding is what a second of computing costs those who wait behind it, in seconds.
-const crowding = 0.25
-
 // Make returns the split that fetches the given number of tokens and computes the rest.
 func Make(w table.Weights, q Request, m Measured, fetch float64) Split {
 	s := Split{Reused: min(m.Cached, q.Tokens), Fetched: fetch}
@@ -105,6 +102,6 @@
 	}
 	seconds += tail / rate
 	s.First = time.Duration(seconds * float64(time.Second))
-	s.Cost = w.First*(seconds+crowding*s.Computed/rate) + w.Recompute*s.Computed/1000 + w.Link*fetch*q.Bytes/1e6
+	s.Cost = w.First*seconds + w.Recompute*s.Computed/1000 + w.Link*fetch*q.Bytes/1e6
 	return s
 }
