--- a/bench/result.go
+++ b/bench/result.go
@@ -17,7 +17,6 @@
 	small            []time.Duration
 	seen, again      float64
 	fetched, written float64
-	computed         float64
 }
 
 // note counts what of a returning prompt's known part is computed again.
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -67,24 +68,9 @@
 	}
 }
 
+// decode reads the applied commands that a snapshot holds, one a line.
 func decode(data []byte) []string {
-	var out []string
-	for _, s := range slices.Collect(splitSeq(string(data))) {
-		out = append(out, s)
-	}
-	return out
-}
-
-func splitSeq(s string) func(func(string) bool) {
-	return func(yield func(string) bool) {
-		for len(s) > 0 {
-			i := slices.Index([]byte(s), '\n')
-			if !yield(s[:i]) {
-				return
-			}
-			s = s[i+1:]
-		}
-	}
+	return strings.Split(strings.TrimSuffix(string(data), "\n"), "\n")
 }
 
 // settle carries out what a member has ready, as a driver does.
