Split large files by job; try false stores, operators' scopes and a replaced control VM

Change: admin, ctrl, fleet, node and quorum's tests split; stores that fall silent, send wrong bytes, another block or nothing; roles, scopes and a dry run; a lost control VM replaced by one command and the leader lost right after.

--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -12,7 +12,6 @@
 	"egretshunt/disk"
 	"egretshunt/event"
 	"egretshunt/ledger"
-	"egretshunt/limit"
 	"egretshunt/quorum"
 	"egretshunt/ring"
 	"egretshunt/table"
@@ -482,91 +481,6 @@
 	return err
 }
 
-// Audit returns a copy of the kept audit records, oldest first.
-func (n *Node) Audit(ctx context.Context) ([]table.Record, error) {
-	var records []table.Record
-	err := n.do(ctx, func() { records = append(records, n.machine.tables.Audit()...) })
-	return records, err
-}
-
-// Try tells what a change would do, without doing it.
-func (n *Node) Try(ctx context.Context, c table.Change) (table.Result, error) {
-	var r table.Result
-	err := n.do(ctx, func() { r = n.machine.tables.Try(c) })
-	return r, err
-}
-
-// Unresolved returns claims whose outcome is unknown.
-func (n *Node) Unresolved(ctx context.Context, limit int) ([]*ledger.Claim, error) {
-	var claims []*ledger.Claim
-	err := n.do(ctx, func() { claims = n.machine.ledger.Unresolved(limit) })
-	return claims, err
-}
-
-// owner returns the entry that holds the claim of a key, or "".
-func (n *Node) owner(account, key string) string {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	owner := ""
-	err := n.do(ctx, func() {
-		if c, ok := n.machine.ledger.Look(ledger.Key{Account: account, Key: key}); ok {
-			owner = c.Owner
-		}
-	})
-	if err != nil {
-		return ""
-	}
-	return owner
-}
-
-// Snapshot returns the whole state, for an operator's backup.
-func (n *Node) Snapshot(ctx context.Context) ([]byte, error) {
-	var data []byte
-	var err error
-	if failed := n.do(ctx, func() { data, err = n.machine.Save() }); failed != nil {
-		return nil, failed
-	}
-	return data, err
-}
-
-// Tables returns the snapshot as applied here.
-func (n *Node) Tables() *table.Tables { return n.tables.Load() }
-
-// View returns the view as applied here.
-func (n *Node) View() *View { return n.view.Load() }
-
-// Changed returns a channel that is closed at the next change of tables or view.
-func (n *Node) Changed() <-chan struct{} { return n.changed.wait() }
-
-// Registered returns the registered nodes; the map must not be changed.
-func (n *Node) Registered() map[string]Joined { return *n.nodes.Load() }
-
-// Status describes the member.
-func (n *Node) Status() quorum.Status { return *n.status.Load() }
-
-// Leads reports whether this member is leader and holds a lease, and since when it leads.
-func (n *Node) Leads() (since time.Time, ok bool) {
-	at := n.electedAt.Load()
-	if at == nil || int64(n.now()) > n.leaseEnd.Load() {
-		return time.Time{}, false
-	}
-	return *at, true
-}
-
-// Err returns why the member has failed, or nil.
-func (n *Node) Err() error {
-	if p := n.failed.Load(); p != nil {
-		return *p
-	}
-	return nil
-}
-
-// Judge is a fresh read of the verdict on a request; it is exact while this member leads.
-func (n *Node) Judge(account, print string, now time.Time) limit.Verdict {
-	v, _ := n.View().Suspects.Judge(account, print, now)
-	return v
-}
-
 // Close stops the member; what it has answered stays on disk.
 func (n *Node) Close() {
 	n.cancel()
--- /dev/null
+++ b/fleet/context_test.go
@@ -0,0 +1,81 @@
+package fleet_test
+
+import (
+	"context"
+	"testing"
+
+	"egretshunt/check"
+	"egretshunt/fleet"
+	"egretshunt/wire"
+)
+
+// falseStore stands where a store was, claims to hold every chain, and answers
+// reads as the test likes.
+func falseStore(t *testing.T, f *fleet.Fleet, read func(r *wire.Read) *wire.Frame) {
+	t.Helper()
+	f.Kill("store-0")
+	keys, err := wire.NewKeys(f.Settings("store-0").Wire.Secrets...)
+	check.Good(t, err)
+	s, err := wire.Serve(wire.ServerConfig{Addr: f.Settings("store-0").Wire.Listen, Keys: keys, Handle: func(ctx context.Context, s *wire.Stream) {
+		for {
+			frame, err := s.Recv()
+			if err != nil {
+				return
+			}
+			var reply *wire.Frame
+			switch body := frame.GetBody().(type) {
+			case *wire.Frame_Find:
+				n := len(body.Find.GetNames())
+				reply = &wire.Frame{Body: &wire.Frame_Found{Found: &wire.Found{Count: uint32(n), Bytes: uint64(4096 * n)}}}
+			case *wire.Frame_Read:
+				reply = read(body.Read)
+			}
+			if reply == nil {
+				<-ctx.Done()
+				return
+			}
+			if s.Send(reply) != nil {
+				return
+			}
+		}
+	}})
+	check.Good(t, err)
+	t.Cleanup(s.Close)
+}
+
+// TestFalseStores serves prompts whose context a store promised and does not give.
+func TestFalseStores(t *testing.T) {
+	for _, tc := range []struct {
+		what string
+		read func(r *wire.Read) *wire.Frame
+	}{
+		{"silent in the middle of a fetch", func(*wire.Read) *wire.Frame { return nil }},
+		{"wrong bytes", func(r *wire.Read) *wire.Frame {
+			return &wire.Frame{Body: &wire.Frame_Block{Block: &wire.Block{Name: r.GetName(), Data: make([]byte, 4096), Sum: 1}}}
+		}},
+		{"another block", func(r *wire.Read) *wire.Frame {
+			other := append([]byte{}, r.GetName()...)
+			other[0]++
+			return &wire.Frame{Body: &wire.Frame_Block{Block: &wire.Block{Name: other, Data: []byte("x"), Sum: 2363233923}}}
+		}},
+		{"gone", func(r *wire.Read) *wire.Frame {
+			return &wire.Frame{Body: &wire.Frame_Block{Block: &wire.Block{Name: r.GetName(), Gone: true}}}
+		}},
+	} {
+		t.Run(tc.what, func(t *testing.T) {
+			t.Parallel()
+			f := start(t, func(s *fleet.Shape) { s.Prefill = 20_000 })
+			falseStore(t, f, tc.read)
+			c := fleet.Client()
+			for i := range 4 {
+				text := history(i, 2)
+				a, err := ask(t.Context(), f, c, i, 0, text, 3, true)
+				check.Good(t, err)
+				check.Equal(t, "text", a.text, wantText(text, 3))
+			}
+			for name, e := range f.Engines {
+				check.Equal(t, name+" took wrong bytes", e.Seen().Poisoned, 0)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/fleet/operators_test.go
@@ -0,0 +1,122 @@
+package fleet_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+
+	"egretshunt/check"
+	"egretshunt/conf"
+	"egretshunt/entry"
+	"egretshunt/fleet"
+	"egretshunt/node"
+	"egretshunt/quorum"
+	"egretshunt/table"
+)
+
+// TestReplaceControl loses a control VM for good and brings a new one in its place.
+func TestReplaceControl(t *testing.T) {
+	t.Parallel()
+	f := start(t, nil)
+	lost := ""
+	for _, e := range f.Entries {
+		if !f.Proc(e).Leads() {
+			lost = e
+		}
+	}
+	f.Kill(lost)
+	check.Good(t, os.RemoveAll(f.Settings(lost).Data))
+	// The new VM takes the lost one's addresses, as a replaced VM may, under a name of its own.
+	s := *f.Settings(lost)
+	m := *s.Member
+	s.Node, m.Start, s.Member = "entry-new", "join", &m
+	m.Members = nil
+	for _, e := range f.Entries {
+		if e != lost {
+			m.Members = append(m.Members, quorum.Member{ID: quorum.ID(e), Addr: f.Settings(e).Wire.Listen})
+		}
+	}
+	p, err := node.Start(&s, nil)
+	check.Good(t, err)
+	defer p.Kill()
+	body := map[string]any{"id": "entry-new", "addr": s.Wire.Listen, "replaces": lost}
+	check.Good(t, f.Admin(t.Context(), http.MethodPost, "/members/replace", body, nil))
+	members := quorum.Members{}
+	check.Soon(t, "the new VM votes and the lost one is out", func() bool {
+		var st quorum.Status
+		if f.Admin(t.Context(), http.MethodGet, "/status", nil, &st) != nil {
+			return false
+		}
+		members = st.Members
+		return members.Voter("entry-new") && !members.Voter(quorum.ID(lost)) && len(members.Voters) == 3
+	})
+	t.Run("a second loss right after", func(t *testing.T) {
+		for _, e := range f.Entries {
+			if e != lost && f.Proc(e).Leads() {
+				f.Kill(e)
+			}
+		}
+		row := &table.Pool{Name: "after", Place: "north", Kind: table.Service, Endpoints: []table.Endpoint{}}
+		_, err := f.Put(t.Context(), "pools", row.Name, 0, row)
+		check.Good(t, err)
+		var had table.Pool
+		check.Good(t, f.Admin(t.Context(), http.MethodGet, "/pools/"+fleet.WorkerPool, nil, &had))
+	})
+}
+
+// TestOperators tries roles, scopes and the edges of the administration API.
+func TestOperators(t *testing.T) {
+	t.Parallel()
+	f := start(t, nil)
+	path := f.Settings(f.Entries[0]).Member.Operators
+	file := ""
+	for _, p := range []conf.Person{
+		{Name: "demo", Hash: entry.HashKey(fleet.OperatorKey), Role: conf.Operator},
+		{Name: "viewer", Hash: entry.HashKey("viewer"), Role: conf.Viewer},
+		{Name: "scoped", Hash: entry.HashKey("scoped"), Role: conf.Operator, Accounts: []string{"member-1"}},
+	} {
+		accounts, _ := json.Marshal(p.Accounts)
+		if p.Accounts == nil {
+			accounts = []byte("[]")
+		}
+		file += fmt.Sprintf("[[operator]]\nname = %q\nhash = %q\nrole = %q\naccounts = %s\n", p.Name, p.Hash, p.Role, accounts)
+	}
+	check.Good(t, os.WriteFile(path, []byte(file), 0o600))
+	// Keys are read again without a restart.
+	check.Good(t, f.Proc(f.Entries[0]).Reload())
+	route := `{"account":"member-1","target":"planner","pools":["workers"],"class":"batch"}`
+	other := `{"account":"member-0","target":"planner","pools":["workers"]}`
+	for _, tc := range []struct {
+		what, key, method, path, body string
+		status                        int
+	}{
+		{"no key", "nobody", "GET", "/routes", "", 401},
+		{"a viewer looks", "viewer", "GET", "/audit", "", 200},
+		{"a viewer does not change", "viewer", "POST", "/pools/workers/drain", "", 403},
+		{"a viewer takes no snapshot", "viewer", "GET", "/snapshot", "", 403},
+		{"a scope does not reach pools", "scoped", "POST", "/pools/workers/drain", "", 403},
+		{"nor other accounts", "scoped", "PUT", "/routes/new?base=0", other, 403},
+		{"nor their rows", "scoped", "GET", "/routes/member-0-planner", "", 404},
+		{"nor members", "scoped", "POST", "/members/remove", `{"id":"entry-1"}`, 403},
+		{"but its own", "scoped", "GET", "/routes/member-1-planner", "", 200},
+		{"a dry run changes nothing", "scoped", "PUT", "/routes/member-1-planner?dry=true&base=" + fmt.Sprint(routeRev(t, f, "member-1-planner")), route, 200},
+		{"a stale base", "scoped", "PUT", "/routes/member-1-planner?base=1", route, 409},
+		{"a base that is none", "scoped", "PUT", "/routes/member-1-planner?base=x", route, 400},
+		{"no such row", fleet.OperatorKey, "GET", "/pools/none", "", 404},
+		{"no such path", fleet.OperatorKey, "GET", "/none", "", 404},
+	} {
+		t.Run(tc.what, func(t *testing.T) {
+			req, err := http.NewRequestWithContext(t.Context(), tc.method, f.AdminURL(0)+tc.path, strings.NewReader(tc.body))
+			check.Good(t, err)
+			req.Header.Set("Authorization", "Bearer "+tc.key)
+			resp, err := http.DefaultClient.Do(req)
+			check.Good(t, err)
+			resp.Body.Close()
+			check.Equal(t, "status", resp.StatusCode, tc.status)
+		})
+	}
+	check.Equal(t, "version after the dry run", routeRev(t, f, "member-1-planner") < 10, true)
+}
--- /dev/null
+++ b/quorum/core_test.go
@@ -0,0 +1,97 @@
+package quorum_test
+
+import (
+	"testing"
+	"time"
+
+	"egretshunt/check"
+	"egretshunt/quorum"
+)
+
+// coreOf returns member a of {a, b, c} with entries of the given terms on disk.
+func coreOf(t check.T, hard quorum.Hard, terms ...uint64) *quorum.Core {
+	t.Helper()
+	var entries []quorum.Entry
+	for i, term := range terms {
+		entries = append(entries, quorum.Entry{Index: uint64(i + 1), Term: term, Data: []byte("x")})
+	}
+	members := quorum.Members{Voters: []quorum.Member{{ID: "a"}, {ID: "b"}, {ID: "c"}}}
+	c, err := quorum.New(quorum.Options{ID: "a", Members: members, Hard: hard, Entries: entries})
+	check.Good(t, err)
+	return c
+}
+
+// drain takes what is ready as done and returns its messages.
+func drain(c *quorum.Core, now time.Duration) []quorum.Message {
+	var out []quorum.Message
+	for {
+		r, ok := c.Ready()
+		if !ok {
+			return out
+		}
+		out = append(out, r.Messages...)
+		c.Advance(now, r)
+	}
+}
+
+// elect makes a leader of a core by b's votes.
+func elect(c *quorum.Core) time.Duration {
+	now := 10 * time.Second
+	c.Tick(now)
+	term := c.Term() + 1
+	c.Step(now, quorum.Message{Kind: quorum.PreVoteReply, From: "b", To: "a", Term: term})
+	c.Step(now, quorum.Message{Kind: quorum.VoteReply, From: "b", To: "a", Term: term})
+	drain(c, now)
+	return now
+}
+
+func TestVoterRefusesShorterLog(t *testing.T) {
+	for name, tc := range map[string]struct {
+		index, term uint64
+		granted     bool
+	}{
+		"shorter of the same term": {1, 2, false},
+		"longer of an older term":  {9, 1, false},
+		"equal":                    {3, 2, true},
+		"shorter of a newer term":  {1, 3, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := coreOf(t, quorum.Hard{Term: 2}, 1, 1, 2)
+			c.Step(10*time.Second, quorum.Message{Kind: quorum.Vote, From: "b", To: "a", Term: 5, Index: tc.index, LogTerm: tc.term})
+			out := drain(c, 10*time.Second)
+			check.Equal(t, "granted", !out[0].Reject, tc.granted)
+		})
+	}
+}
+
+func TestOldTermIsNotCommittedByCount(t *testing.T) {
+	c := coreOf(t, quorum.Hard{Term: 2}, 1, 1)
+	now := elect(c)
+	check.Equal(t, "role", c.Role(), quorum.Leader)
+	c.Step(now, quorum.Message{Kind: quorum.AppendReply, From: "b", To: "a", Term: c.Term(), Index: 2, Sent: now})
+	drain(c, now)
+	// A majority holds entry 2, but a member with an entry of term 2 could still be elected over it.
+	check.Equal(t, "committed", c.Status(now).Commit, uint64(0))
+	c.Step(now, quorum.Message{Kind: quorum.AppendReply, From: "b", To: "a", Term: c.Term(), Index: 3, Sent: now})
+	drain(c, now)
+	check.Equal(t, "committed with one of its own", c.Status(now).Commit, uint64(3))
+}
+
+func TestOneChangeOfMembersAtATime(t *testing.T) {
+	c := coreOf(t, quorum.Hard{Term: 2}, 1, 1)
+	now := elect(c)
+	check.Kind(t, c.Remove("b"), quorum.Busy)
+	c.Step(now, quorum.Message{Kind: quorum.AppendReply, From: "b", To: "a", Term: c.Term(), Index: 3, Sent: now})
+	drain(c, now)
+	check.Good(t, c.Remove("b"))
+	check.Kind(t, c.Remove("c"), quorum.Busy)
+}
+
+func TestLeaseEndsBeforeAnotherCanLead(t *testing.T) {
+	c := coreOf(t, quorum.Hard{Term: 2}, 1)
+	now := elect(c)
+	c.Step(now, quorum.Message{Kind: quorum.AppendReply, From: "b", To: "a", Term: c.Term(), Index: 2, Sent: now})
+	drain(c, now)
+	check.Equal(t, "right after an answer", c.Lease(now+time.Millisecond), true)
+	check.Equal(t, "just before b may vote again", c.Lease(now+quorum.DefaultElection-time.Millisecond), false)
+}
