Keep each run of a node apart on its way up, and tell everything again when one is gone

Ruled out: the store itself, which was fresh at the revision (its run and revision were printed). Change: a path names the run; a relay that lets anything go tells everything it still has, and what it no longer names is gone upstream too; an earlier run of a direct downstream counts for a lease.

--- a/ctrl/follow.go
+++ b/ctrl/follow.go
@@ -277,10 +277,11 @@
 	f.pullMu.Lock()
 	defer f.pullMu.Unlock()
 	f.pullSeq++
+	acks, whole := f.roster.Pending(now, all)
 	return &wire.Pull{
 		Node: f.config.Node, Role: f.config.Role, Place: f.config.Place, Rev: f.Tables().Rev,
-		HoldMs: uint32(hold.Milliseconds()), Acks: append(f.roster.Pending(now, all), f.ownAck()), View: f.View().Rev,
-		Whole: all, Life: f.life, Seq: f.pullSeq,
+		HoldMs: uint32(hold.Milliseconds()), Acks: append(acks, f.ownAck()), View: f.View().Rev,
+		Whole: whole, Life: f.life, Seq: f.pullSeq,
 	}
 }
 
--- a/ctrl/roster.go
+++ b/ctrl/roster.go
@@ -19,26 +19,31 @@
 // Roster knows which revision each downstream node has installed, and until when
 // a node that has not installed it may still act on an older one.
 //
-// A node's freshness never outlives that of the process it got it from, so the
-// roster of a relay can tell its own upstream when a child's freshness is gone.
+// A node's freshness never outlives that of the process it got it from. A relay
+// tells its upstream of every node behind it; whenever one is gone, it tells
+// everything again, so that what it no longer names is gone upstream too.
 type Roster struct {
 	lease time.Duration
 	// id tells downstreams that they speak to another roster, which knows nothing yet.
 	id uint64
 
-	// mu guards seen and granted.
+	// mu guards the rest.
 	mu sync.Mutex
-	// seen holds the reports of each node, one for each process it came through.
+	// seen holds the latest report of each run of a node, one for each process it came through.
 	seen map[path]report
 	// granted is when each direct downstream was last told that it is fresh.
 	granted map[string]time.Time
+	// dropped is set when a report was let go that the upstream may still count.
+	dropped bool
 	// news is announced when reports wait for the upstream, and when it took some.
 	news *notice
 }
 
-// path is one way by which a node is reached; via is "" for direct ones.
+// path is one way by which one run of a node is reached; via is "" for direct ones.
 type path struct {
-	node, via string
+	node string
+	life uint64
+	via  string
 }
 
 // report is the latest word of a node on one path.
@@ -49,7 +54,7 @@
 	sent bool
 	// life and seq are those of the pull that carried the report.
 	life, seq uint64
-	// until is when freshness given by an earlier life of the relay has run out; zero when it lives.
+	// until is when freshness given by or to an earlier run has surely run out; zero while it may be renewed.
 	until time.Time
 	// proven is true once the upstream has answered a report of this path.
 	proven bool
@@ -60,31 +65,30 @@
 	return &Roster{lease: lease, id: rand.Uint64() | 1, seen: map[path]report{}, granted: map[string]time.Time{}, news: newNotice()}
 }
 
+// pathOf returns the path of a report that came with a pull of from.
+func pathOf(from string, a *wire.Ack) path {
+	p := path{node: a.GetNode(), life: a.GetLife()}
+	if a.GetNode() != from {
+		p.via = from
+	}
+	return p
+}
+
 // Note takes the acks of a direct downstream's pull.
 func (r *Roster) Note(pull *wire.Pull, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	from := pull.GetNode()
-	fresh := false
-	if pull.GetWhole() {
-		r.forgetOthers(pull, now)
-	}
+	r.forget(pull, now)
+	fresh := r.dropped
 	for _, a := range pull.GetAcks() {
-		p := path{node: a.GetNode()}
-		if a.GetNode() != from {
-			p.via = from
-		}
+		p := pathOf(pull.GetNode(), a)
 		old, ok := r.seen[p]
-		if ok && old.ack.GetLife() == a.GetLife() && a.GetSeq() < old.ack.GetSeq() {
+		if ok && a.GetSeq() < old.ack.GetSeq() {
 			// Streams overtake each other; the later word stands.
 			continue
 		}
-		if a.GetGone() {
-			delete(r.seen, p)
-			continue
-		}
 		same := ok && old.sent && equalAck(old.ack, a)
-		r.seen[p] = report{ack: a, at: now, sent: same, proven: old.proven, life: pull.GetLife(), seq: pull.GetSeq()}
+		r.seen[p] = report{ack: a, at: now, sent: same, proven: old.proven, life: pull.GetLife(), seq: max(pull.GetSeq(), old.seq)}
 		fresh = fresh || !same
 	}
 	if fresh {
@@ -92,24 +96,33 @@
 	}
 }
 
-// forgetOthers drops what a relay no longer reports: at once what it has let go
-// itself, and after a lease what an earlier life of it may have told to be fresh.
-// The caller holds mu.
-func (r *Roster) forgetOthers(pull *wire.Pull, now time.Time) {
+// forget lets go what a downstream's pull shows to be gone: at once what a relay
+// no longer names, and after a lease what an earlier run of the downstream had, or
+// had told others to be fresh. The caller holds mu.
+func (r *Roster) forget(pull *wire.Pull, now time.Time) {
+	from := pull.GetNode()
 	for p, rep := range r.seen {
+		if p.via != from && (p.via != "" || p.node != from) {
+			continue
+		}
 		switch {
-		case p.via != pull.GetNode():
 		case rep.life != pull.GetLife():
 			if rep.until.IsZero() {
 				rep.until = now.Add(r.lease)
 				r.seen[p] = rep
 			}
-		case rep.seq < pull.GetSeq():
-			delete(r.seen, p)
+		case pull.GetWhole() && p.via == from && rep.seq < pull.GetSeq():
+			r.drop(p)
 		}
 	}
 }
 
+// drop lets a report go. The caller holds mu.
+func (r *Roster) drop(p path) {
+	delete(r.seen, p)
+	r.dropped = true
+}
+
 func equalAck(a, b *wire.Ack) bool {
 	x, y := a.GetLoad(), b.GetLoad()
 	return a.GetRev() == b.GetRev() && a.GetLife() == b.GetLife() && x.GetBoot() == y.GetBoot() && x.GetVersion() == y.GetVersion() &&
@@ -144,9 +157,9 @@
 	behind := value.Set[string]{}
 	heard := value.Set[string]{}
 	reached := r.reached()
-	for p, rep := range r.seen {
+	for p := range r.seen {
 		heard.Add(p.node)
-		if reached[lifeOf(p, rep)] < rev && r.live(p, now) {
+		if reached[life{p.node, p.life}] < rev && r.live(p, now) {
 			behind.Add(p.node)
 		}
 	}
@@ -166,36 +179,32 @@
 	id   uint64
 }
 
-func lifeOf(p path, rep report) life { return life{p.node, rep.ack.GetLife()} }
-
 // reached returns the highest revision that each life has reported on any path:
 // within one life the installed revision never falls, so that an old report on
 // another path says nothing against it. The caller holds mu.
 func (r *Roster) reached() map[life]uint64 {
 	top := map[life]uint64{}
 	for p, rep := range r.seen {
-		l := lifeOf(p, rep)
+		l := life{p.node, p.life}
 		top[l] = max(top[l], rep.ack.GetRev())
 	}
 	return top
 }
 
-// Pending returns the reports that the upstream has not been told, and the nodes
-// whose freshness has run out since; with all set, every live report.
-func (r *Roster) Pending(now time.Time, all bool) []*wire.Ack {
+// Pending returns the reports that the upstream has not been told; with all set, or
+// when something is gone, every live report, and whole is true.
+func (r *Roster) Pending(now time.Time, all bool) (acks []*wire.Ack, whole bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var acks []*wire.Ack
 	for p, rep := range r.seen {
-		// A report that came moments ago is live though nothing was granted yet.
-		if !r.live(p, now) && now.Sub(rep.at) > r.lease {
-			delete(r.seen, p)
-			if !r.otherPath(p) {
-				acks = append(acks, &wire.Ack{Node: p.node, Gone: true, Life: rep.ack.GetLife(), Seq: rep.ack.GetSeq()})
-			}
-			continue
+		if r.expired(p, rep, now) {
+			r.drop(p)
 		}
-		if rep.sent && !all {
+	}
+	whole = all || r.dropped
+	r.dropped = false
+	for p, rep := range r.seen {
+		if rep.sent && !whole {
 			continue
 		}
 		rep.sent = true
@@ -203,7 +212,13 @@
 		acks = append(acks, rep.ack)
 	}
 	slices.SortFunc(acks, func(a, b *wire.Ack) int { return strings.Compare(a.GetNode(), b.GetNode()) })
-	return acks
+	return acks, whole
+}
+
+// expired reports whether a path is gone; a report that came moments ago is not,
+// though nothing was granted yet. The caller holds mu.
+func (r *Roster) expired(p path, rep report, now time.Time) bool {
+	return !r.live(p, now) && now.Sub(rep.at) > r.lease
 }
 
 // pending reports whether Pending would return anything.
@@ -211,29 +226,28 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for p, rep := range r.seen {
-		if !rep.sent || (!r.live(p, now) && now.Sub(rep.at) > r.lease) {
+		if !rep.sent || r.expired(p, rep, now) {
 			return true
 		}
 	}
-	return false
+	return r.dropped
 }
 
 // Took notes whether the upstream answered a pull that carried the acks.
 func (r *Roster) Took(acks []*wire.Ack, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	carried := map[life]uint64{}
+	carried := map[life]bool{}
 	for _, a := range acks {
-		carried[life{a.GetNode(), a.GetLife()}] = a.GetSeq()
+		carried[life{a.GetNode(), a.GetLife()}] = true
 	}
 	for p, rep := range r.seen {
-		seq, there := carried[lifeOf(p, rep)]
-		if !there {
+		if !carried[life{p.node, p.life}] {
 			continue
 		}
 		rep.proven = rep.proven || ok
-		// What could not be sent is sent again, even if it was repeated meanwhile.
-		rep.sent = rep.sent && (ok || seq != rep.ack.GetSeq() && !equalTo(rep.ack, acks))
+		// What could not be sent is sent again.
+		rep.sent = rep.sent && ok
 		r.seen[p] = rep
 	}
 	if len(acks) > 0 {
@@ -241,11 +255,6 @@
 	}
 }
 
-// equalTo reports whether acks hold a report of the same content.
-func equalTo(a *wire.Ack, acks []*wire.Ack) bool {
-	return slices.ContainsFunc(acks, func(b *wire.Ack) bool { return b.GetNode() == a.GetNode() && equalAck(a, b) })
-}
-
 // Unprove notes that the upstream is another one, which knows nothing yet.
 func (r *Roster) Unprove() {
 	r.mu.Lock()
@@ -275,11 +284,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, a := range acks {
-		p := path{node: a.GetNode()}
-		if a.GetNode() != from {
-			p.via = from
-		}
-		if rep, ok := r.seen[p]; ok && !rep.proven {
+		if rep, ok := r.seen[pathOf(from, a)]; ok && !rep.proven {
 			return false
 		}
 	}
@@ -292,18 +297,9 @@
 	defer r.mu.Unlock()
 	for p, rep := range r.seen {
 		if !r.live(p, now) && now.Sub(rep.at) > 10*r.lease {
-			delete(r.seen, p)
-		}
-	}
-}
-
-func (r *Roster) otherPath(gone path) bool {
-	for p := range r.seen {
-		if p.node == gone.node {
-			return true
+			r.drop(p)
 		}
 	}
-	return false
 }
 
 // Entry describes one node to operators and to the owner of orders.
--- a/ctrl/spread.go
+++ b/ctrl/spread.go
@@ -146,7 +146,7 @@
 	known := l.server.config.Node.Registered()
 	var join []Joined
 	for _, a := range acks {
-		if _, ok := known[a.GetNode()]; !ok && !a.GetGone() {
+		if _, ok := known[a.GetNode()]; !ok {
 			join = append(join, Joined{Node: a.GetNode(), Role: a.GetRole(), Place: a.GetPlace()})
 		}
 	}
