--- a/ctrl/roster.go
+++ b/ctrl/roster.go
@@ -65,11 +65,12 @@
 	return &Roster{lease: lease, id: rand.Uint64() | 1, seen: map[path]report{}, granted: map[string]time.Time{}, news: newNotice()}
 }
 
-// pathOf returns the path of a report that came with a pull of from.
-func pathOf(from string, a *wire.Ack) path {
+// pathOf returns the path of a report that came with a pull. An earlier run of the
+// downstream itself, which another relay told it of, is behind it like any other.
+func pathOf(pull *wire.Pull, a *wire.Ack) path {
 	p := path{node: a.GetNode(), life: a.GetLife()}
-	if a.GetNode() != from {
-		p.via = from
+	if a.GetNode() != pull.GetNode() || a.GetLife() != pull.GetLife() {
+		p.via = pull.GetNode()
 	}
 	return p
 }
@@ -81,7 +82,7 @@
 	r.forget(pull, now)
 	fresh := r.dropped
 	for _, a := range pull.GetAcks() {
-		p := pathOf(pull.GetNode(), a)
+		p := pathOf(pull, a)
 		old, ok := r.seen[p]
 		if ok && a.GetSeq() < old.ack.GetSeq() {
 			// Streams overtake each other; the later word stands.
@@ -265,11 +266,11 @@
 	}
 }
 
-// Await waits until the upstream knows of every path in acks that came through from.
-func (r *Roster) Await(ctx context.Context, from string, acks []*wire.Ack) error {
+// Await waits until the upstream knows of every path that the pull has told of.
+func (r *Roster) Await(ctx context.Context, pull *wire.Pull) error {
 	for {
 		news := r.news.wait()
-		if r.proven(from, acks) {
+		if r.proven(pull) {
 			return nil
 		}
 		select {
@@ -280,11 +281,11 @@
 	}
 }
 
-func (r *Roster) proven(from string, acks []*wire.Ack) bool {
+func (r *Roster) proven(pull *wire.Pull) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, a := range acks {
-		if rep, ok := r.seen[pathOf(from, a)]; ok && !rep.proven {
+	for _, a := range pull.GetAcks() {
+		if rep, ok := r.seen[pathOf(pull, a)]; ok && !rep.proven {
 			return false
 		}
 	}
--- a/ctrl/roster_test.go
+++ b/ctrl/roster_test.go
@@ -129,6 +129,13 @@
 		acks, whole := middle.Pending(start, false)
 		check.Equal(t, "whole, without the child", whole && len(acks) == 1 && acks[0].GetNode() == "low", true)
 	})
+	t.Run("an earlier run of a relay that it tells of itself", func(t *testing.T) {
+		r := ctrl.NewRoster(lease)
+		r.Note(pull("relay", 2, 1, true, ack("relay", 1, 9, 6), ack("relay", 2, 1, 7)), start)
+		r.Grant("relay", start)
+		r.Note(pull("relay", 2, 2, true, ack("relay", 2, 2, 7)), start)
+		lagging(t, r, old, start)
+	})
 	t.Run("two runs of a node through one relay stay apart", func(t *testing.T) {
 		r := ctrl.NewRoster(lease)
 		r.Note(pull("relay", 1, 1, true, ack("child", 6, 1, 7), ack("child", 5, 9, 6), ack("relay", 1, 1, 7)), start)
--- a/ctrl/spread.go
+++ b/ctrl/spread.go
@@ -16,7 +16,7 @@
 	Changed() <-chan struct{}
 	Roster() *Roster
 	// confirm makes the acks known to the leader; until then no freshness may be given on.
-	confirm(ctx context.Context, from string, acks []*wire.Ack) error
+	confirm(ctx context.Context, pull *wire.Pull) error
 	// freshness returns the age of what the source holds and whether it is fresh.
 	freshness(now time.Time) (age time.Duration, ok bool)
 }
@@ -45,7 +45,7 @@
 func answer(ctx context.Context, s *wire.Stream, pull *wire.Pull, src source, leader netip.AddrPort) error {
 	began := time.Now()
 	src.Roster().Note(pull, began)
-	confirmed := src.confirm(ctx, pull.GetNode(), pull.GetAcks()) == nil
+	confirmed := src.confirm(ctx, pull) == nil
 	if confirmed {
 		hold(ctx, pull, src, began)
 	}
@@ -113,10 +113,10 @@
 
 // confirm of a relay waits until the leader's side has taken the reports: freshness
 // is given on only to nodes that the leader would wait for.
-func (f *Follow) confirm(ctx context.Context, from string, acks []*wire.Ack) error {
+func (f *Follow) confirm(ctx context.Context, pull *wire.Pull) error {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	return f.roster.Await(ctx, from, acks)
+	return f.roster.Await(ctx, pull)
 }
 
 func (f *Follow) freshness(now time.Time) (time.Duration, bool) {
@@ -142,10 +142,10 @@
 func (l leading) Roster() *Roster          { return l.roster }
 
 // confirm registers nodes that are new, so that a later leader knows whom to wait for.
-func (l leading) confirm(ctx context.Context, from string, acks []*wire.Ack) error {
+func (l leading) confirm(ctx context.Context, pull *wire.Pull) error {
 	known := l.server.config.Node.Registered()
 	var join []Joined
-	for _, a := range acks {
+	for _, a := range pull.GetAcks() {
 		if _, ok := known[a.GetNode()]; !ok {
 			join = append(join, Joined{Node: a.GetNode(), Role: a.GetRole(), Place: a.GetPlace()})
 		}
