--- a/agent/reuse.go
+++ b/agent/reuse.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -46,6 +47,22 @@
 		reply, err := a.config.Backend.Run(ctx, call)
 		return reply, use{}, err
 	}
+	for try := 0; ; try++ {
+		reply, u, err := a.hand(ctx, engine, o, call)
+		if err != nil || reply.Status != http.StatusConflict || try == maxHands {
+			return reply, u, err
+		}
+		// The engine has other weights than this agent had heard of, and has run nothing.
+		reply.Body.Close()
+		a.check(ctx)
+	}
+}
+
+// maxHands bounds how often a call is handed over again to an engine whose weights have changed.
+const maxHands = 3
+
+// hand names the chain by the weights now loaded and gives the call to the engine.
+func (a *Agent) hand(ctx context.Context, engine Engine, o *wire.Offer, call Call) (*Reply, use, error) {
 	// The weights stay the same from naming the chain until the engine has the call.
 	a.swap.RLock()
 	defer a.swap.RUnlock()
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -140,6 +140,13 @@
 	return e.version
 }
 
+// SetVersion changes the weights without an order, as an engine's own operator might.
+func (e *Engine) SetVersion(version string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.version = version
+}
+
 // SetSlow adds d to the start of every answer.
 func (e *Engine) SetSlow(d time.Duration) {
 	e.mu.Lock()
--- a/fleet/context_test.go
+++ b/fleet/context_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 
 	"egretshunt/check"
+	"egretshunt/entry"
 	"egretshunt/fleet"
 	"egretshunt/wire"
 )
@@ -79,3 +81,23 @@
 		})
 	}
 }
+
+// TestWeightsBehindTheAgent changes an engine's weights without an order. Prompts that
+// were named by the former ones are named again, not refused.
+func TestWeightsBehindTheAgent(t *testing.T) {
+	t.Parallel()
+	f := start(t, func(s *fleet.Shape) { s.Workers = 1 })
+	c := fleet.Client()
+	for i := range 20 {
+		f.Engines["worker-0"].SetVersion(fmt.Sprint("v", i))
+		text := history(i%3, 1)
+		a, err := ask(t.Context(), f, c, 0, 0, text, 2, false)
+		check.Good(t, err)
+		if a.ran == entry.No {
+			// The owner of orders brings the table's version back in between.
+			continue
+		}
+		check.Equal(t, fmt.Sprintf("text (%d %s)", a.status, a.code), a.text, wantText(text, 2))
+	}
+	check.Equal(t, "blocks of other weights", f.Engines["worker-0"].Seen().Crossed, 0)
+}
