Ask for an endpoint's health one at a time

Ruled out: the plan, which counted the load; the fence, which passed the same epoch rightly. Change: questions for health are serialised. Conclusion: one order a version.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -81,6 +81,9 @@
 	mu        sync.Mutex
 	exchanges map[string]*exchange
 
+	// asking serialises questions for the endpoint's health; it is taken before engine.
+	asking sync.Mutex
+
 	// engine guards what is known of the endpoint.
 	engine sync.Mutex
 	health Health
@@ -155,6 +158,9 @@
 
 // check asks the endpoint for its health and notes a new incarnation.
 func (a *Agent) check(ctx context.Context) {
+	// One at a time: an answer from before a change must not come after one from behind it.
+	a.asking.Lock()
+	defer a.asking.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
 	h, err := a.config.Backend.Health(ctx)
