--- a/fake/engine.go
+++ b/fake/engine.go
@@ -2,9 +2,6 @@
 
 import (
 	"bufio"
-	"crypto/sha256"
-	"encoding/binary"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -186,41 +183,6 @@
 	e.server.Close()
 }
 
-// Text returns what the engine answers to a prompt, token by token.
-func Text(prompt string, tokens int) []string {
-	sum := sha256.Sum256([]byte(prompt))
-	mark := hex.EncodeToString(sum[:4])
-	out := make([]string, tokens)
-	for i := range out {
-		out[i] = fmt.Sprintf("%s.%d ", mark, i)
-	}
-	return out
-}
-
-type completion struct {
-	Model     string    `json:"model"`
-	Prompt    string    `json:"prompt"`
-	Messages  []message `json:"messages"`
-	MaxTokens int       `json:"max_tokens"`
-	Stream    bool      `json:"stream"`
-}
-
-type message struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
-
-func (c completion) text() string {
-	if len(c.Messages) == 0 {
-		return c.Prompt
-	}
-	var b strings.Builder
-	for _, m := range c.Messages {
-		b.WriteString(m.Role + ": " + m.Content + "\n")
-	}
-	return b.String()
-}
-
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
 	var c completion
 	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
@@ -259,13 +221,6 @@
 	e.whole(w, r, prompt, c)
 }
 
-func splitList(s string) []string {
-	if s == "" {
-		return nil
-	}
-	return strings.Split(s, ",")
-}
-
 // enter waits for a slot.
 func (e *Engine) enter(r *http.Request) (done func(), ok bool) {
 	e.mu.Lock()
@@ -425,20 +380,6 @@
 	writeJSON(w, map[string]any{"boot": e.boot, "last": e.seq, "events": found})
 }
 
-// KV returns the bytes of a block, which are a function of its name.
-func KV(name string, size int) []byte {
-	out := make([]byte, size)
-	seed := sha256.Sum256([]byte(name))
-	x := binary.LittleEndian.Uint64(seed[:])
-	for i := range out {
-		x ^= x << 13
-		x ^= x >> 7
-		x ^= x << 17
-		out[i] = byte(x)
-	}
-	return out
-}
-
 func (e *Engine) export(w http.ResponseWriter, r *http.Request) {
 	name := r.PathValue("name")
 	e.mu.Lock()
--- /dev/null
+++ b/fake/text.go
@@ -0,0 +1,65 @@
+package fake
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"strings"
+)
+
+// Text returns what the engine answers to a prompt, token by token.
+func Text(prompt string, tokens int) []string {
+	sum := sha256.Sum256([]byte(prompt))
+	mark := hex.EncodeToString(sum[:4])
+	out := make([]string, tokens)
+	for i := range out {
+		out[i] = fmt.Sprintf("%s.%d ", mark, i)
+	}
+	return out
+}
+
+type completion struct {
+	Model     string    `json:"model"`
+	Prompt    string    `json:"prompt"`
+	Messages  []message `json:"messages"`
+	MaxTokens int       `json:"max_tokens"`
+	Stream    bool      `json:"stream"`
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+func (c completion) text() string {
+	if len(c.Messages) == 0 {
+		return c.Prompt
+	}
+	var b strings.Builder
+	for _, m := range c.Messages {
+		b.WriteString(m.Role + ": " + m.Content + "\n")
+	}
+	return b.String()
+}
+
+func splitList(s string) []string {
+	if s == "" {
+		return nil
+	}
+	return strings.Split(s, ",")
+}
+
+// KV returns the bytes of a block, which are a function of its name.
+func KV(name string, size int) []byte {
+	out := make([]byte, size)
+	seed := sha256.Sum256([]byte(name))
+	x := binary.LittleEndian.Uint64(seed[:])
+	for i := range out {
+		x ^= x << 13
+		x ^= x >> 7
+		x ^= x << 17
+		out[i] = byte(x)
+	}
+	return out
+}
--- a/node/stop.go
+++ b/node/stop.go
@@ -87,36 +87,23 @@
 		p.pool.Close()
 	}
 	// The agent's goroutines end the streams that the server's handlers wait for.
-	closeAll := []func(){}
-	if p.agent != nil {
-		closeAll = append(closeAll, p.agent.Close)
-	}
-	if p.owner != nil {
-		closeAll = append(closeAll, p.owner.Close)
-	}
-	if p.server != nil {
-		closeAll = append(closeAll, p.server.Close)
-	}
-	if p.entry != nil {
-		closeAll = append(closeAll, p.entry.Close)
-	}
-	if p.follow != nil {
-		closeAll = append(closeAll, p.follow.Close)
-	}
-	if p.peers != nil {
-		closeAll = append(closeAll, p.peers.Close)
-	}
-	if p.member != nil {
-		closeAll = append(closeAll, p.member.Close)
-	}
-	if p.store != nil {
-		closeAll = append(closeAll, p.store.Close)
-	}
-	if p.folder != nil {
-		closeAll = append(closeAll, func() { p.folder.Close() })
-	}
-	for _, f := range closeAll {
-		f()
+	for _, part := range []struct {
+		started bool
+		close   func()
+	}{
+		{p.agent != nil, p.agent.Close},
+		{p.owner != nil, p.owner.Close},
+		{p.server != nil, p.server.Close},
+		{p.entry != nil, p.entry.Close},
+		{p.follow != nil, p.follow.Close},
+		{p.peers != nil, p.peers.Close},
+		{p.member != nil, p.member.Close},
+		{p.store != nil, p.store.Close},
+		{p.folder != nil, func() { p.folder.Close() }},
+	} {
+		if part.started {
+			part.close()
+		}
 	}
 }
 
