--- /dev/null
+++ b/block/catalog.go
@@ -0,0 +1,161 @@
+package block
+
+import (
+	"net/netip"
+	"net/url"
+	"strconv"
+	"sync"
+)
+
+// Part is one part of a prompt as whole in one store that this system does not run.
+type Part struct {
+	Store netip.AddrPort `json:"s"`
+	// Name holds salt and identity; empty names the store itself.
+	Name string `json:"n,omitempty"`
+	// Tokens is zero for a part that is gone. For a store itself, zero withdraws all its
+	// parts and closes it; any other value opens it for new parts.
+	Tokens int `json:"t,omitempty"`
+}
+
+// PartName joins salt and identity of a part.
+func PartName(salt, id string) string { return salt + "/" + id }
+
+// Holder is a store that holds a part.
+type Holder struct {
+	Store  netip.AddrPort
+	Tokens int
+}
+
+// historySize bounds the changes that a Catalog remembers for those that lag.
+const historySize = 8192
+
+// Catalog knows which parts lie whole in which store. It is safe for concurrent use.
+type Catalog struct {
+	// mu guards the rest.
+	mu      sync.RWMutex
+	rev     uint64
+	parts   map[string][]Holder
+	open    map[netip.AddrPort]bool
+	history []Part
+}
+
+// NewCatalog returns an empty catalogue.
+func NewCatalog() *Catalog {
+	return &Catalog{parts: map[string][]Holder{}, open: map[netip.AddrPort]bool{}}
+}
+
+// Rev returns the revision, which rises by one with each change.
+func (c *Catalog) Rev() uint64 {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.rev
+}
+
+// Apply carries out changes in order.
+func (c *Catalog) Apply(changes []Part) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range changes {
+		c.apply(p)
+	}
+	c.rev += uint64(len(changes))
+	c.history = append(c.history, changes...)
+	if extra := len(c.history) - historySize; extra > historySize {
+		c.history = append([]Part(nil), c.history[extra:]...)
+	}
+}
+
+func (c *Catalog) apply(p Part) {
+	if p.Name == "" && p.Tokens > 0 {
+		c.open[p.Store] = true
+		return
+	}
+	if p.Name == "" {
+		delete(c.open, p.Store)
+		for name := range c.parts {
+			c.drop(name, p.Store)
+		}
+		return
+	}
+	c.drop(p.Name, p.Store)
+	if p.Tokens > 0 {
+		c.parts[p.Name] = append(c.parts[p.Name], Holder{p.Store, p.Tokens})
+	}
+}
+
+func (c *Catalog) drop(name string, store netip.AddrPort) {
+	held := c.parts[name]
+	for i, h := range held {
+		if h.Store != store {
+			continue
+		}
+		if len(held) == 1 {
+			delete(c.parts, name)
+			return
+		}
+		c.parts[name] = append(append([]Holder(nil), held[:i]...), held[i+1:]...)
+		return
+	}
+}
+
+// Where returns the stores that hold a part.
+func (c *Catalog) Where(name string) []Holder {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.parts[name]
+}
+
+// Open reports whether parts may be saved to a store.
+func (c *Catalog) Open(store netip.AddrPort) bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.open[store]
+}
+
+// Since returns the changes after rev, or everything with all set when they are not remembered.
+func (c *Catalog) Since(rev uint64) (changes []Part, now uint64, all bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if behind := c.rev - rev; rev <= c.rev && behind <= uint64(len(c.history)) {
+		return append([]Part(nil), c.history[uint64(len(c.history))-behind:]...), c.rev, false
+	}
+	for store := range c.open {
+		changes = append(changes, Part{Store: store, Tokens: 1})
+	}
+	for name, held := range c.parts {
+		for _, h := range held {
+			changes = append(changes, Part{Store: h.Store, Name: name, Tokens: h.Tokens})
+		}
+	}
+	return changes, c.rev, true
+}
+
+// Install takes what another catalogue's Since returned.
+func (c *Catalog) Install(changes []Part, rev uint64, all bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if all {
+		c.parts, c.open = map[string][]Holder{}, map[netip.AddrPort]bool{}
+	}
+	for _, p := range changes {
+		c.apply(p)
+	}
+	c.rev, c.history = rev, nil
+}
+
+// Len returns how many parts are held anywhere.
+func (c *Catalog) Len() int {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return len(c.parts)
+}
+
+// Salt names what may share kept context: one version of the weights and, where an account
+// is set, that account alone.
+func Salt(weights uint64, account string) string {
+	salt := "w" + strconv.FormatUint(weights, 10)
+	if account != "" {
+		salt += "." + url.PathEscape(account)
+	}
+	return salt
+}
--- /dev/null
+++ b/board/board.go
@@ -0,0 +1,260 @@
+// Package board holds whole numbered table sets: routes by host and path prefix,
+// weighted pools, client accounts with their keys, and limits on what callers send.
+//
+// It owns the checks of a set and the lookups that the data path makes in it. A set
+// is replaced as a whole by one of a higher number; ctrl replicates it, and the
+// adapter that read it from the operator's document builds it with New. Published
+// sets are immutable.
+package board
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"egretshunt/value"
+)
+
+var (
+	namespace = errorx.NewNamespace("board")
+	// Invalid reports a set that breaks a check.
+	Invalid = namespace.NewType("invalid")
+)
+
+// Kind says what may be repeated.
+type Kind int
+
+// Kinds of request.
+const (
+	// Safe requests may run more than once.
+	Safe Kind = iota
+	// Once requests run at most once for each client attempt.
+	Once
+	// Stream requests are answered by events; they run once unless the route is resumable.
+	Stream
+)
+
+// String returns the kind's name.
+func (k Kind) String() string { return [...]string{"safe", "once", "stream"}[k] }
+
+// Share is one pool of a route with its weight.
+type Share struct {
+	Pool   string
+	Weight int
+}
+
+// Route sends requests for a host and path prefix to pools.
+type Route struct {
+	Name, Host, Prefix string
+	Kind               Kind
+	Split              []Share
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout time.Duration
+	// Goal is the time to the first byte, or first event, within which an answer is on time.
+	Goal time.Duration
+	// Gap is the longest pause between events of an answer that is on time.
+	Gap time.Duration
+	// Rank orders requests by urgency; 0 is the most urgent.
+	Rank int
+	// Attempts bounds the endpoints that may run one client attempt.
+	Attempts int
+	// Public routes need no key.
+	Public bool
+	// Prompts marks routes whose requests name the parts of their prompt.
+	Prompts bool
+	// Resumable streams may go on at another endpoint after the last event received.
+	Resumable bool
+}
+
+// Repeatable reports whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool { return r.Kind == Safe || r.Kind == Stream && r.Resumable }
+
+// Pool is a group of endpoints of one kind.
+type Pool struct {
+	Name string
+	// Conns bounds the connections to one endpoint from all entries together; zero means no bound.
+	Conns int
+	// Engine is set for model engines.
+	Engine *Engine
+	// Store is set for stores of kept context.
+	Store *Store
+}
+
+// Engine describes the model engines of a pool.
+type Engine struct {
+	// Slots is how many requests one engine runs at once.
+	Slots int
+	// Tokens is one engine's memory, in tokens.
+	Tokens int
+	// TokenBytes is the size of a kept token.
+	TokenBytes int
+	Models     []string
+}
+
+// Store is one store of kept context that is not run by this system.
+type Store struct {
+	Addr  netip.AddrPort
+	Place string
+	// Tokens is the store's capacity.
+	Tokens int
+	// Bandwidth is its link, in bits a second.
+	Bandwidth float64
+	// Delay comes before each transfer.
+	Delay time.Duration
+	// Managed stores drop nothing by themselves.
+	Managed bool
+}
+
+// Account is one client account.
+type Account struct {
+	Name string
+	Keys []string
+	// Rank replaces the rank of routes.
+	Rank value.Option[int]
+	// Isolated accounts share no kept context with others.
+	Isolated bool
+}
+
+// Limits bound what callers send; zero means no bound.
+type Limits struct {
+	Header, Body       int64
+	HeaderTime, Idling time.Duration
+}
+
+// Draft is the content of a set that has not been checked.
+type Draft struct {
+	Number   uint64
+	Routes   []Route
+	Pools    []Pool
+	Accounts []Account
+	// Keyed says that requests need a key unless their route is public.
+	Keyed  bool
+	Limits Limits
+}
+
+// Set is one checked table set.
+type Set struct {
+	Number uint64
+	Keyed  bool
+	Limits Limits
+
+	routes map[string][]*Route
+	pools  map[string]*Pool
+	keys   map[string]*Account
+	stores []*Pool
+}
+
+// New checks a draft and returns the set.
+func New(d Draft) (*Set, error) {
+	s := &Set{
+		Number: d.Number, Keyed: d.Keyed, Limits: d.Limits,
+		routes: map[string][]*Route{}, pools: map[string]*Pool{}, keys: map[string]*Account{},
+	}
+	for i := range d.Pools {
+		p := &d.Pools[i]
+		if p.Name == "" || s.pools[p.Name] != nil {
+			return nil, Invalid.New("pool %d: the name %q is missing or stands twice", i, p.Name)
+		}
+		s.pools[p.Name] = p
+		if p.Store != nil {
+			s.stores = append(s.stores, p)
+		}
+	}
+	slices.SortFunc(s.stores, func(a, b *Pool) int { return strings.Compare(a.Name, b.Name) })
+	for i := range d.Accounts {
+		if err := s.addAccount(&d.Accounts[i]); err != nil {
+			return nil, err
+		}
+	}
+	for i := range d.Routes {
+		if err := s.addRoute(&d.Routes[i]); err != nil {
+			return nil, err
+		}
+	}
+	for _, rs := range s.routes {
+		slices.SortFunc(rs, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return s, nil
+}
+
+func (s *Set) addAccount(a *Account) error {
+	if a.Name == "" {
+		return Invalid.New("an account has no name")
+	}
+	for _, k := range a.Keys {
+		if old := s.keys[k]; k == "" || old != nil && old.Name != a.Name {
+			return Invalid.New("account %s: a key is empty or belongs to another account too", a.Name)
+		}
+		s.keys[k] = a
+	}
+	return nil
+}
+
+func (s *Set) addRoute(r *Route) error {
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") || r.Host == "" {
+		return Invalid.New("route %s: host %q or prefix %q can't be matched", r.Name, r.Host, r.Prefix)
+	}
+	host := strings.ToLower(r.Host)
+	for _, other := range s.routes[host] {
+		if other.Prefix == r.Prefix {
+			return Invalid.New("routes %s and %s share host and prefix", other.Name, r.Name)
+		}
+	}
+	if r.Timeout <= 0 {
+		return Invalid.New("route %s: the time-out is not above zero", r.Name)
+	}
+	total := 0
+	for _, share := range r.Split {
+		if s.pools[share.Pool] == nil {
+			return Invalid.New("route %s: no pool is called %q", r.Name, share.Pool)
+		}
+		if share.Weight < 0 {
+			return Invalid.New("route %s: a weight is negative", r.Name)
+		}
+		total += share.Weight
+	}
+	if total <= 0 {
+		return Invalid.New("route %s: the weights add up to nothing", r.Name)
+	}
+	r.Attempts = max(r.Attempts, 1)
+	s.routes[host] = append(s.routes[host], r)
+	return nil
+}
+
+// Match returns the route with the longest prefix that begins the path, or nil.
+func (s *Set) Match(host, path string) *Route {
+	for _, r := range s.routes[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Account returns the holder of a key, or nil.
+func (s *Set) Account(key string) *Account { return s.keys[key] }
+
+// Pool returns the named pool, or nil.
+func (s *Set) Pool(name string) *Pool { return s.pools[name] }
+
+// Stores returns the pools that are stores, sorted by name.
+func (s *Set) Stores() []*Pool { return s.stores }
+
+// Pick chooses the pool of a request; draw is uniform in [0, 1).
+func (r *Route) Pick(draw float64) string {
+	total := 0
+	for _, share := range r.Split {
+		total += share.Weight
+	}
+	at := draw * float64(total)
+	for _, share := range r.Split {
+		if at < float64(share.Weight) {
+			return share.Pool
+		}
+		at -= float64(share.Weight)
+	}
+	return r.Split[len(r.Split)-1].Pool
+}
--- a/ctrl/client.go
+++ b/ctrl/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,8 +17,8 @@
 // ClientConfig constructs a Client.
 type ClientConfig struct {
 	Pool *wire.Pool
-	// Control lists the control VMs.
-	Control []netip.AddrPort
+	// Control lists the control VMs; it is asked again for each proposal.
+	Control func() []netip.AddrPort
 }
 
 // Client proposes commands to whichever control VM leads.
@@ -159,17 +160,21 @@
 	if c.leader.IsValid() {
 		return c.leader
 	}
-	return c.config.Control[0]
+	return c.control(0)
+}
+
+// control returns the control VM at a position of the list, counted round.
+func (c *Client) control(i int) netip.AddrPort {
+	list := c.config.Control()
+	if len(list) == 0 {
+		return netip.AddrPort{}
+	}
+	return list[i%len(list)]
 }
 
 // next returns the control VM after the one that did not answer.
 func (c *Client) next(after netip.AddrPort) netip.AddrPort {
-	for i, a := range c.config.Control {
-		if a == after {
-			return c.config.Control[(i+1)%len(c.config.Control)]
-		}
-	}
-	return c.config.Control[0]
+	return c.control(slices.Index(c.config.Control(), after) + 1)
 }
 
 func (c *Client) hint(leader string, asked netip.AddrPort) netip.AddrPort {
--- /dev/null
+++ b/ctrl/feed.go
@@ -0,0 +1,337 @@
+package ctrl
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"egretshunt/block"
+	"egretshunt/clock"
+	"egretshunt/event"
+	"egretshunt/limit"
+	"egretshunt/member"
+	"egretshunt/value"
+	"egretshunt/wire"
+)
+
+const (
+	// DefaultSyncHold is how long a sync without news is held, and so how old the catalogue may be.
+	DefaultSyncHold = 300 * time.Millisecond
+	// syncTimeout is how long an answer may take beyond the time that the sync is held.
+	syncTimeout = 700 * time.Millisecond
+	// CatalogLease is how long an entry may trust its catalogue of kept parts.
+	CatalogLease = 1200 * time.Millisecond
+	// syncRedial is the pause before the next control VM is asked.
+	syncRedial = 50 * time.Millisecond
+)
+
+// FeedConfig constructs a Feed.
+type FeedConfig struct {
+	Node, Place string
+	Pool        *wire.Pool
+	// Seeds returns the control VMs that the settings name.
+	Seeds  func() []netip.AddrPort
+	Lease  time.Duration
+	Hold   time.Duration
+	Events *event.Log
+	// Bad returns the endpoints that this entry judges unfit.
+	Bad func() []string
+}
+
+// Feed keeps an entry's copy of the view, the endpoints and the catalogue.
+type Feed struct {
+	config  FeedConfig
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+	changed *notice
+	catalog *block.Catalog
+
+	// Owned by the syncing goroutine.
+	life, listRev, keptRev uint64
+	members                value.Set[string]
+	leader                 netip.AddrPort
+
+	// Published for readers; what they point to is immutable.
+	view atomic.Pointer[View]
+	list atomic.Pointer[member.List]
+	// stamp is when control last confirmed what is held, by clock.Now; zero before the first time.
+	stamp       atomic.Int64
+	engineClock atomic.Int64
+	entries     atomic.Int64
+	stale       atomic.Bool
+
+	// mu guards used.
+	mu   sync.Mutex
+	used value.Set[string]
+}
+
+// NewFeed starts to sync.
+func NewFeed(c FeedConfig) *Feed {
+	if c.Lease == 0 {
+		c.Lease = Lease
+	}
+	if c.Hold == 0 {
+		c.Hold = DefaultSyncHold
+	}
+	if c.Events == nil {
+		c.Events = event.Discard()
+	}
+	f := &Feed{config: c, changed: newNotice(), catalog: block.NewCatalog(), members: value.SetOf[string](), used: value.SetOf[string]()}
+	f.view.Store(&View{Suspects: limit.NewSuspects()})
+	f.stale.Store(true)
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	f.running.Go(func() { f.run(ctx) })
+	f.running.Go(func() { f.watch(ctx) })
+	return f
+}
+
+// run asks one control VM after another, the leader first.
+func (f *Feed) run(ctx context.Context) {
+	for at := 0; ctx.Err() == nil; at++ {
+		to := f.leader
+		f.leader = netip.AddrPort{}
+		if !to.IsValid() {
+			all := f.Upstreams()
+			if len(all) > 0 {
+				to = all[at%len(all)]
+			}
+		}
+		if to.IsValid() {
+			f.attach(ctx, to)
+		}
+		select {
+		case <-time.After(syncRedial):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// Upstreams returns the control VMs known.
+func (f *Feed) Upstreams() []netip.AddrPort {
+	f.mu.Lock()
+	all := value.SetOf(f.members.Sorted()...)
+	f.mu.Unlock()
+	for _, a := range f.config.Seeds() {
+		all.Add(a.String())
+	}
+	var out []netip.AddrPort
+	for _, text := range all.Sorted() {
+		if a, err := netip.ParseAddrPort(text); err == nil {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// attach syncs with one control VM until it fails or does not lead.
+func (f *Feed) attach(ctx context.Context, to netip.AddrPort) {
+	dial, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	s, err := f.config.Pool.Open(dial, to)
+	if err != nil {
+		return
+	}
+	stop := context.AfterFunc(ctx, s.Abort)
+	defer stop()
+	defer s.Close()
+	for hold := time.Duration(0); ; hold = f.config.Hold {
+		fresh, err := f.exchange(s, hold)
+		if err != nil {
+			if ctx.Err() == nil {
+				// The connection may have gone silent; a new one shows whether the VM has.
+				f.config.Pool.Drop(to)
+			}
+			return
+		}
+		if !fresh {
+			return
+		}
+	}
+}
+
+// exchange sends one sync and installs the answer.
+func (f *Feed) exchange(s *wire.Stream, hold time.Duration) (fresh bool, err error) {
+	began := clock.Now()
+	used := f.takeUsed()
+	ask := &wire.Sync{
+		Node: f.config.Node, Place: f.config.Place, View: f.View().Rev, List: f.listRev, Kept: f.keptRev, Life: f.life,
+		HoldMs: uint32(hold.Milliseconds()), Used: used,
+	}
+	if f.config.Bad != nil {
+		ask.Bad = f.config.Bad()
+	}
+	s.SetDeadline(time.Now().Add(hold + syncTimeout))
+	if err := s.Send(&wire.Frame{Body: &wire.Frame_Sync{Sync: ask}}); err != nil {
+		return false, err
+	}
+	frame, err := s.Recv()
+	if err != nil {
+		return false, err
+	}
+	got := frame.GetSynced()
+	if got == nil {
+		return false, Malformed.New("a sync was answered with something else")
+	}
+	f.learn(got)
+	if !got.GetFresh() {
+		return false, nil
+	}
+	if err := f.install(got); err != nil {
+		return false, err
+	}
+	held, age := time.Duration(got.GetHeldMs())*time.Millisecond, time.Duration(got.GetAgeMs())*time.Millisecond
+	// The leader's word is no older than the question plus the time that it was held.
+	f.stamp.Store(int64(began + held - age))
+	return true, nil
+}
+
+// learn takes what any control VM may say.
+func (f *Feed) learn(got *wire.Synced) {
+	if leader, err := netip.ParseAddrPort(got.GetLeader()); err == nil && !got.GetFresh() {
+		f.leader = leader
+	}
+	if len(got.GetMembers()) == 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.members = value.SetOf(got.GetMembers()...)
+}
+
+func (f *Feed) install(got *wire.Synced) error {
+	if len(got.GetView()) > 0 {
+		v := &View{Suspects: limit.NewSuspects()}
+		if err := unpack(got.GetView(), v); err != nil {
+			return err
+		}
+		if v.Rev > f.View().Rev {
+			f.view.Store(v)
+			number := uint64(0)
+			if v.Set != nil {
+				number = v.Set.Number
+			}
+			f.config.Events.Emit(event.Installed, "rev", v.Rev, "set", number, "leader", got.GetLeader())
+			f.changed.announce()
+		}
+	}
+	if len(got.GetList()) > 0 {
+		l := &member.List{}
+		if err := unpack(got.GetList(), l); err != nil {
+			return err
+		}
+		f.list.Store(l.Index())
+		f.listRev = l.Rev
+		f.changed.announce()
+	} else if got.GetLife() != f.life {
+		f.listRev = 0
+	}
+	var changes []block.Part
+	if len(got.GetKept()) > 0 {
+		if err := unpack(got.GetKept(), &changes); err != nil {
+			return err
+		}
+	}
+	if len(changes) > 0 || got.GetAll() || got.GetLife() != f.life {
+		f.catalog.Install(changes, got.GetKeptrev(), got.GetAll())
+		f.keptRev = got.GetKeptrev()
+	}
+	f.life = got.GetLife()
+	if ms := got.GetClockMs(); ms != 0 {
+		f.engineClock.Store(ms - clock.Now().Milliseconds())
+	}
+	f.entries.Store(int64(got.GetEntries()))
+	return nil
+}
+
+// takeUsed empties the list of parts used since the last sync.
+func (f *Feed) takeUsed() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	used := f.used.Sorted()
+	clear(f.used)
+	return used
+}
+
+// Use notes that a request uses a kept part.
+func (f *Feed) Use(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.used.Add(name)
+}
+
+// watch writes an event when freshness comes or goes.
+func (f *Feed) watch(ctx context.Context) {
+	t := time.NewTicker(f.config.Lease / 8)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		stale := !f.Fresh()
+		if f.stale.Swap(stale) == stale {
+			continue
+		}
+		kind := event.Fresh
+		if stale {
+			kind = event.Stale
+		}
+		f.config.Events.Emit(kind, "rev", f.View().Rev, "age", f.Age().Milliseconds())
+	}
+}
+
+// View returns the replicated view.
+func (f *Feed) View() *View { return f.view.Load() }
+
+// List returns the endpoints, or nil before the first were heard of.
+func (f *Feed) List() *member.List { return f.list.Load() }
+
+// Changed returns a channel that is closed at the next change of view or list.
+func (f *Feed) Changed() <-chan struct{} { return f.changed.wait() }
+
+// Age returns for how long control has not confirmed what is held; very long before the first time.
+func (f *Feed) Age() time.Duration {
+	stamp := f.stamp.Load()
+	if stamp == 0 {
+		return time.Hour
+	}
+	return clock.Now() - time.Duration(stamp)
+}
+
+// Fresh reports whether control has confirmed the view within the lease.
+func (f *Feed) Fresh() bool { return f.Age() <= f.config.Lease }
+
+// Where returns the stores that hold a part, as far as that can be relied on.
+func (f *Feed) Where(name string) []block.Holder {
+	if f.Age() > CatalogLease {
+		return nil
+	}
+	return f.catalog.Where(name)
+}
+
+// Open reports whether parts may be saved to a store.
+func (f *Feed) Open(store netip.AddrPort) bool {
+	return f.Age() <= CatalogLease && f.catalog.Open(store)
+}
+
+// EngineClock returns the engines' clock at the moment now of clock.Now; zero when unknown.
+func (f *Feed) EngineClock(now time.Duration) int64 {
+	ahead := f.engineClock.Load()
+	if ahead == 0 {
+		return 0
+	}
+	return ahead + now.Milliseconds()
+}
+
+// Entries returns how many entries control hears of, at least one.
+func (f *Feed) Entries() int { return max(int(f.entries.Load()), 1) }
+
+// Close stops syncing.
+func (f *Feed) Close() {
+	f.cancel()
+	f.running.Wait()
+}
--- a/ctrl/machine.go
+++ b/ctrl/machine.go
@@ -17,6 +17,7 @@
 
 	"egretshunt/ledger"
 	"egretshunt/limit"
+	"egretshunt/quorum"
 	"egretshunt/table"
 )
 
@@ -47,6 +48,25 @@
 	Join    []Joined        `json:"join,omitempty"`
 	Drop    []string        `json:"drop,omitempty"`
 	Leave   *Leave          `json:"leave,omitempty"`
+	Adopt   *Document       `json:"adopt,omitempty"`
+	Weights *Weights        `json:"weights,omitempty"`
+	// Meet is no entry of the log: a control VM asks to become a member.
+	Meet *quorum.Member `json:"meet,omitempty"`
+}
+
+// Document is a whole numbered table set as an operator sent it. The log keeps its
+// bytes; whoever knows the format reads them.
+type Document struct {
+	Number uint64 `json:"number"`
+	Body   []byte `json:"body"`
+}
+
+// Weights names the version of a model's weights that endpoints are to have.
+type Weights struct {
+	Model   string `json:"model"`
+	Version uint64 `json:"version"`
+	// At is the group's own time at which the version was named.
+	At time.Time `json:"at"`
 }
 
 // Epoch begins a new epoch of orders.
@@ -83,6 +103,10 @@
 	Suspects *limit.Suspects `json:"suspects"`
 	Leaving  []string        `json:"leaving,omitempty"`
 	Epoch    uint64          `json:"epoch"`
+	// Set is the numbered table set in force; nil before the first.
+	Set *Document `json:"set,omitempty"`
+	// Weights holds the newest version named for each model.
+	Weights map[string]Weights `json:"weights,omitempty"`
 }
 
 // Leaves reports whether the platform says that the endpoint is leaving.
@@ -127,6 +151,10 @@
 		next := *m.view
 		next.Leaving = slices.Sorted(slices.Values(c.Leave.Endpoints))
 		m.publish(index, &next)
+	case c.Adopt != nil:
+		m.applyAdopt(index, c.Adopt)
+	case c.Weights != nil:
+		m.applyWeights(index, *c.Weights)
 	}
 	for _, j := range c.Join {
 		m.nodes[j.Node] = j
@@ -173,6 +201,32 @@
 	return Result{Epoch: next.Epoch}
 }
 
+// applyAdopt puts a table set in force if its number is higher than that of the present one.
+// A resend, or a set that was overtaken, changes nothing.
+func (m *Machine) applyAdopt(index uint64, d *Document) {
+	if m.view.Set != nil && d.Number <= m.view.Set.Number {
+		return
+	}
+	next := *m.view
+	next.Set = d
+	m.publish(index, &next)
+}
+
+// applyWeights notes a newer version of a model's weights; an older one changes nothing.
+func (m *Machine) applyWeights(index uint64, w Weights) {
+	if w.Version <= m.view.Weights[w.Model].Version {
+		return
+	}
+	w.At = m.now
+	next := *m.view
+	next.Weights = maps.Clone(next.Weights)
+	if next.Weights == nil {
+		next.Weights = map[string]Weights{}
+	}
+	next.Weights[w.Model] = w
+	m.publish(index, &next)
+}
+
 func (m *Machine) publish(index uint64, v *View) {
 	v.Rev = index
 	m.view = v
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -9,6 +9,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"egretshunt/clock"
 	"egretshunt/disk"
 	"egretshunt/event"
 	"egretshunt/ledger"
@@ -57,7 +58,7 @@
 	in      *ring.Ring[input]
 	cancel  context.CancelFunc
 	running sync.WaitGroup
-	started time.Time
+	started time.Duration
 
 	// Owned by the log's goroutine.
 	core    *quorum.Core
@@ -150,7 +151,7 @@
 		return nil, err
 	}
 	n := &Node{
-		config: c, in: ring.New[input](inputRing), started: time.Now(), core: core, log: log, hard: had.hard,
+		config: c, in: ring.New[input](inputRing), started: clock.Now(), core: core, log: log, hard: had.hard,
 		machine: NewMachine(c.Ledger), waiting: map[uint64]waiter{}, changed: newNotice(),
 	}
 	if had.snapshot.Index > 0 {
@@ -170,8 +171,9 @@
 	return n, nil
 }
 
-// now is the monotonic time since the start; wall clock jumps do not touch it.
-func (n *Node) now() time.Duration { return time.Since(n.started) }
+// now is the time since the start. Wall clock jumps do not touch it, and it goes on while
+// the machine is suspended, so that no lease outlives that.
+func (n *Node) now() time.Duration { return clock.Now() - n.started }
 
 func (n *Node) run(ctx context.Context) error {
 	ticker := time.NewTicker(tickTime)
@@ -472,6 +474,39 @@
 	return err
 }
 
+// Meet brings in a control VM that asks for it, in place of one that is gone. Want is the
+// number of voters that the group should have.
+func (n *Node) Meet(ctx context.Context, m quorum.Member, want int) error {
+	var err error
+	if failed := n.do(ctx, func() {
+		if _, known := n.core.Members().Find(m.ID); known {
+			return
+		}
+		err = n.core.Add(m, n.core.Newcomer(n.now(), m, want, newcomerPatience))
+	}); failed != nil {
+		return failed
+	}
+	return err
+}
+
+// Tend removes one member that is gone for good, if the leader sees one.
+func (n *Node) Tend(ctx context.Context, want int) error {
+	return n.do(ctx, func() {
+		if id := n.core.Surplus(n.now(), want, surplusPatience); id != "" {
+			if err := n.core.Remove(id); err != nil {
+				n.config.Events.Emit(event.OrderBad, "remove", id, "err", err)
+			}
+		}
+	})
+}
+
+const (
+	// newcomerPatience is the silence after which a newcomer may take a voter's place: several heartbeats.
+	newcomerPatience = 1500 * time.Millisecond
+	// surplusPatience is the silence after which a member beyond the wanted number is removed.
+	surplusPatience = 3 * time.Second
+)
+
 // RemoveMember takes a control VM out.
 func (n *Node) RemoveMember(ctx context.Context, id quorum.ID) error {
 	var err error
--- a/ctrl/server.go
+++ b/ctrl/server.go
@@ -22,6 +22,10 @@
 	// Follow serves pulls while another member leads.
 	Follow *Follow
 	Lease  time.Duration
+	// Hub answers syncs of entries; nil when entries follow the tables only.
+	Hub *Hub
+	// Voters is the number of control VMs that the group should have, for those that ask to join.
+	Voters int
 }
 
 // Server answers the other processes' messages to one control VM.
@@ -52,6 +56,10 @@
 		ServePulls(ctx, stream, body.Pull, s.pick, s.leaderAddr)
 	case *wire.Frame_Propose:
 		s.proposals(ctx, stream, body.Propose)
+	case *wire.Frame_Sync:
+		if s.config.Hub != nil {
+			s.config.Hub.Handle(ctx, stream, body.Sync)
+		}
 	}
 }
 
@@ -137,6 +145,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
+	if c.Meet != nil {
+		if err := s.config.Node.Meet(ctx, *c.Meet, s.config.Voters); err != nil {
+			return &wire.Result{Code: codeFor(err), Text: err.Error(), Leader: addrText(s.leaderAddr())}
+		}
+		return &wire.Result{Body: []byte("{}")}
+	}
 	r, err := s.config.Node.Propose(ctx, c)
 	if err != nil {
 		return &wire.Result{Code: codeFor(err), Text: err.Error(), Leader: addrText(s.leaderAddr())}
@@ -150,9 +164,9 @@
 
 func codeFor(err error) string {
 	switch {
-	case errorx.IsOfType(err, NotLeader):
+	case errorx.IsOfType(err, NotLeader) || errorx.IsOfType(err, quorum.NotLeader):
 		return codeNotLeader
-	case errorx.IsOfType(err, Busy):
+	case errorx.IsOfType(err, Busy) || errorx.IsOfType(err, quorum.Busy):
 		return codeBusy
 	}
 	return codeUnsure
--- a/event/event.go
+++ b/event/event.go
@@ -48,6 +48,8 @@
 // Log writes events of one process.
 type Log struct {
 	out log.Logger
+	// queue is set for a log that never waits for its reader.
+	queue *queue
 }
 
 // Config constructs a Log.
@@ -58,6 +60,9 @@
 	Node string
 	// JSON selects JSON lines in place of logfmt.
 	JSON bool
+	// Queue bounds the lines that wait for a slow reader; further ones are dropped and
+	// counted. Zero writes each line at once.
+	Queue int
 }
 
 // New returns a log that writes to c.Out.
@@ -66,11 +71,35 @@
 		return &Log{out: log.NewNopLogger()}
 	}
 	w := log.NewSyncWriter(c.Out)
+	var q *queue
+	if c.Queue > 0 {
+		q = newQueue(c.Out, c.Queue)
+		w = q
+	}
 	l := log.NewLogfmtLogger(w)
 	if c.JSON {
 		l = log.NewJSONLogger(w)
 	}
-	return &Log{out: log.With(l, "ts", log.DefaultTimestampUTC, "node", c.Node)}
+	made := &Log{out: log.With(l, "ts", log.DefaultTimestampUTC, "node", c.Node), queue: q}
+	if q != nil {
+		q.start(made)
+	}
+	return made
+}
+
+// Close writes what still waits, for at most a moment.
+func (l *Log) Close() {
+	if l.queue != nil {
+		l.queue.close()
+	}
+}
+
+// Lost returns how many lines were dropped.
+func (l *Log) Lost() uint64 {
+	if l.queue == nil {
+		return 0
+	}
+	return l.queue.lines.Dropped()
 }
 
 // Discard returns a log that writes nothing.
--- /dev/null
+++ b/event/queue.go
@@ -0,0 +1,70 @@
+package event
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"egretshunt/ring"
+)
+
+const (
+	// flushTime bounds how long Close waits for the reader.
+	flushTime = 300 * time.Millisecond
+	// reportTime is how often dropped lines are told of.
+	reportTime = time.Second
+)
+
+// queue writes lines on a goroutine of its own, so that a reader that has stopped reading
+// holds nobody up.
+type queue struct {
+	out   io.Writer
+	lines *ring.Ring[[]byte]
+	ended chan struct{}
+}
+
+func newQueue(out io.Writer, size int) *queue {
+	return &queue{out: out, lines: ring.New[[]byte](size), ended: make(chan struct{})}
+}
+
+// Write implements io.Writer for one whole line.
+func (q *queue) Write(line []byte) (int, error) {
+	q.lines.Offer(append([]byte(nil), line...))
+	return len(line), nil
+}
+
+// start writes lines in batches until the queue is closed.
+func (q *queue) start(l *Log) {
+	go func() {
+		defer close(q.ended)
+		told, next := uint64(0), time.Now()
+		var batch []byte
+		for {
+			line, err := q.lines.Pop(context.Background())
+			if err != nil {
+				return
+			}
+			batch = append(batch[:0], line...)
+			for q.lines.Len() > 0 && len(batch) < 1<<16 {
+				if line, err = q.lines.Pop(context.Background()); err != nil {
+					break
+				}
+				batch = append(batch, line...)
+			}
+			// A log line that can't be written has nowhere else to go.
+			_, _ = q.out.Write(batch)
+			if n := q.lines.Dropped(); n > told && time.Now().After(next) {
+				l.Emit(Dropped, "count", n-told)
+				told, next = n, time.Now().Add(reportTime)
+			}
+		}
+	}()
+}
+
+func (q *queue) close() {
+	q.lines.Close()
+	select {
+	case <-q.ended:
+	case <-time.After(flushTime):
+	}
+}
--- /dev/null
+++ b/member/list.go
@@ -0,0 +1,53 @@
+package member
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Endpoint is one running endpoint as the platform's list names it.
+type Endpoint struct {
+	ID   string         `json:"id"`
+	Pool string         `json:"pool"`
+	Addr netip.AddrPort `json:"addr"`
+	// Place is the data centre.
+	Place   string `json:"place"`
+	Slots   int    `json:"slots,omitempty"`
+	Leaving bool   `json:"leaving,omitempty"`
+	// Cold is how much longer the endpoint stays slow after its start.
+	Cold time.Duration `json:"cold,omitempty"`
+	// Born tells starts under one ID apart.
+	Born int64 `json:"born,omitempty"`
+	// Weights are the versions of the models that the endpoint has loaded.
+	Weights map[string]uint64 `json:"weights,omitempty"`
+	// Loading is set while an order of this system changes the weights.
+	Loading bool `json:"loading,omitempty"`
+	// Down is set while control has reason to think that the endpoint answers nobody.
+	Down bool `json:"down,omitempty"`
+}
+
+// List is the endpoints known at one moment. A published list is immutable.
+type List struct {
+	Rev       uint64     `json:"rev"`
+	Endpoints []Endpoint `json:"endpoints"`
+
+	pools map[string][]*Endpoint
+	ids   map[string]*Endpoint
+}
+
+// Index builds the lookups; call it once before publishing.
+func (l *List) Index() *List {
+	l.pools, l.ids = map[string][]*Endpoint{}, map[string]*Endpoint{}
+	for i := range l.Endpoints {
+		e := &l.Endpoints[i]
+		l.pools[e.Pool] = append(l.pools[e.Pool], e)
+		l.ids[e.ID] = e
+	}
+	return l
+}
+
+// Pool returns the endpoints of a pool.
+func (l *List) Pool(name string) []*Endpoint { return l.pools[name] }
+
+// Find returns the endpoint with the id, or nil.
+func (l *List) Find(id string) *Endpoint { return l.ids[id] }
--- a/node/process.go
+++ b/node/process.go
@@ -101,7 +101,7 @@
 		return Failed.Wrap(err, "read wire secrets")
 	}
 	p.pool = wire.NewPool(wire.PoolConfig{Keys: p.keys, Clock: clock{p}, Idle: peerIdle})
-	p.client = ctrl.NewClient(ctrl.ClientConfig{Pool: p.pool, Control: p.settings.Control})
+	p.client = ctrl.NewClient(ctrl.ClientConfig{Pool: p.pool, Control: func() []netip.AddrPort { return p.settings.Control }})
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stopReap = cancel
 	go func() {
--- /dev/null
+++ b/pass/entry.go
@@ -0,0 +1,279 @@
+package pass
+
+import (
+	"context"
+	"hash/fnv"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"egretshunt/block"
+	"egretshunt/board"
+	"egretshunt/ctrl"
+	"egretshunt/event"
+	"egretshunt/limit"
+	"egretshunt/member"
+)
+
+// View is what the entry knows of the rest of the system; *ctrl.Feed is the one of production.
+type View interface {
+	View() *ctrl.View
+	List() *member.List
+	Changed() <-chan struct{}
+	Fresh() bool
+	Age() time.Duration
+	Where(part string) []block.Holder
+	// Open reports whether parts may be saved to a store.
+	Open(store netip.AddrPort) bool
+	Use(part string)
+	EngineClock(now time.Duration) int64
+	Entries() int
+}
+
+// Config constructs an Entry.
+type Config struct {
+	Node, Place string
+	View        View
+	Backend     Backend
+	// Decode reads the bytes of a table set.
+	Decode func(body []byte) (*board.Set, error)
+	// Fallback lists endpoints while control can't be reached; nil means that there is no other source.
+	Fallback func(ctx context.Context) ([]member.Endpoint, error)
+	Repeats  limit.RepeatConfig
+	Events   *event.Log
+	Metrics  *metrics.Set
+}
+
+// Entry passes requests on.
+type Entry struct {
+	config  Config
+	meters  meters
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+
+	// set is the decoded table set in force.
+	set atomic.Pointer[adopted]
+	// own is the list that this entry read itself while control was out of reach.
+	own atomic.Pointer[ownList]
+	// open counts requests under way.
+	open atomic.Int64
+
+	// mu guards the rest.
+	mu      sync.Mutex
+	seats   map[string]*seat
+	budgets map[string]*limit.Repeats
+	// saving holds parts that a request was told to save, and until when no other is.
+	saving map[string]time.Time
+}
+
+// adopted is a table set with the document it was read from.
+type adopted struct {
+	document *ctrl.Document
+	set      *board.Set
+}
+
+type ownList struct {
+	list *member.List
+	at   time.Time
+}
+
+// seat is what this entry knows of one endpoint from its own requests.
+type seat struct {
+	born   int64
+	flying int
+	grade  member.Grade
+	// full is until when the endpoint has said that it takes no more.
+	full time.Time
+	// gone is set when another endpoint answered at the address.
+	gone bool
+	// versions are weights learned from answers, which are newer than the list.
+	versions map[string]learned
+}
+
+type learned struct {
+	version uint64
+	at      time.Time
+}
+
+// New returns an entry and starts its duties.
+func New(c Config) *Entry {
+	if c.Events == nil {
+		c.Events = event.Discard()
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewSet()
+	}
+	e := &Entry{
+		config: c, meters: newMeters(c.Metrics), seats: map[string]*seat{}, budgets: map[string]*limit.Repeats{}, saving: map[string]time.Time{},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	e.running.Go(func() { e.housekeep(ctx) })
+	return e
+}
+
+const (
+	// houseTime is how often the entry cleans up and looks after its list.
+	houseTime = 500 * time.Millisecond
+	// fallbackAge is how long control may be silent before the entry reads the list itself.
+	fallbackAge = 1500 * time.Millisecond
+)
+
+func (e *Entry) housekeep(ctx context.Context) {
+	t := time.NewTicker(houseTime)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		e.clean(time.Now())
+		if e.config.Fallback != nil && e.config.View.Age() > fallbackAge {
+			e.readList(ctx)
+		}
+	}
+}
+
+func (e *Entry) clean(now time.Time) {
+	list := e.list()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id, s := range e.seats {
+		if s.flying == 0 && (list == nil || list.Find(id) == nil) {
+			delete(e.seats, id)
+		}
+	}
+	for name, until := range e.saving {
+		if now.After(until) {
+			delete(e.saving, name)
+		}
+	}
+}
+
+// readList reads the list of endpoints without control.
+func (e *Entry) readList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	endpoints, err := e.config.Fallback(ctx)
+	if err != nil {
+		e.config.Events.Emit(event.ListBad, "source", "own", "err", err)
+		return
+	}
+	e.own.Store(&ownList{list: (&member.List{Endpoints: endpoints}).Index(), at: time.Now()})
+}
+
+// list returns the endpoints known best: control's, or an own reading while that is silent.
+func (e *Entry) list() *member.List {
+	theirs := e.config.View.List()
+	own := e.own.Load()
+	if own != nil && e.config.View.Age() > fallbackAge && time.Since(own.at) < 10*fallbackAge {
+		return own.list
+	}
+	return theirs
+}
+
+// current returns the table set in force, or nil before the first.
+func (e *Entry) current() *board.Set {
+	doc := e.config.View.View().Set
+	if doc == nil {
+		return nil
+	}
+	if a := e.set.Load(); a != nil && a.document == doc {
+		return a.set
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a := e.set.Load()
+	if a != nil && (a.document == doc || a.document.Number >= doc.Number) {
+		return a.set
+	}
+	set, err := e.config.Decode(doc.Body)
+	if err != nil {
+		// Control has checked the set before it was accepted.
+		e.config.Events.Emit(event.Fault, "set", doc.Number, "err", err)
+		if a == nil {
+			return nil
+		}
+		return a.set
+	}
+	e.set.Store(&adopted{doc, set})
+	return set
+}
+
+// Ready reports whether the entry can serve, and if not why.
+func (e *Entry) Ready() (why string, ok bool) {
+	switch {
+	case e.current() == nil:
+		return "no tables yet", false
+	case !e.config.View.Fresh():
+		return "control can't be reached", false
+	case e.list() == nil:
+		return "no endpoints known yet", false
+	}
+	return "", true
+}
+
+// Open returns how many requests are under way.
+func (e *Entry) Open() int64 { return e.open.Load() }
+
+// Unfit returns the endpoints that get no work because of what became of it.
+func (e *Entry) Unfit() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var bad []string
+	now := time.Now()
+	for id, s := range e.seats {
+		if !s.grade.Fit(now) {
+			bad = append(bad, id)
+		}
+	}
+	return bad
+}
+
+// seat returns the record of an endpoint; the caller holds mu.
+func (e *Entry) seat(to *member.Endpoint) *seat {
+	s, ok := e.seats[to.ID]
+	if !ok || s.born != to.Born && to.Born != 0 {
+		flying := 0
+		if ok {
+			flying = s.flying
+		}
+		s = &seat{born: to.Born, flying: flying, versions: map[string]learned{}}
+		e.seats[to.ID] = s
+	}
+	return s
+}
+
+// budget returns the repeats of a pool; the caller holds mu.
+func (e *Entry) budget(pool string) *limit.Repeats {
+	b, ok := e.budgets[pool]
+	if !ok {
+		b = limit.NewRepeats(e.config.Repeats)
+		e.budgets[pool] = b
+	}
+	return b
+}
+
+// mayRepeat takes a repeated send to a pool from the budget.
+func (e *Entry) mayRepeat(pool string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.budget(pool).Take(time.Now(), e.config.View.Entries())
+}
+
+// draw turns a request's identity into a number in [0, 1).
+func draw(id string) float64 {
+	h := fnv.New64a()
+	h.Write([]byte(id))
+	return float64(h.Sum64()>>11) / (1 << 53)
+}
+
+// Close stops the duties.
+func (e *Entry) Close() {
+	e.cancel()
+	e.running.Wait()
+}
--- /dev/null
+++ b/pass/meters.go
@@ -0,0 +1,40 @@
+package pass
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// meters are the entry's counters and histograms.
+type meters struct {
+	set *metrics.Set
+}
+
+func newMeters(set *metrics.Set) meters { return meters{set} }
+
+// outcome counts a request by how it ended.
+func (m meters) outcome(route, outcome string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("egretshunt_pass_requests_total{route=%q,outcome=%q}", route, outcome)).Inc()
+}
+
+// attempt counts a failed attempt at an endpoint.
+func (m meters) attempt(pool, outcome string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("egretshunt_pass_attempts_failed_total{pool=%q,outcome=%q}", pool, outcome)).Inc()
+}
+
+// refusal counts a refusal by its reason.
+func (m meters) refusal(why string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("egretshunt_pass_refusals_total{why=%q}", why)).Inc()
+}
+
+// first takes the time to the first byte of an answer.
+func (m meters) first(kind string, d time.Duration) {
+	m.set.GetOrCreateHistogram(fmt.Sprintf("egretshunt_pass_first_seconds{kind=%q}", kind)).Update(d.Seconds())
+}
+
+// reuse counts prompt tokens by where they were expected to be found.
+func (m meters) reuse(source string, tokens int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("egretshunt_pass_prompt_tokens_total{source=%q}", source)).Add(tokens)
+}
--- /dev/null
+++ b/pass/serve.go
@@ -0,0 +1,179 @@
+package pass
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"egretshunt/board"
+	"egretshunt/event"
+)
+
+const (
+	// staleRetry is when callers should come back while control can't be reached.
+	staleRetry = 500 * time.Millisecond
+	// fullRetry is when callers should come back if nothing better is known.
+	fullRetry = 200 * time.Millisecond
+	// leastLeft is the time below which an endpoint is not asked any more.
+	leastLeft = 5 * time.Millisecond
+	// answerMargin is how much before its time-out a request gets its final answer.
+	answerMargin = 5 * time.Millisecond
+)
+
+// job is one request on its way.
+type job struct {
+	call    *Call
+	set     *board.Set
+	route   *board.Route
+	pool    string
+	account string
+	// isolated accounts share no kept context.
+	isolated bool
+	rank     int
+	deadline time.Time
+
+	// tried holds the endpoints that were asked.
+	tried []string
+	// runs counts attempts that may have run.
+	runs int
+	// refusals counts endpoints that said they have not run it.
+	refusals int
+	// offered is set once an attempt has reached an endpoint.
+	offered bool
+	// first is when the first byte of the answer came; zero before.
+	first time.Time
+	// fetched and computed are the prompt's tokens by where they were expected.
+	fetched, saved int
+	version        uint64
+}
+
+// Serve answers one call on w.
+func (e *Entry) Serve(ctx context.Context, c *Call, w http.ResponseWriter) {
+	e.open.Add(1)
+	defer e.open.Add(-1)
+	j, f := e.admit(c)
+	if f != nil {
+		e.settle(j, f)
+		f.write(w)
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	defer cancel()
+	if f = e.dispatch(ctx, j, w); f != nil {
+		e.settle(j, f)
+		f.write(w)
+	}
+}
+
+// admit finds what the tables say of a call.
+func (e *Entry) admit(c *Call) (*job, *failure) {
+	j := &job{call: c}
+	if j.set = e.current(); j.set == nil {
+		return j, refuse(whyNoTables, staleRetry)
+	}
+	fresh := e.config.View.Fresh()
+	if j.route = j.set.Match(c.Host, c.Path); j.route == nil {
+		if !fresh {
+			return j, refuse(whyStale, staleRetry)
+		}
+		return j, &failure{status: http.StatusNotFound, why: whyNoRoute}
+	}
+	j.rank = j.route.Rank
+	if j.set.Keyed && !j.route.Public {
+		a := j.set.Account(c.Key)
+		switch {
+		case !fresh:
+			// The key may have been withdrawn meanwhile.
+			return j, refuse(whyStale, staleRetry)
+		case a == nil:
+			return j, &failure{status: http.StatusUnauthorized, why: whyKey}
+		}
+		j.account, j.isolated, j.rank = a.Name, a.Isolated, a.Rank.Or(j.route.Rank)
+	}
+	j.pool = j.route.Pick(draw(c.ID))
+	wait := j.route.Timeout
+	if c.Wait > 0 && c.Wait < wait {
+		wait = c.Wait
+	}
+	j.deadline = c.Arrived.Add(wait - answerMargin)
+	e.mu.Lock()
+	e.budget(j.pool).Request(time.Now())
+	e.mu.Unlock()
+	return j, nil
+}
+
+// dispatch makes attempts until one has answered; the failure, if any, is still to be written.
+func (e *Entry) dispatch(ctx context.Context, j *job, w http.ResponseWriter) *failure {
+	out := newRelay(w, j.route.Kind == board.Stream)
+	for {
+		if out.begun && ctx.Err() != nil {
+			return e.broken(j, out)
+		}
+		to, f := e.place(j)
+		if f != nil {
+			if out.begun {
+				return e.broken(j, out)
+			}
+			return f
+		}
+		next, f := e.attempt(ctx, j, to, out)
+		if !next {
+			return f
+		}
+	}
+}
+
+// broken ends an answer that has begun and can't be finished.
+func (e *Entry) broken(j *job, out *relay) *failure {
+	e.config.Events.Emit(event.Cut, "id", j.call.ID, "route", j.route.Name, "tried", len(j.tried), "last", out.last, "bytes", out.sent)
+	e.meters.outcome(j.route.Name, "cut")
+	out.abort()
+	return nil
+}
+
+// settle logs and counts a request that ends by an answer of the entry's own.
+func (e *Entry) settle(j *job, f *failure) {
+	route := "none"
+	if j.route != nil {
+		route = j.route.Name
+	}
+	kind, outcome := event.Failed, "failed"
+	switch {
+	case f.notRun():
+		kind, outcome = event.TurnedAway, "refused"
+	case f.status < http.StatusInternalServerError:
+		kind, outcome = event.Denied, "denied"
+	}
+	number := uint64(0)
+	if j.set != nil {
+		number = j.set.Number
+	}
+	e.config.Events.Emit(kind, "id", j.call.ID, "route", route, "pool", j.pool, "account", j.account, "status", f.status, "why", f.why,
+		"set", number, "age", e.config.View.Age().Milliseconds(), "tried", len(j.tried), "ran", ranText(j),
+		"took", time.Since(j.call.Arrived).Milliseconds(), "after", f.after.Milliseconds())
+	e.meters.outcome(route, outcome)
+	e.meters.refusal(f.why)
+}
+
+func ranText(j *job) string {
+	if j.runs > 0 {
+		return "unknown"
+	}
+	return "no"
+}
+
+// giveUp chooses the final answer of a request that no endpoint has answered.
+func (j *job) giveUp(why string, after time.Duration) *failure {
+	switch {
+	case j.runs == 0:
+		return refuse(why, after)
+	case why == whyTimeout:
+		return &failure{status: http.StatusGatewayTimeout, why: why}
+	}
+	return &failure{status: http.StatusBadGateway, why: why}
+}
+
+// isNotSent reports whether an attempt never reached its endpoint.
+func isNotSent(err error) bool { return errorx.IsOfType(err, NotSent) }
--- a/prog/prog.go
+++ b/prog/prog.go
@@ -43,6 +43,7 @@
 	Control *runArgs     `arg:"subcommand:control" help:"keep the tables"`
 	Agent   *runArgs     `arg:"subcommand:agent" help:"stand beside an endpoint"`
 	Store   *runArgs     `arg:"subcommand:store" help:"keep KV blocks"`
+	Host    *hostArgs    `arg:"subcommand:host" help:"run a role on the consortium's platform"`
 	Ctl     *ctlArgs     `arg:"subcommand:ctl" help:"operate a system"`
 	Check   *checkArgs   `arg:"subcommand:check" help:"check a settings file"`
 	Key     *keyArgs     `arg:"subcommand:key" help:"make a key, or hash one"`
@@ -97,6 +98,8 @@
 		return a.Agent.run("agent", errs)
 	case a.Store != nil:
 		return a.Store.run("store", errs)
+	case a.Host != nil:
+		return a.Host.run(out)
 	case a.Ctl != nil:
 		return a.Ctl.run(out)
 	case a.Check != nil:
--- /dev/null
+++ b/route/seat.go
@@ -0,0 +1,106 @@
+package route
+
+import (
+	"hash/fnv"
+	"math"
+	"slices"
+)
+
+// Seat is one endpoint that may take a request now.
+type Seat struct {
+	ID string
+	// Load is the work that this entry has under way there, in requests.
+	Load float64
+	// Near says that the endpoint is in this entry's data centre.
+	Near bool
+	// Penalty is added to the load, for endpoints that are usable but not wanted.
+	Penalty float64
+}
+
+// Spread is how many endpoints share the requests for one subject. One keeps context in one
+// place but lets a crowded subject wait; with all, nothing is found again.
+const Spread = 3
+
+// Gather chooses the endpoint for a prompt that shares context with others of its subject:
+// of the few endpoints that rendezvous hashing ranks first for it, the least loaded. All
+// entries rank alike without telling each other. It returns -1 when there is no seat.
+//
+// It answers the pattern of many subjects that return after gaps, a few of them often.
+func Gather(subject string, seats []Seat) int {
+	type ranked struct {
+		at   int
+		rank uint64
+	}
+	order := make([]ranked, len(seats))
+	for i, s := range seats {
+		order[i] = ranked{i, rendezvous(subject, s.ID)}
+	}
+	slices.SortFunc(order, func(a, b ranked) int {
+		if a.rank > b.rank {
+			return -1
+		}
+		return 1
+	})
+	best := -1
+	for _, o := range order[:min(Spread, len(order))] {
+		if best < 0 || cost(seats[o.at]) < cost(seats[best]) {
+			best = o.at
+		}
+	}
+	return best
+}
+
+// Scatter chooses the endpoint for a request that finds nothing kept anywhere: the least
+// loaded, the near one among equals. Draw, uniform in [0, 1), parts the rest, so that entries
+// do not all choose alike. It returns -1 when there is no seat.
+//
+// It answers the pattern of short independent calls to plain services.
+func Scatter(draw float64, seats []Seat) int {
+	best := -1
+	start := int(draw * float64(len(seats)))
+	for i := range seats {
+		at := (start + i) % len(seats)
+		if best < 0 || cost(seats[at]) < cost(seats[best]) ||
+			cost(seats[at]) == cost(seats[best]) && seats[at].Near && !seats[best].Near {
+			best = at
+		}
+	}
+	return best
+}
+
+func cost(s Seat) float64 { return s.Load + s.Penalty }
+
+// rendezvous ranks an endpoint for a subject.
+func rendezvous(subject, id string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(subject))
+	h.Write([]byte{0})
+	h.Write([]byte(id))
+	return mix(h.Sum64())
+}
+
+// mix spreads the differences of similar inputs over all bits.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// Home returns the store that keeps a part: the highest by rendezvous, weighted by capacity.
+// Every entry names the same one. It returns -1 when there is none.
+func Home(part string, ids []string, capacities []int) int {
+	best, top := -1, 0.0
+	for i, c := range capacities {
+		if c <= 0 {
+			continue
+		}
+		// Weighted rendezvous: the least exponential draw of rate c wins.
+		u := (float64(rendezvous(part, ids[i])>>11) + 1) / (1 << 53)
+		if score := -float64(c) / math.Log(u); best < 0 || score > top {
+			best, top = i, score
+		}
+	}
+	return best
+}
--- a/wire/link.go
+++ b/wire/link.go
@@ -24,10 +24,25 @@
 	Window = 256 << 10
 )
 
-func muxConfig() *yamux.Config {
+// Probing says how soon a connection that has gone silent counts as lost; zero fields
+// mean KeepAlive and WriteTimeout.
+type Probing struct {
+	// Interval is the time between two probes of a connection.
+	Interval time.Duration
+	// Timeout is the longest wait for the answer to a probe, and for room to write.
+	Timeout time.Duration
+}
+
+func (p Probing) muxConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.KeepAliveInterval = KeepAlive
+	if p.Interval > 0 {
+		c.KeepAliveInterval = p.Interval
+	}
 	c.ConnectionWriteTimeout = WriteTimeout
+	if p.Timeout > 0 {
+		c.ConnectionWriteTimeout = p.Timeout
+	}
 	c.MaxStreamWindowSize = Window
 	c.LogOutput = io.Discard
 	return c
@@ -67,6 +82,8 @@
 	Dial Dialer
 	// Idle closes a connection that carried no stream for so long; zero keeps it.
 	Idle time.Duration
+	// Probing finds connections that have gone silent.
+	Probing Probing
 }
 
 // Pool keeps at most one connection to each peer and opens streams on it.
@@ -149,7 +166,7 @@
 		raw.Close()
 		return nil, Lost.Wrap(err, "greet %s", to)
 	}
-	session, err := yamux.Client(&joined{Conn: secure}, muxConfig())
+	session, err := yamux.Client(&joined{Conn: secure}, c.Probing.muxConfig())
 	if err != nil {
 		raw.Close()
 		return nil, Lost.Wrap(err, "start streams to %s", to)
@@ -167,6 +184,22 @@
 	}
 }
 
+// Drop closes the connection to a peer that did not answer in time; the next stream gets a new one.
+func (p *Pool) Drop(to netip.AddrPort) {
+	p.mu.Lock()
+	l, ok := p.links[to]
+	p.mu.Unlock()
+	if !ok {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.session != nil {
+		l.session.Close()
+		l.session = nil
+	}
+}
+
 // Reap closes connections that carry no stream and were last used before now minus the idle time.
 func (p *Pool) Reap(now time.Time) {
 	if p.config.Idle <= 0 {
--- a/wire/server.go
+++ b/wire/server.go
@@ -23,6 +23,8 @@
 	Handle Handler
 	// MaxStreams bounds the streams served at once; zero means DefaultStreams.
 	MaxStreams int
+	// Probing finds connections that have gone silent.
+	Probing Probing
 }
 
 // DefaultStreams bounds the streams that one process serves at once.
@@ -93,7 +95,7 @@
 	if err != nil {
 		return
 	}
-	session, err := yamux.Server(&joined{Conn: secure}, muxConfig())
+	session, err := yamux.Server(&joined{Conn: secure}, s.config.Probing.muxConfig())
 	if err != nil {
 		return
 	}
