Choose a prompt's endpoint by its predicted first token

Change: the leader follows the engines' cache events and publishes shared parts beside the stores' ones; entries tell each other through it what they await of endpoints and links; route.Fill reads what is kept unless the idle link takes four times as long as computing; route.Soonest weighs backlog, copies and the subject's home; stores fill fastest first.

--- a/block/catalog.go
+++ b/block/catalog.go
@@ -13,10 +13,16 @@
 	// Name holds salt and identity; empty names the store itself.
 	Name string `json:"n,omitempty"`
 	// Tokens is zero for a part that is gone. For a store itself, zero withdraws all its
-	// parts and closes it; any other value opens it for new parts.
+	// parts and closes it, Opened opens it for new parts and Closed closes it for them.
 	Tokens int `json:"t,omitempty"`
 }
 
+// Values of Tokens for a store itself.
+const (
+	Opened = 1
+	Closed = 2
+)
+
 // PartName joins salt and identity of a part.
 func PartName(salt, id string) string { return salt + "/" + id }
 
@@ -67,7 +73,7 @@
 
 func (c *Catalog) apply(p Part) {
 	if p.Name == "" && p.Tokens > 0 {
-		c.open[p.Store] = true
+		c.open[p.Store] = p.Tokens == Opened
 		return
 	}
 	if p.Name == "" {
@@ -119,8 +125,10 @@
 	if behind := c.rev - rev; rev <= c.rev && behind <= uint64(len(c.history)) {
 		return append([]Part(nil), c.history[uint64(len(c.history))-behind:]...), c.rev, false
 	}
-	for store := range c.open {
-		changes = append(changes, Part{Store: store, Tokens: 1})
+	for store, open := range c.open {
+		if open {
+			changes = append(changes, Part{Store: store, Tokens: Opened})
+		}
 	}
 	for name, held := range c.parts {
 		for _, h := range held {
--- a/block/shelf.go
+++ b/block/shelf.go
@@ -32,6 +32,8 @@
 }
 
 const (
+	// shelfFull is the share of a store's capacity at which it takes no more parts.
+	shelfFull = 0.94
 	// shelfHigh is the share of a store's capacity above which parts are freed.
 	shelfHigh = 0.88
 	// shelfLow is the share to which it is then brought.
@@ -134,13 +136,15 @@
 	delete(s.parts, name)
 }
 
-// Opened reports, once, that parts may be saved from now on.
-func (s *Shelf) Opened(now time.Duration) bool {
-	if !s.known || s.open || now < s.opens {
-		return false
+// Opens reports whether it has changed that parts may be saved, and to what.
+func (s *Shelf) Opens(now time.Duration) (open, changed bool) {
+	if !s.known || now < s.opens {
+		return false, false
 	}
-	s.open = true
-	return true
+	open = float64(s.sum) < shelfFull*float64(s.config.Tokens)
+	changed = open != s.open
+	s.open = open
+	return open, changed
 }
 
 // Withdraw chooses what to free when the store is nearly full, or what can't be used any
--- a/board/board.go
+++ b/board/board.go
@@ -91,7 +91,9 @@
 	Tokens int
 	// TokenBytes is the size of a kept token.
 	TokenBytes int
-	Models     []string
+	// Bandwidth is the link over which kept context moves, in bits a second.
+	Bandwidth float64
+	Models    []string
 }
 
 // Store is one store of kept context that is not run by this system.
--- a/ctrl/chief.go
+++ b/ctrl/chief.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -25,8 +26,8 @@
 	Endpoints(ctx context.Context) ([]member.Endpoint, error)
 	// Held lists what lies whole in a store, with its run and where changes go on.
 	Held(ctx context.Context, s *board.Store) (Holding, error)
-	// Changes waits for changes in a store after a position of its present run.
-	Changes(ctx context.Context, s *board.Store, since int64) (Changes, error)
+	// Changes waits for changes in a store or engine after a position of its present run.
+	Changes(ctx context.Context, at netip.AddrPort, since int64) (Changes, error)
 	// Free frees parts in a run of a store, until a moment on the engines' clock.
 	Free(ctx context.Context, s *board.Store, epoch, until int64, names []string) error
 	// Order tells an engine to load weights; it returns true once the engine has them.
@@ -192,6 +193,7 @@
 	duties.Go(func() { r.lists(duty) })
 	duties.Go(func() { r.stores(duty) })
 	duties.Go(func() { r.weights(duty) })
+	duties.Go(func() { r.engines(duty) })
 	for {
 		select {
 		case <-tick:
@@ -318,10 +320,14 @@
 			continue
 		}
 		now := clock.Now()
-		if shelf.Opened(now) {
-			r.Keep([]block.Part{{Store: s.Addr, Tokens: 1}})
+		if open, changed := shelf.Opens(now); changed {
+			state := block.Closed
+			if open {
+				state = block.Opened
+			}
+			r.Keep([]block.Part{{Store: s.Addr, Tokens: state}})
 			tokens, capacity := shelf.Held()
-			r.chief.config.Events.Emit(event.StoreUp, "store", s.Addr, "epoch", shelf.Epoch(), "held", tokens, "capacity", capacity)
+			r.chief.config.Events.Emit(event.StoreUp, "store", s.Addr, "epoch", shelf.Epoch(), "held", tokens, "capacity", capacity, "open", open)
 		}
 		if now-looked >= withdrawTime {
 			looked = now
@@ -354,7 +360,7 @@
 func (r *reign) follow(ctx context.Context, s *board.Store, shelf *block.Shelf, since int64) (next int64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, changesTime)
 	defer cancel()
-	got, err := r.chief.config.Outside.Changes(ctx, s, since)
+	got, err := r.chief.config.Outside.Changes(ctx, s.Addr, since)
 	if err != nil {
 		return since, err
 	}
@@ -413,6 +419,109 @@
 	r.chief.config.Events.Emit(event.Freed, "store", s.Addr, "count", len(names))
 }
 
+const (
+	// engineTime is how often what lies in engines' memory is published.
+	engineTime = 100 * time.Millisecond
+	// enginePause is the pause after a call to an engine that failed.
+	enginePause = 500 * time.Millisecond
+	// engineChanges bounds the answers of engines that wait to be taken.
+	engineChanges = 64
+)
+
+// told is one answer of an engine; lost says that what was known of it is void.
+type told struct {
+	at     netip.AddrPort
+	events []block.Event
+	lost   bool
+}
+
+// engines follows what lies in the memory of the engines.
+func (r *reign) engines(ctx context.Context) {
+	known := block.NewEngines()
+	answers := make(chan told, engineChanges)
+	followed := map[netip.AddrPort]context.CancelFunc{}
+	var running sync.WaitGroup
+	defer running.Wait()
+	t := time.NewTicker(engineTime)
+	defer t.Stop()
+	for {
+		select {
+		case a := <-answers:
+			if a.lost {
+				known.Lose(a.at)
+			}
+			known.Take(a.at, a.events)
+			continue
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		known.Share(r.Shared())
+		r.Keep(known.Flush())
+		present := map[netip.AddrPort]bool{}
+		if l := r.List(); l != nil {
+			for _, e := range l.Endpoints {
+				if len(e.Weights) > 0 {
+					present[e.Addr] = true
+				}
+			}
+		}
+		for at := range present {
+			if _, ok := followed[at]; ok {
+				continue
+			}
+			sub, cancel := context.WithCancel(ctx)
+			followed[at] = cancel
+			running.Go(func() { r.engine(sub, at, answers) })
+		}
+		for at, cancel := range followed {
+			if !present[at] {
+				cancel()
+				delete(followed, at)
+				known.Lose(at)
+			}
+		}
+	}
+}
+
+// engine follows one engine until ctx ends.
+func (r *reign) engine(ctx context.Context, at netip.AddrPort, answers chan<- told) {
+	var epoch, since int64
+	failing := false
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, changesTime)
+		got, err := r.chief.config.Outside.Changes(call, at, since)
+		cancel()
+		a := told{at: at, lost: err != nil && !failing}
+		failing = err != nil
+		if err == nil {
+			a.events, a.lost = got.Events, epoch != 0 && epoch != got.Epoch
+			if a.lost {
+				// The answer was asked for from a position of the former run.
+				a.events, got.Next = nil, 0
+			}
+			epoch, since = got.Epoch, got.Next
+			if got.Clock > 0 {
+				r.SetEngineClock(got.Clock)
+			}
+		}
+		if a.lost || len(a.events) > 0 {
+			select {
+			case answers <- a:
+			case <-ctx.Done():
+				return
+			}
+		}
+		if err != nil {
+			since = 0
+			select {
+			case <-time.After(enginePause):
+			case <-ctx.Done():
+			}
+		}
+	}
+}
+
 const (
 	// swapTime is how often the weights are looked after while some are to change.
 	swapTime = 150 * time.Millisecond
--- a/ctrl/feed.go
+++ b/ctrl/feed.go
@@ -38,8 +38,13 @@
 	Events *event.Log
 	// Bad returns the endpoints that this entry judges unfit.
 	Bad func() []string
+	// Work returns the prompt tokens that this entry awaits of each endpoint.
+	Work func() map[string]int
 }
 
+// workUnit is how many prompt tokens a unit of work on the wire stands for.
+const workUnit = 64
+
 // Feed keeps an entry's copy of the view, the endpoints and the catalogue.
 type Feed struct {
 	config  FeedConfig
@@ -60,7 +65,9 @@
 	stamp       atomic.Int64
 	engineClock atomic.Int64
 	entries     atomic.Int64
-	stale       atomic.Bool
+	// others is the work that the other entries await of each endpoint, in units.
+	others atomic.Pointer[map[string]uint32]
+	stale  atomic.Bool
 
 	// mu guards used.
 	mu   sync.Mutex
@@ -163,6 +170,12 @@
 	if f.config.Bad != nil {
 		ask.Bad = f.config.Bad()
 	}
+	if f.config.Work != nil {
+		ask.Work = map[string]uint32{}
+		for id, tokens := range f.config.Work() {
+			ask.Work[id] = uint32((tokens + workUnit - 1) / workUnit)
+		}
+	}
 	s.SetDeadline(time.Now().Add(hold + syncTimeout))
 	if err := s.Send(&wire.Frame{Body: &wire.Frame_Sync{Sync: ask}}); err != nil {
 		return false, err
@@ -243,6 +256,8 @@
 		f.engineClock.Store(ms - clock.Now().Milliseconds())
 	}
 	f.entries.Store(int64(got.GetEntries()))
+	work := got.GetWork()
+	f.others.Store(&work)
 	return nil
 }
 
@@ -327,6 +342,15 @@
 	return ahead + now.Milliseconds()
 }
 
+// Others returns the prompt tokens that the other entries await of an endpoint.
+func (f *Feed) Others(id string) int {
+	work := f.others.Load()
+	if work == nil || f.Age() > CatalogLease {
+		return 0
+	}
+	return int((*work)[id]) * workUnit
+}
+
 // Entries returns how many entries control hears of, at least one.
 func (f *Feed) Entries() int { return max(int(f.entries.Load()), 1) }
 
--- a/ctrl/hub.go
+++ b/ctrl/hub.go
@@ -47,15 +47,18 @@
 	withdrawn atomic.Uint64
 
 	// mu guards the rest.
-	mu      sync.Mutex
-	used    map[string]time.Duration
+	mu   sync.Mutex
+	used map[string]time.Duration
+	// shared are parts used since Shared was last called.
+	shared  []string
 	entries map[string]seen
 }
 
 // seen is what an entry said last.
 type seen struct {
-	at  time.Duration
-	bad []string
+	at   time.Duration
+	bad  []string
+	work map[string]uint32
 }
 
 // NewHub returns the hub of one control VM.
@@ -129,6 +132,15 @@
 	return out
 }
 
+// Shared returns the parts that entries told of since the last call.
+func (r *Reign) Shared() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	shared := r.shared
+	r.shared = nil
+	return shared
+}
+
 // Forget drops what is known of the use of a part.
 func (r *Reign) Forget(name string) {
 	r.mu.Lock()
@@ -208,7 +220,8 @@
 	for _, name := range ask.GetUsed() {
 		r.used[name] = now
 	}
-	r.entries[ask.GetNode()] = seen{at: now, bad: ask.GetBad()}
+	r.shared = append(r.shared, ask.GetUsed()...)
+	r.entries[ask.GetNode()] = seen{at: now, bad: ask.GetBad(), work: ask.GetWork()}
 }
 
 // hold waits while there is no news for the entry. News of the catalogue alone waits to the
@@ -272,6 +285,16 @@
 	for node, e := range r.entries {
 		if now-e.at > entryLife {
 			delete(r.entries, node)
+			continue
+		}
+		if node == ask.GetNode() {
+			continue
+		}
+		for id, n := range e.work {
+			if reply.Work == nil {
+				reply.Work = map[string]uint32{}
+			}
+			reply.Work[id] += n
 		}
 	}
 	reply.Entries = uint32(len(r.entries))
--- a/member/list.go
+++ b/member/list.go
@@ -33,15 +33,17 @@
 
 	pools map[string][]*Endpoint
 	ids   map[string]*Endpoint
+	addrs map[netip.AddrPort]*Endpoint
 }
 
 // Index builds the lookups; call it once before publishing.
 func (l *List) Index() *List {
-	l.pools, l.ids = map[string][]*Endpoint{}, map[string]*Endpoint{}
+	l.pools, l.ids, l.addrs = map[string][]*Endpoint{}, map[string]*Endpoint{}, map[netip.AddrPort]*Endpoint{}
 	for i := range l.Endpoints {
 		e := &l.Endpoints[i]
 		l.pools[e.Pool] = append(l.pools[e.Pool], e)
 		l.ids[e.ID] = e
+		l.addrs[e.Addr] = e
 	}
 	return l
 }
@@ -51,3 +53,6 @@
 
 // Find returns the endpoint with the id, or nil.
 func (l *List) Find(id string) *Endpoint { return l.ids[id] }
+
+// At returns the endpoint at an address, or nil.
+func (l *List) At(addr netip.AddrPort) *Endpoint { return l.addrs[addr] }
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -31,9 +31,12 @@
 )
 
 // attempt asks one endpoint. It returns true if another attempt should follow.
-func (e *Entry) attempt(ctx context.Context, j *job, to *member.Endpoint, out *relay) (again bool, f *failure) {
-	sent := e.compose(j, to, out.last)
+func (e *Entry) attempt(ctx context.Context, j *job, c *choice, out *relay) (again bool, f *failure) {
+	to := c.to
+	sent := e.compose(j, c, out.last)
 	began := time.Now()
+	out.first = func() { e.firstCame(j, c, time.Since(began), true) }
+	defer e.firstCame(j, c, 0, false)
 	reply, err := e.config.Backend.Send(ctx, sent)
 	if err != nil {
 		return e.unanswered(ctx, j, to, out, err, began)
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -30,6 +30,8 @@
 	Open(store netip.AddrPort) bool
 	Use(part string)
 	EngineClock(now time.Duration) int64
+	// Others returns the prompt tokens that the other entries await of an endpoint.
+	Others(id string) int
 	Entries() int
 }
 
@@ -67,6 +69,10 @@
 	budgets map[string]*limit.Repeats
 	// saving holds parts that a request was told to save, and until when no other is.
 	saving map[string]time.Time
+	// rates are the prompt tokens a second that engines of a pool were seen to compute.
+	rates map[string]float64
+	// links are the tokens that requests under way are to read from each source.
+	links map[netip.AddrPort]int
 }
 
 // adopted is a table set with the document it was read from.
@@ -84,7 +90,11 @@
 type seat struct {
 	born   int64
 	flying int
-	grade  member.Grade
+	// awaited is the prompt tokens sent whose first token has not come.
+	awaited int
+	// slow is how much longer first tokens took of late than predicted; zero before the first.
+	slow  float64
+	grade member.Grade
 	// full is until when the endpoint has said that it takes no more.
 	full time.Time
 	// gone is set when another endpoint answered at the address.
@@ -108,6 +118,7 @@
 	}
 	e := &Entry{
 		config: c, meters: newMeters(c.Metrics), seats: map[string]*seat{}, budgets: map[string]*limit.Repeats{}, saving: map[string]time.Time{},
+		rates: map[string]float64{}, links: map[netip.AddrPort]int{},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
@@ -234,6 +245,23 @@
 	return bad
 }
 
+// Work returns the prompt tokens that this entry awaits of each endpoint, by identity, and
+// those to be read over each source's link, by address.
+func (e *Entry) Work() map[string]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	work := map[string]int{}
+	for id, s := range e.seats {
+		if s.awaited > 0 {
+			work[id] = s.awaited
+		}
+	}
+	for at, tokens := range e.links {
+		work[at.String()] = tokens
+	}
+	return work
+}
+
 // seat returns the record of an endpoint; the caller holds mu.
 func (e *Entry) seat(to *member.Endpoint) *seat {
 	s, ok := e.seats[to.ID]
--- a/pass/place.go
+++ b/pass/place.go
@@ -15,16 +15,37 @@
 )
 
 const (
-	// oldPenalty is the load that old weights count for, in requests.
-	oldPenalty = 8
+	// oldPenalty is what an endpoint with old weights counts as later.
+	oldPenalty = 150 * time.Millisecond
 	// coldPenalty is the load that an endpoint still warming up counts for, in requests.
 	coldPenalty = 4
 	// savingTime is how long a part that a request is to save is not saved by another.
 	savingTime = 3 * time.Second
+	// startRate is how many prompt tokens a second an engine is taken to compute before any was seen to.
+	startRate = 40000
 )
 
+// choice is where an attempt goes and what it reuses there.
+type choice struct {
+	to      *member.Endpoint
+	version uint64
+	salt    string
+	// fetch holds the source of each shared part; an invalid address means none.
+	fetch []netip.AddrPort
+	// found says which parts are held by the endpoint itself, tokens how long each is.
+	found  []bool
+	tokens []int
+	// compute is the tokens to be computed, moved those to be fetched.
+	compute, moved int
+	// plain is the predicted time to the first token of an endpoint as fast as others.
+	plain time.Duration
+	ahead int
+	// settled is set once the first token has come, or can't any more.
+	settled bool
+}
+
 // place chooses the endpoint of the next attempt.
-func (e *Entry) place(j *job) (*member.Endpoint, *failure) {
+func (e *Entry) place(j *job) (*choice, *failure) {
 	now := time.Now()
 	if j.deadline.Sub(now) < leastLeft {
 		return nil, j.giveUp(whyTimeout, fullRetry)
@@ -35,67 +56,188 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var seats []route.Seat
-	var ends []*member.Endpoint
-	full, unfit := 0, 0
-	var soonest time.Time
-	for pass := range 2 {
-		for _, to := range list.Pool(j.pool) {
-			s := e.seat(to)
-			if to.Leaving || to.Loading || s.gone || slices.Contains(j.tried, to.ID) {
-				continue
+	able, soonest := e.able(j, list, now)
+	if len(able) == 0 {
+		if !soonest.IsZero() {
+			return nil, j.giveUp(whyFull, max(time.Until(soonest), fullRetry))
+		}
+		return nil, j.giveUp(whyNoneLeft, fullRetry)
+	}
+	var c *choice
+	if j.route.Prompts && len(j.call.Parts) > 0 {
+		c = e.gather(j, list, able)
+	} else {
+		c = e.scatter(j, able)
+	}
+	s := e.seat(c.to)
+	s.flying++
+	s.awaited += c.compute
+	e.link(c, 1)
+	s.grade.Sent(now)
+	j.tried = append(j.tried, c.to.ID)
+	return c, nil
+}
+
+// able lists the endpoints that may get the request, or when the first of them is free
+// again; the caller holds mu.
+func (e *Entry) able(j *job, list *member.List, now time.Time) (able []*member.Endpoint, soonest time.Time) {
+	var unfit []*member.Endpoint
+	for _, to := range list.Pool(j.pool) {
+		s := e.seat(to)
+		switch {
+		case to.Leaving || to.Loading || s.gone || slices.Contains(j.tried, to.ID):
+		case now.Before(s.full):
+			if soonest.IsZero() || s.full.Before(soonest) {
+				soonest = s.full
 			}
-			if now.Before(s.full) {
-				full++
-				if soonest.IsZero() || s.full.Before(soonest) {
-					soonest = s.full
+		case to.Down || !s.grade.Fit(now):
+			unfit = append(unfit, to)
+		default:
+			able = append(able, to)
+		}
+	}
+	if len(able) == 0 && soonest.IsZero() {
+		// With every endpoint unfit, the judgement is worth nothing.
+		able = unfit
+	}
+	return able, soonest
+}
+
+// scatter chooses for a request that reuses nothing; the caller holds mu.
+func (e *Entry) scatter(j *job, able []*member.Endpoint) *choice {
+	seats := make([]route.Seat, len(able))
+	for i, to := range able {
+		seats[i] = route.Seat{ID: to.ID, Load: float64(e.seat(to).flying), Near: to.Place == e.config.Place}
+		if to.Cold > 0 {
+			seats[i].Penalty = coldPenalty
+		}
+	}
+	return &choice{to: able[route.Scatter(draw(j.call.ID+strconv.Itoa(len(j.tried))), seats)]}
+}
+
+// gather chooses for a prompt; the caller holds mu.
+func (e *Entry) gather(j *job, list *member.List, able []*member.Endpoint) *choice {
+	engine := route.Engine{Rate: e.rate(j.pool)}
+	bandwidth := 0.0
+	if p := j.set.Pool(j.pool); p != nil && p.Engine != nil {
+		engine.TokenBytes, bandwidth = p.Engine.TokenBytes, p.Engine.Bandwidth
+	}
+	want := e.config.View.View().Weights[j.call.Model].Version
+	shared := j.call.Shared()
+	own := j.call.Tokens()
+	for _, p := range shared {
+		own -= p.Tokens
+	}
+	bounded := e.config.View.EngineClock(clock.Now()) > 0
+	held := map[uint64][][]block.Holder{}
+	choices := make([]*choice, len(able))
+	bids := make([]route.Bid, len(able))
+	for i, to := range able {
+		s := e.seat(to)
+		c := &choice{to: to, version: s.version(to, j.call.Model)}
+		c.salt = saltOf(c.version, j)
+		if _, ok := held[c.version]; !ok {
+			held[c.version] = e.whereAll(c.salt, c.version, shared)
+		}
+		needs := make([]route.Need, len(shared))
+		from := make([][]netip.AddrPort, len(shared))
+		for k, p := range shared {
+			needs[k].Tokens = p.Tokens
+			for _, h := range held[c.version][k] {
+				if h.Store == to.Addr {
+					needs[k].Held = true
+				} else if source, ok := e.source(h.Store, j.set, list, to.Place, bandwidth); ok && bounded {
+					needs[k].Sources = append(needs[k].Sources, source)
+					from[k] = append(from[k], h.Store)
 				}
-				continue
 			}
-			// With every endpoint unfit, the judgement is worth nothing.
-			if pass == 0 && (to.Down || !s.grade.Fit(now)) {
-				unfit++
-				continue
+		}
+		plan, fetch, compute := route.Fill(engine, needs)
+		fresh := 0
+		for k, h := range held[c.version] {
+			if len(h) == 0 {
+				fresh += shared[k].Tokens
+			}
+		}
+		c.fetch, c.found, c.tokens = make([]netip.AddrPort, len(j.call.Parts)), make([]bool, len(j.call.Parts)), make([]int, len(j.call.Parts))
+		for k, at := range plan {
+			c.found[k], c.tokens[k] = needs[k].Held, shared[k].Tokens
+			if at != route.Compute {
+				c.fetch[k] = from[k][at]
+				if !needs[k].Held {
+					c.moved += shared[k].Tokens
+				}
 			}
-			seats = append(seats, e.offer(j, to, s))
-			ends = append(ends, to)
 		}
-		if len(seats) > 0 || unfit == 0 {
-			break
+		c.compute, c.ahead = compute+own, s.awaited+e.config.View.Others(to.ID)
+		bids[i] = route.Bid{ID: to.ID, Ahead: float64(c.ahead), Compute: compute, Fresh: fresh, Own: own, Fetch: fetch, Slow: 1}
+		c.plain = bids[i].First(engine)
+		if s.slow > 0 {
+			bids[i].Slow = s.slow
 		}
-	}
-	if len(seats) == 0 {
-		if full > 0 {
-			return nil, j.giveUp(whyFull, max(time.Until(soonest), fullRetry))
+		if c.version < want {
+			bids[i].Penalty += oldPenalty
 		}
-		return nil, j.giveUp(whyNoneLeft, fullRetry)
+		choices[i] = c
 	}
-	at := 0
-	if shared := j.call.Shared(); j.route.Prompts && len(shared) > 0 {
-		at = route.Gather(shared[len(shared)-1].ID, seats)
-	} else {
-		at = route.Scatter(draw(j.call.ID+strconv.Itoa(len(j.tried))), seats)
+	subject := j.call.Parts[len(j.call.Parts)-1].ID
+	if len(shared) > 0 {
+		subject = shared[len(shared)-1].ID
 	}
-	to := ends[at]
-	s := e.seat(to)
-	s.flying++
-	s.grade.Sent(now)
-	j.tried = append(j.tried, to.ID)
-	return to, nil
+	return choices[route.Soonest(subject, engine, bids)]
 }
 
-// offer describes an endpoint to the decision; the caller holds mu.
-func (e *Entry) offer(j *job, to *member.Endpoint, s *seat) route.Seat {
-	offer := route.Seat{ID: to.ID, Load: float64(s.flying), Near: to.Place == e.config.Place}
-	if to.Cold > 0 {
-		offer.Penalty += coldPenalty
+// whereAll returns the holders of each shared part under a salt.
+func (e *Entry) whereAll(salt string, version uint64, shared []Part) [][]block.Holder {
+	held := make([][]block.Holder, len(shared))
+	if version == 0 {
+		return held
+	}
+	for i, p := range shared {
+		name := block.PartName(salt, p.ID)
+		held[i] = e.config.View.Where(name)
+		e.config.View.Use(name)
 	}
-	if m := j.call.Model; m != "" {
-		if want := e.config.View.View().Weights[m].Version; want > 0 && s.version(to, m) < want {
-			offer.Penalty += oldPenalty
+	return held
+}
+
+// source describes a holder to the decision; it reports false where the address is neither
+// a store nor an engine that can be relied on.
+func (e *Entry) source(at netip.AddrPort, set *board.Set, list *member.List, place string, bandwidth float64) (route.Source, bool) {
+	for _, p := range set.Stores() {
+		if s := p.Store; s.Addr == at {
+			return route.Source{Bandwidth: s.Bandwidth, Delay: s.Delay, Far: s.Place != place, Queued: e.queued(at)}, true
 		}
 	}
-	return offer
+	engine := list.At(at)
+	if engine == nil || engine.Loading || engine.Down || !e.seat(engine).grade.Fit(time.Now()) {
+		return route.Source{}, false
+	}
+	return route.Source{Bandwidth: bandwidth, Delay: engineDelay, Far: engine.Place != place, Queued: e.queued(at), Risky: true}, true
+}
+
+// queued returns the tokens that are to be read from a source, as far as is known.
+func (e *Entry) queued(at netip.AddrPort) int {
+	return e.links[at] + e.config.View.Others(at.String())
+}
+
+// engineDelay is what reading from another engine takes beside the transfer.
+const engineDelay = 5 * time.Millisecond
+
+// saltOf keeps apart the kept context of versions of the weights and of isolated accounts.
+func saltOf(version uint64, j *job) string {
+	if j.isolated {
+		return block.Salt(version, j.account)
+	}
+	return block.Salt(version, "")
+}
+
+// rate returns the prompt tokens a second that engines of a pool compute; the caller holds mu.
+func (e *Entry) rate(pool string) float64 {
+	if r := e.rates[pool]; r > 0 {
+		return r
+	}
+	return startRate
 }
 
 // version returns the weights that an endpoint is believed to have.
@@ -114,75 +256,79 @@
 	}
 }
 
-// compose makes the attempt's request: which weights, under which salt, what to fetch and save.
-func (e *Entry) compose(j *job, to *member.Endpoint, after string) *Send {
+// link adds the tokens that a choice reads to its sources' links, or takes them off; the
+// caller holds mu.
+func (e *Entry) link(c *choice, sign int) {
+	for i, at := range c.fetch {
+		if !at.IsValid() || c.found[i] {
+			continue
+		}
+		if e.links[at] += sign * c.tokens[i]; e.links[at] <= 0 {
+			delete(e.links, at)
+		}
+	}
+}
+
+// compose makes the attempt's request.
+func (e *Entry) compose(j *job, c *choice, after string) *Send {
 	now := time.Now()
-	s := &Send{Call: j.call, To: to, Account: j.account, Left: j.deadline.Sub(now), Rank: j.rank, After: after}
+	s := &Send{Call: j.call, To: c.to, Account: j.account, Left: j.deadline.Sub(now) - workMargin, Rank: j.rank, After: after}
 	if len(j.call.Parts) == 0 {
 		return s
 	}
-	e.mu.Lock()
-	s.Version = e.seat(to).version(to, j.call.Model)
-	e.mu.Unlock()
-	j.version = s.Version
-	s.Salt = block.Salt(s.Version, "")
-	if j.isolated {
-		s.Salt = block.Salt(s.Version, j.account)
-	}
+	j.version, j.fetched, j.saved = c.version, c.moved, 0
+	s.Version, s.Salt, s.Fetch = c.version, c.salt, c.fetch
 	if s.Version > 0 {
-		e.reuse(j, s, now)
+		e.save(j, s, now)
 	}
+	if ms := e.config.View.EngineClock(clock.Now()); ms > 0 {
+		s.Until = ms + ctrl.FetchTime.Milliseconds()
+	}
+	e.meters.reuse("moved", c.moved)
+	e.meters.reuse("computed", c.compute)
+	e.meters.reuse("found", j.call.Tokens()-c.moved-c.compute)
 	return s
 }
 
-// reuse names the stores to fetch shared parts from and to save them to.
-func (e *Entry) reuse(j *job, s *Send, now time.Time) {
-	shared := j.call.Shared()
-	s.Fetch = make([]netip.AddrPort, len(j.call.Parts))
-	s.Save = make([]netip.AddrPort, len(j.call.Parts))
+// workMargin is how much earlier than this entry an endpoint gives up, so that its word of
+// whether it has run the request arrives in time.
+const workMargin = 10 * time.Millisecond
+
+// save names the stores to save shared parts to that lie in none.
+func (e *Entry) save(j *job, s *Send, now time.Time) {
 	stores := j.set.Stores()
-	j.fetched, j.saved = 0, 0
-	for i, p := range shared {
+	s.Save = make([]netip.AddrPort, len(j.call.Parts))
+	for i, p := range j.call.Shared() {
 		name := block.PartName(s.Salt, p.ID)
-		if held := e.config.View.Where(name); len(held) > 0 {
-			s.Fetch[i] = nearest(held, stores, e.config.Place)
-			j.fetched += p.Tokens
-			e.config.View.Use(name)
+		if slices.ContainsFunc(e.config.View.Where(name), func(h block.Holder) bool { return isStore(h.Store, stores) }) {
 			continue
 		}
-		if at := home(name, stores); at >= 0 && e.config.View.Open(stores[at].Store.Addr) && e.claimSave(name, now) {
-			s.Save[i] = stores[at].Store.Addr
+		if at, ok := e.home(name, stores); ok && e.claimSave(name, now) {
+			s.Save[i] = at
 			j.saved += p.Tokens
 		}
 	}
-	if clockNow := e.config.View.EngineClock(clock.Now()); clockNow > 0 {
-		s.Until = clockNow + ctrl.FetchTime.Milliseconds()
-	} else {
-		// Without the engines' clock a fetch can't be bounded.
-		clear(s.Fetch)
-	}
-	e.meters.reuse("store", j.fetched)
-	e.meters.reuse("other", j.call.Tokens()-j.fetched)
 }
 
-// nearest prefers a store of the endpoint's own data centre.
-func nearest(held []block.Holder, stores []*board.Pool, place string) netip.AddrPort {
-	for _, h := range held {
-		for _, s := range stores {
-			if s.Store.Addr == h.Store && s.Store.Place == place {
-				return h.Store
-			}
-		}
-	}
-	return held[0].Store
+func isStore(at netip.AddrPort, stores []*board.Pool) bool {
+	return slices.ContainsFunc(stores, func(p *board.Pool) bool { return p.Store.Addr == at })
 }
 
-func home(name string, stores []*board.Pool) int {
-	ids, capacities := make([]string, len(stores)), make([]int, len(stores))
-	for i, s := range stores {
-		ids[i], capacities[i] = s.Name, s.Store.Tokens
+// home returns the store that a new part is saved to, among those that take any.
+func (e *Entry) home(name string, stores []*board.Pool) (netip.AddrPort, bool) {
+	shelves := make([]route.Shelf, 0, len(stores))
+	addrs := make([]netip.AddrPort, 0, len(stores))
+	for _, p := range stores {
+		if e.config.View.Open(p.Store.Addr) {
+			shelves = append(shelves, route.Shelf{ID: p.Name, Capacity: p.Store.Tokens, Bandwidth: p.Store.Bandwidth})
+			addrs = append(addrs, p.Store.Addr)
+		}
+	}
+	at := route.Home(name, shelves)
+	if at < 0 {
+		return netip.AddrPort{}, false
 	}
-	return route.Home(name, ids, capacities)
+	return addrs[at], true
 }
 
 // claimSave reports whether this request should save a part; others leave it alone for a while.
--- a/pass/relay.go
+++ b/pass/relay.go
@@ -21,6 +21,8 @@
 	sent int
 	// gone is set when the caller takes no more bytes.
 	gone bool
+	// first is called with each answer's first event.
+	first func()
 }
 
 func newRelay(w http.ResponseWriter, stream bool) *relay { return &relay{w: w, stream: stream} }
@@ -90,9 +92,14 @@
 func (r *relay) events(reply *Reply, first *time.Time) error {
 	var held []byte
 	buf := make([]byte, 4<<10)
+	came := false
 	for {
 		n, err := reply.Body.Read(buf)
 		held = append(held, buf[:n]...)
+		if n > 0 && !came && r.first != nil {
+			came = true
+			r.first()
+		}
 		if end := bytes.LastIndex(held, eventEnd); end >= 0 {
 			end += len(eventEnd)
 			if first.IsZero() {
--- a/route/seat.go
+++ b/route/seat.go
@@ -88,19 +88,37 @@
 	return x ^ x>>33
 }
 
-// Home returns the store that keeps a part: the highest by rendezvous, weighted by capacity.
-// Every entry names the same one. It returns -1 when there is none.
-func Home(part string, ids []string, capacities []int) int {
+// Shelf is a store that takes new parts.
+type Shelf struct {
+	ID        string
+	Capacity  int
+	Bandwidth float64
+}
+
+// Home returns the store that a new part is saved to: of the fastest ones that still take
+// parts, the highest by rendezvous, weighted by capacity. Every entry names the same one.
+// It returns -1 when there is none.
+//
+// It answers the pattern of few fast stores beside large slow ones: what is asked for first
+// is asked for most, and fills the fast ones.
+func Home(part string, shelves []Shelf) int {
+	fastest := 0.0
+	for _, s := range shelves {
+		fastest = max(fastest, s.Bandwidth)
+	}
 	best, top := -1, 0.0
-	for i, c := range capacities {
-		if c <= 0 {
+	for i, s := range shelves {
+		if s.Capacity <= 0 || s.Bandwidth < fastest/tierFactor {
 			continue
 		}
-		// Weighted rendezvous: the least exponential draw of rate c wins.
-		u := (float64(rendezvous(part, ids[i])>>11) + 1) / (1 << 53)
-		if score := -float64(c) / math.Log(u); best < 0 || score > top {
+		// Weighted rendezvous: the least exponential draw of that rate wins.
+		u := (float64(rendezvous(part, s.ID)>>11) + 1) / (1 << 53)
+		if score := -float64(s.Capacity) / math.Log(u); best < 0 || score > top {
 			best, top = i, score
 		}
 	}
 	return best
 }
+
+// tierFactor is how much slower than the fastest a store of the same tier may be.
+const tierFactor = 1.5
