Let work that can be on time go first, and refuse hopeless work at once

Ruled out: refusing all that would be late: it could still be served. Change: limit.Admit decides by predicted first token: on time, late (sent with a lower urgency, behind all that can be on time) or hopeless (refused at once, with the time at which the backlog has shrunk). Entries share their work by level, so that urgent requests see only what goes before them.

--- a/board/board.go
+++ b/board/board.go
@@ -57,6 +57,9 @@
 	Goal time.Duration
 	// Gap is the longest pause between events of an answer that is on time.
 	Gap time.Duration
+	// Patience is how long callers wait for the next event, the first included, before they
+	// leave; zero means to the end.
+	Patience time.Duration
 	// Rank orders requests by urgency; 0 is the most urgent.
 	Rank int
 	// Attempts bounds the endpoints that may run one client attempt.
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -238,7 +238,7 @@
 func (e *Entry) served(j *job, to *member.Endpoint, reply *Reply) {
 	first := j.first.Sub(j.call.Arrived)
 	e.config.Events.Emit(event.Served, "id", j.call.ID, "route", j.route.Name, "endpoint", to.ID, "status", reply.Status, "tried", len(j.tried),
-		"first", first.Milliseconds(), "took", time.Since(j.call.Arrived).Milliseconds(), "fetched", j.fetched, "saved", j.saved, "weights", j.version)
+		"first", first.Milliseconds(), "took", time.Since(j.call.Arrived).Milliseconds(), "fetched", j.fetched, "saved", j.saved, "weights", j.version, "level", j.level, "expected", j.expected.Milliseconds())
 	e.meters.outcome(j.route.Name, "served")
 	e.meters.first(j.route.Kind.String(), first)
 }
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/fnv"
 	"net/netip"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -90,8 +91,8 @@
 type seat struct {
 	born   int64
 	flying int
-	// awaited is the prompt tokens sent whose first token has not come.
-	awaited int
+	// awaited is the prompt tokens sent whose first token has not come, by level of urgency.
+	awaited [limit.Levels]int
 	// slow is how much longer first tokens took of late than predicted; zero before the first.
 	slow  float64
 	grade member.Grade
@@ -252,8 +253,10 @@
 	defer e.mu.Unlock()
 	work := map[string]int{}
 	for id, s := range e.seats {
-		if s.awaited > 0 {
-			work[id] = s.awaited
+		for level, tokens := range s.awaited {
+			if tokens > 0 {
+				work[workKey(id, level)] = tokens
+			}
 		}
 	}
 	for at, tokens := range e.links {
@@ -262,6 +265,19 @@
 	return work
 }
 
+// workKey names the work at one level of urgency of an endpoint.
+func workKey(id string, level int) string { return id + "/" + strconv.Itoa(level) }
+
+// ahead returns the prompt tokens that an endpoint computes before a request of a level; the
+// caller holds mu.
+func (e *Entry) ahead(id string, s *seat, level int) int {
+	sum := 0
+	for l := range level + 1 {
+		sum += s.awaited[l] + e.config.View.Others(workKey(id, l))
+	}
+	return sum
+}
+
 // seat returns the record of an endpoint; the caller holds mu.
 func (e *Entry) seat(to *member.Endpoint) *seat {
 	s, ok := e.seats[to.ID]
--- a/pass/learn.go
+++ b/pass/learn.go
@@ -27,7 +27,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := e.seat(c.to)
-	s.awaited = max(s.awaited-c.compute, 0)
+	s.awaited[c.level] = max(s.awaited[c.level]-c.compute, 0)
 	e.link(c, -1)
 	if !came {
 		return
--- a/pass/place.go
+++ b/pass/place.go
@@ -10,6 +10,7 @@
 	"egretshunt/board"
 	"egretshunt/clock"
 	"egretshunt/ctrl"
+	"egretshunt/limit"
 	"egretshunt/member"
 	"egretshunt/route"
 )
@@ -39,7 +40,10 @@
 	compute, moved int
 	// plain is the predicted time to the first token of an endpoint as fast as others.
 	plain time.Duration
+	// first is the predicted time to the first token.
+	first time.Duration
 	ahead int
+	level int
 	// settled is set once the first token has come, or can't any more.
 	settled bool
 }
@@ -65,13 +69,16 @@
 	}
 	var c *choice
 	if j.route.Prompts && len(j.call.Parts) > 0 {
-		c = e.gather(j, list, able)
+		var f *failure
+		if c, f = e.gather(j, list, able, now); f != nil {
+			return nil, f
+		}
 	} else {
 		c = e.scatter(j, able)
 	}
 	s := e.seat(c.to)
 	s.flying++
-	s.awaited += c.compute
+	s.awaited[c.level] += c.compute
 	e.link(c, 1)
 	s.grade.Sent(now)
 	j.tried = append(j.tried, c.to.ID)
@@ -115,8 +122,31 @@
 	return &choice{to: able[route.Scatter(draw(j.call.ID+strconv.Itoa(len(j.tried))), seats)]}
 }
 
-// gather chooses for a prompt; the caller holds mu.
-func (e *Entry) gather(j *job, list *member.List, able []*member.Endpoint) *choice {
+// gather chooses for a prompt and admits it; the caller holds mu.
+func (e *Entry) gather(j *job, list *member.List, able []*member.Endpoint, now time.Time) (*choice, *failure) {
+	elapsed := now.Sub(j.call.Arrived)
+	times := limit.Times{Goal: j.route.Goal - elapsed, Patience: j.deadline.Sub(now)}
+	if p := j.route.Patience; p > 0 {
+		times.Patience = min(times.Patience, p-elapsed)
+	}
+	onTime := limit.Level(j.rank, false)
+	c := e.soonest(j, list, able, onTime)
+	times.First, times.LateFirst = c.first, c.first
+	if admission, _ := limit.Admit(times); admission == limit.OnTime {
+		return c, nil
+	}
+	c = e.soonest(j, list, able, limit.Level(j.rank, true))
+	times.LateFirst = c.first
+	admission, back := limit.Admit(times)
+	if admission == limit.Hopeless && j.runs == 0 {
+		return nil, refuse(whyBacklog, back)
+	}
+	return c, nil
+}
+
+// soonest chooses the endpoint with the soonest first token for a level of urgency; the
+// caller holds mu.
+func (e *Entry) soonest(j *job, list *member.List, able []*member.Endpoint, level int) *choice {
 	engine := route.Engine{Rate: e.rate(j.pool)}
 	bandwidth := 0.0
 	if p := j.set.Pool(j.pool); p != nil && p.Engine != nil {
@@ -169,7 +199,7 @@
 				}
 			}
 		}
-		c.compute, c.ahead = compute+own, s.awaited+e.config.View.Others(to.ID)
+		c.compute, c.ahead, c.level = compute+own, e.ahead(to.ID, s, level), level
 		bids[i] = route.Bid{ID: to.ID, Ahead: float64(c.ahead), Compute: compute, Fresh: fresh, Own: own, Fetch: fetch, Slow: 1}
 		c.plain = bids[i].First(engine)
 		if s.slow > 0 {
@@ -184,7 +214,9 @@
 	if len(shared) > 0 {
 		subject = shared[len(shared)-1].ID
 	}
-	return choices[route.Soonest(subject, engine, bids)]
+	at := route.Soonest(subject, engine, bids)
+	choices[at].first = bids[at].First(engine)
+	return choices[at]
 }
 
 // whereAll returns the holders of each shared part under a salt.
@@ -272,11 +304,11 @@
 // compose makes the attempt's request.
 func (e *Entry) compose(j *job, c *choice, after string) *Send {
 	now := time.Now()
-	s := &Send{Call: j.call, To: c.to, Account: j.account, Left: j.deadline.Sub(now) - workMargin, Rank: j.rank, After: after}
+	s := &Send{Call: j.call, To: c.to, Account: j.account, Left: j.deadline.Sub(now) - workMargin, Rank: c.level, After: after}
 	if len(j.call.Parts) == 0 {
 		return s
 	}
-	j.version, j.fetched, j.saved = c.version, c.moved, 0
+	j.version, j.fetched, j.saved, j.level, j.expected = c.version, c.moved, 0, c.level, c.first
 	s.Version, s.Salt, s.Fetch = c.version, c.salt, c.fetch
 	if s.Version > 0 {
 		e.save(j, s, now)
--- a/pass/serve.go
+++ b/pass/serve.go
@@ -47,6 +47,9 @@
 	// fetched and computed are the prompt's tokens by where they were expected.
 	fetched, saved int
 	version        uint64
+	// level is the urgency given to the engine, expected the predicted time to the first token.
+	level    int
+	expected time.Duration
 }
 
 // Serve answers one call on w.
