--- a/ctrl/chief.go
+++ b/ctrl/chief.go
@@ -537,8 +537,10 @@
 		return
 	}
 	out := slices.Clone(r.listed)
+	votes, entries := r.Bad()
 	for i := range out {
 		e := &out[i]
+		e.Down = member.Condemned(votes[e.ID], entries)
 		e.Loading = r.given[e.ID].busy
 		for model, version := range r.has[e.ID] {
 			if version > e.Weights[model] {
--- a/member/grade.go
+++ b/member/grade.go
@@ -90,3 +90,15 @@
 		g.trial = true
 	}
 }
+
+// condemnVotes is how many entries must judge an endpoint unfit for all others to believe it.
+const condemnVotes = 2
+
+// Condemned reports whether an endpoint that some of the entries judge unfit is taken to be
+// so by all: a single one may be cut off from it.
+//
+// It answers the pattern of endpoints that fall silent: each entry would lose requests to
+// them until it had found out by itself.
+func Condemned(votes, entries int) bool {
+	return votes >= condemnVotes && 3*votes >= entries
+}
--- a/pass/place.go
+++ b/pass/place.go
@@ -21,7 +21,7 @@
 	// coldPenalty is the load that an endpoint still warming up counts for, in requests.
 	coldPenalty = 4
 	// savingTime is how long a part that a request is to save is not saved by another.
-	savingTime = 3 * time.Second
+	savingTime = time.Second
 	// startRate is how many prompt tokens a second an engine is taken to compute before any was seen to.
 	startRate = 40000
 )
