Let new subjects stick harder to their home

Cause: a part asked for again before it is known to be kept was computed at several endpoints at once. Change: each rank below the subject's home counts 1.5 times the computing time of parts kept nowhere (0.5 before).

--- a/route/predict.go
+++ b/route/predict.go
@@ -126,7 +126,7 @@
 	// maxHomeSteps bounds how many of them count.
 	maxHomeSteps = 4
 	// freshShare is the share of the time to compute parts that are kept nowhere that is added for each rank.
-	freshShare = 0.5
+	freshShare = 1.5
 )
 
 // First predicts the time to the first token.
