Close a store while its largest part still fits, and find what takes its room

Change: a store closes while two parts of the largest size still fit; it is asked each two seconds how full it is; if unknown parts take its room for long it is listed anew, and what broke off is freed; a part that does not appear where it was saved is saved elsewhere.

--- a/block/shelf.go
+++ b/block/shelf.go
@@ -32,6 +32,12 @@
 }
 
 const (
+	// strayTime is how long room may be taken up by unknown parts before they are looked for;
+	// above the time that writing a part takes on a slow link.
+	strayTime = 4 * time.Second
+	// roomParts is how many parts of the largest size seen must fit into a store that takes parts:
+	// several entries save at once, and what finds no room is lost.
+	roomParts = 2
 	// shelfFull is the share of a store's capacity at which it takes no more parts.
 	shelfFull = 0.94
 	// shelfHigh is the share of a store's capacity above which parts are freed.
@@ -56,6 +62,15 @@
 	open  bool
 	parts map[string]*shelved
 	sum   int
+	// used is the room taken up as the store tells it: parts that broke off and parts whose
+	// events were lost take room too.
+	used int
+	// astray is since when used has been well above sum; zero while it is not.
+	astray time.Duration
+	// partial are the parts that were unfinished when the store was last listed.
+	partial map[string]time.Duration
+	// largest is the size of the largest part seen.
+	largest int
 }
 
 type shelved struct {
@@ -80,6 +95,39 @@
 	return []Part{{Store: s.config.Store}}
 }
 
+// Use notes the room that a store says is taken up, and reports whether it should be listed
+// anew to find what takes it.
+func (s *Shelf) Use(tokens int, now time.Duration) bool {
+	s.used = tokens
+	if tokens <= s.sum+roomParts*s.largest {
+		s.astray = 0
+		return false
+	}
+	if s.astray == 0 {
+		s.astray = now
+	}
+	return now-s.astray >= strayTime
+}
+
+// Unfinished takes the parts that a listing shows as unfinished and returns those that have
+// been so for long: their writer broke off, and they only take up room.
+func (s *Shelf) Unfinished(names []string, now time.Duration) []string {
+	next := map[string]time.Duration{}
+	var broken []string
+	for _, name := range names {
+		since, ok := s.partial[name]
+		if !ok {
+			since = now
+		}
+		next[name] = since
+		if now-since >= strayTime {
+			broken = append(broken, name)
+		}
+	}
+	s.partial, s.astray = next, 0
+	return broken
+}
+
 // Known reports whether the store's content is known.
 func (s *Shelf) Known() bool { return s.known }
 
@@ -104,6 +152,7 @@
 		}
 		s.parts[h.Name] = part
 		s.sum += rounded(h.Tokens)
+		s.largest = max(s.largest, h.Tokens)
 		if part.withdrawn == 0 {
 			changes = append(changes, Part{Store: s.config.Store, Name: h.Name, Tokens: h.Tokens})
 		}
@@ -125,6 +174,7 @@
 		case !e.Gone && !ok:
 			s.parts[e.Name] = &shelved{tokens: e.Tokens, used: now}
 			s.sum += rounded(e.Tokens)
+			s.largest = max(s.largest, e.Tokens)
 			changes = append(changes, Part{Store: s.config.Store, Name: e.Name, Tokens: e.Tokens})
 		}
 	}
@@ -141,7 +191,9 @@
 	if !s.known || now < s.opens {
 		return false, false
 	}
-	open = float64(s.sum) < shelfFull*float64(s.config.Tokens)
+	held := max(s.sum, s.used)
+	room := s.config.Tokens - held
+	open = float64(held) < shelfFull*float64(s.config.Tokens) && room > roomParts*s.largest
 	changed = open != s.open
 	s.open = open
 	return open, changed
@@ -160,7 +212,7 @@
 	}
 	var changes []Part
 	var candidates []candidate
-	left := s.sum
+	left := max(s.sum, s.used)
 	withdraw := func(c candidate) {
 		c.part.withdrawn = now
 		left -= rounded(c.part.tokens)
--- a/ctrl/chief.go
+++ b/ctrl/chief.go
@@ -28,6 +28,8 @@
 	Held(ctx context.Context, s *board.Store) (Holding, error)
 	// Changes waits for changes in a store or engine after a position of its present run.
 	Changes(ctx context.Context, at netip.AddrPort, since int64) (Changes, error)
+	// Room asks a store how many tokens its parts take up, finished or not.
+	Room(ctx context.Context, s *board.Store) (tokens int, err error)
 	// Free frees parts in a run of a store, until a moment on the engines' clock.
 	Free(ctx context.Context, s *board.Store, epoch, until int64, names []string) error
 	// Order tells an engine to load weights; it returns true once the engine has them.
@@ -40,6 +42,8 @@
 type Holding struct {
 	Epoch, Next int64
 	Parts       []block.Held
+	// Unfinished parts are being written, or their writer broke off.
+	Unfinished []string
 }
 
 // Changes are events of a store.
@@ -108,6 +112,8 @@
 	storePause = 100 * time.Millisecond
 	// withdrawTime is how often a store's content is looked over.
 	withdrawTime = 500 * time.Millisecond
+	// roomTime is how often a store is asked how full it is.
+	roomTime = 2 * time.Second
 	// freeSpan bounds when a store may carry out a call to free parts, on the engines' clock.
 	freeSpan = 300 * time.Millisecond
 	// maxFree bounds the parts freed by one call.
@@ -300,6 +306,7 @@
 	defer func() { r.Keep(shelf.Lose()) }()
 	var next int64
 	looked := clock.Now()
+	measured := looked
 	for ctx.Err() == nil {
 		if !r.leads() {
 			r.rest(ctx)
@@ -332,9 +339,39 @@
 		if now-looked >= withdrawTime {
 			looked = now
 			r.Keep(shelf.Withdraw(now, r.current(), r.Used()))
-			r.free(ctx, s, shelf)
+			r.free(ctx, s, shelf, shelf.Free(now))
 		}
+		if now-measured >= roomTime {
+			measured = now
+			r.measure(ctx, s, shelf)
+		}
+	}
+}
+
+// measure compares what a store holds with what is known of it, and looks for what is not.
+func (r *reign) measure(ctx context.Context, s *board.Store, shelf *block.Shelf) {
+	call, cancel := context.WithTimeout(ctx, outsideTime)
+	defer cancel()
+	tokens, err := r.chief.config.Outside.Room(call, s)
+	if err != nil {
+		// The next wait for changes shows whether the store is gone.
+		r.chief.config.Events.Emit(event.OrderBad, "store", s.Addr, "duty", "room", "err", err)
+		return
+	}
+	if !shelf.Use(tokens, clock.Now()) {
+		return
+	}
+	h, err := r.chief.config.Outside.Held(call, s)
+	if err != nil || h.Epoch != shelf.Epoch() {
+		return
+	}
+	now := clock.Now()
+	var lost []block.Event
+	for _, part := range h.Parts {
+		lost = append(lost, block.Event{Held: part})
 	}
+	r.Keep(shelf.Take(lost, now))
+	r.free(ctx, s, shelf, shelf.Unfinished(h.Unfinished, now))
 }
 
 func (r *reign) rest(ctx context.Context) {
@@ -396,9 +433,8 @@
 	}
 }
 
-// free frees what was withdrawn long enough ago.
-func (r *reign) free(ctx context.Context, s *board.Store, shelf *block.Shelf) {
-	names := shelf.Free(clock.Now())
+// free frees parts that nobody reads any more.
+func (r *reign) free(ctx context.Context, s *board.Store, shelf *block.Shelf, names []string) {
 	ahead := r.engineClock.Load()
 	if len(names) == 0 || ahead == 0 || !r.leads() {
 		return
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -68,14 +68,22 @@
 	mu      sync.Mutex
 	seats   map[string]*seat
 	budgets map[string]*limit.Repeats
-	// saving holds parts that a request was told to save, and until when no other is.
-	saving map[string]time.Time
+	// saving holds parts that a request was told to save.
+	saving map[string]saving
 	// rates are the prompt tokens a second that engines of a pool were seen to compute.
 	rates map[string]float64
 	// links are the tokens that requests under way are to read from each source.
 	links map[netip.AddrPort]int
 }
 
+// saving is a part that a request was told to save.
+type saving struct {
+	// until is when another request may be told to.
+	until time.Time
+	// tried are the stores in which it has not appeared.
+	tried []netip.AddrPort
+}
+
 // adopted is a table set with the document it was read from.
 type adopted struct {
 	document *ctrl.Document
@@ -118,7 +126,7 @@
 		c.Metrics = metrics.NewSet()
 	}
 	e := &Entry{
-		config: c, meters: newMeters(c.Metrics), seats: map[string]*seat{}, budgets: map[string]*limit.Repeats{}, saving: map[string]time.Time{},
+		config: c, meters: newMeters(c.Metrics), seats: map[string]*seat{}, budgets: map[string]*limit.Repeats{}, saving: map[string]saving{},
 		rates: map[string]float64{}, links: map[netip.AddrPort]int{},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -159,8 +167,8 @@
 			delete(e.seats, id)
 		}
 	}
-	for name, until := range e.saving {
-		if now.After(until) {
+	for name, s := range e.saving {
+		if now.Sub(s.until) > savingAge {
 			delete(e.saving, name)
 		}
 	}
--- a/pass/place.go
+++ b/pass/place.go
@@ -22,6 +22,8 @@
 	coldPenalty = 4
 	// savingTime is how long a part that a request is to save is not saved by another.
 	savingTime = time.Second
+	// savingAge is how long it is remembered where a part was saved without appearing there.
+	savingAge = 10 * time.Second
 	// startRate is how many prompt tokens a second an engine is taken to compute before any was seen to.
 	startRate = 40000
 )
@@ -335,7 +337,7 @@
 		if slices.ContainsFunc(e.config.View.Where(name), func(h block.Holder) bool { return isStore(h.Store, stores) }) {
 			continue
 		}
-		if at, ok := e.home(name, stores); ok && e.claimSave(name, now) {
+		if at, ok := e.claimSave(name, stores, now); ok {
 			s.Save[i] = at
 			j.saved += p.Tokens
 		}
@@ -346,30 +348,29 @@
 	return slices.ContainsFunc(stores, func(p *board.Pool) bool { return p.Store.Addr == at })
 }
 
-// home returns the store that a new part is saved to, among those that take any.
-func (e *Entry) home(name string, stores []*board.Pool) (netip.AddrPort, bool) {
-	shelves := make([]route.Shelf, 0, len(stores))
-	addrs := make([]netip.AddrPort, 0, len(stores))
+// claimSave returns the store that a new part is saved to, among those that take any; none
+// while another request has been told to save it. A part that did not appear where it was
+// saved is tried elsewhere.
+func (e *Entry) claimSave(name string, stores []*board.Pool, now time.Time) (netip.AddrPort, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	old := e.saving[name]
+	if now.Before(old.until) {
+		return netip.AddrPort{}, false
+	}
+	var shelves []route.Shelf
+	var addrs []netip.AddrPort
 	for _, p := range stores {
-		if e.config.View.Open(p.Store.Addr) {
+		if e.config.View.Open(p.Store.Addr) && !slices.Contains(old.tried, p.Store.Addr) {
 			shelves = append(shelves, route.Shelf{ID: p.Name, Capacity: p.Store.Tokens, Bandwidth: p.Store.Bandwidth})
 			addrs = append(addrs, p.Store.Addr)
 		}
 	}
 	at := route.Home(name, shelves)
 	if at < 0 {
+		delete(e.saving, name)
 		return netip.AddrPort{}, false
 	}
+	e.saving[name] = saving{until: now.Add(savingTime), tried: append(slices.Clone(old.tried), addrs[at])}
 	return addrs[at], true
 }
-
-// claimSave reports whether this request should save a part; others leave it alone for a while.
-func (e *Entry) claimSave(name string, now time.Time) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if until, ok := e.saving[name]; ok && now.Before(until) {
-		return false
-	}
-	e.saving[name] = now.Add(savingTime)
-	return true
-}
