--- a/route/predict.go
+++ b/route/predict.go
@@ -119,7 +119,7 @@
 
 const (
 	// copyCost is added where a part must be fetched or computed: each copy takes memory from others.
-	copyCost = 12 * time.Millisecond
+	copyCost = 40 * time.Millisecond
 	// homeStep is added for each rank below the subject's first endpoint, so that a new subject
 	// has the same one at every entry.
 	homeStep = 2 * time.Millisecond
