--- a/route/predict.go
+++ b/route/predict.go
@@ -1,6 +1,9 @@
 package route
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Source is a place that kept context can be read from.
 type Source struct {
@@ -148,16 +151,19 @@
 	for i, b := range bids {
 		ranks[i] = rendezvous(subject, b.ID)
 	}
+	top := slices.Clone(ranks)
+	slices.Sort(top)
+	top = top[max(len(top)-maxHomeSteps, 0):]
 	best, least := -1, time.Duration(0)
 	for i, b := range bids {
 		above := 0
-		for _, r := range ranks {
+		for _, r := range top {
 			if r > ranks[i] {
 				above++
 			}
 		}
 		step := homeStep + time.Duration(freshShare*float64(b.Fresh)/e.Rate*float64(time.Second))
-		cost := b.First(e) + b.Penalty + time.Duration(min(above, maxHomeSteps))*step
+		cost := b.First(e) + b.Penalty + time.Duration(above)*step
 		if b.Compute > 0 || b.Fetch > 0 {
 			cost += copyCost + time.Duration((Recompute-1)*float64(b.Compute)/e.Rate*float64(time.Second))
 		}
