--- /dev/null
+++ b/board/board_test.go
@@ -0,0 +1,81 @@
+package board_test
+
+import (
+	"testing"
+	"time"
+
+	"egretshunt/board"
+	"egretshunt/check"
+)
+
+func draft() board.Draft {
+	return board.Draft{
+		Number: 3, Keyed: true,
+		Pools:    []board.Pool{{Name: "a"}, {Name: "b"}},
+		Accounts: []board.Account{{Name: "x", Keys: []string{"k1", "k2"}}, {Name: "y", Keys: []string{"k3"}}},
+		Routes: []board.Route{
+			{Name: "wide", Host: "h.example", Prefix: "/p/", Timeout: time.Second, Split: []board.Share{{Pool: "a", Weight: 1}}},
+			{Name: "deep", Host: "h.example", Prefix: "/p/q/", Timeout: time.Second, Split: []board.Share{{Pool: "a", Weight: 1}, {Pool: "b", Weight: 3}}},
+		},
+	}
+}
+
+func TestMatch(t *testing.T) {
+	s, err := board.New(draft())
+	check.Good(t, err)
+	for _, c := range []struct{ host, path, want string }{
+		{"h.example", "/p/x", "wide"},
+		{"H.Example", "/p/q/x", "deep"},
+		{"h.example", "/p/q", "wide"},
+		{"h.example", "/p", ""},
+		{"other.example", "/p/x", ""},
+	} {
+		t.Run(c.host+c.path, func(t *testing.T) {
+			got := ""
+			if r := s.Match(c.host, c.path); r != nil {
+				got = r.Name
+			}
+			check.Equal(t, "route", got, c.want)
+		})
+	}
+}
+
+func TestPickFollowsWeights(t *testing.T) {
+	s, err := board.New(draft())
+	check.Good(t, err)
+	counts := map[string]int{}
+	r := s.Match("h.example", "/p/q/")
+	for i := range 1000 {
+		counts[r.Pick(float64(i)/1000)]++
+	}
+	check.Equal(t, "shares", counts, map[string]int{"a": 250, "b": 750})
+}
+
+func TestInvalid(t *testing.T) {
+	for name, spoil := range map[string]func(d *board.Draft){
+		"unknown pool":         func(d *board.Draft) { d.Routes[0].Split[0].Pool = "z" },
+		"same place":           func(d *board.Draft) { d.Routes[1].Prefix = "/p/" },
+		"same place, any case": func(d *board.Draft) { d.Routes[1].Prefix, d.Routes[1].Host = "/p/", "H.EXAMPLE" },
+		"no weight":            func(d *board.Draft) { d.Routes[0].Split[0].Weight = 0 },
+		"no split":             func(d *board.Draft) { d.Routes[0].Split = nil },
+		"negative weight":      func(d *board.Draft) { d.Routes[1].Split[0].Weight = -1 },
+		"no time-out":          func(d *board.Draft) { d.Routes[0].Timeout = 0 },
+		"shared key":           func(d *board.Draft) { d.Accounts[1].Keys = []string{"k2"} },
+		"prefix without end":   func(d *board.Draft) { d.Routes[0].Prefix = "/p" },
+		"pool twice":           func(d *board.Draft) { d.Pools[1].Name = "a" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := draft()
+			spoil(&d)
+			_, err := board.New(d)
+			check.Kind(t, err, board.Invalid)
+		})
+	}
+}
+
+func TestAccount(t *testing.T) {
+	s, err := board.New(draft())
+	check.Good(t, err)
+	check.Equal(t, "holder", s.Account("k2").Name, "x")
+	check.Equal(t, "nobody", s.Account("k4") == nil, true)
+}
--- a/check/check.go
+++ b/check/check.go
@@ -3,11 +3,13 @@
 
 import (
 	"flag"
+	"net/netip"
 	"os"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"github.com/joomcode/errorx"
 )
 
@@ -20,7 +22,7 @@
 // Equal fails the test when got differs from want.
 func Equal(t T, what string, got, want any) {
 	t.Helper()
-	if d := cmp.Diff(want, got); d != "" {
+	if d := cmp.Diff(want, got, cmpopts.EquateComparable(netip.AddrPort{}, netip.Addr{})); d != "" {
 		t.Fatalf("%s (-want +got):\n%s", what, d)
 	}
 }
--- a/event/event.go
+++ b/event/event.go
@@ -70,21 +70,23 @@
 	if c.Out == nil {
 		return &Log{out: log.NewNopLogger()}
 	}
-	w := log.NewSyncWriter(c.Out)
-	var q *queue
-	if c.Queue > 0 {
-		q = newQueue(c.Out, c.Queue)
-		w = q
+	if c.Queue == 0 {
+		return &Log{out: c.logger(log.NewSyncWriter(c.Out))}
 	}
+	q := newQueue(c.Out, c.Queue)
+	l := &Log{out: c.logger(q), queue: q}
+	// What tells of dropped lines must not be dropped with them.
+	q.start(&Log{out: c.logger(c.Out)})
+	return l
+}
+
+// logger returns a logger in the format of c that writes to w.
+func (c Config) logger(w io.Writer) log.Logger {
 	l := log.NewLogfmtLogger(w)
 	if c.JSON {
 		l = log.NewJSONLogger(w)
 	}
-	made := &Log{out: log.With(l, "ts", log.DefaultTimestampUTC, "node", c.Node), queue: q}
-	if q != nil {
-		q.start(made)
-	}
-	return made
+	return log.With(l, "ts", log.DefaultTimestampUTC, "node", c.Node)
 }
 
 // Close writes what still waits, for at most a moment.
--- a/event/queue.go
+++ b/event/queue.go
@@ -33,8 +33,8 @@
 	return len(line), nil
 }
 
-// start writes lines in batches until the queue is closed.
-func (q *queue) start(l *Log) {
+// start writes lines in batches until the queue is closed; direct tells of those dropped.
+func (q *queue) start(direct *Log) {
 	go func() {
 		defer close(q.ended)
 		told, next := uint64(0), time.Now()
@@ -54,7 +54,7 @@
 			// A log line that can't be written has nowhere else to go.
 			_, _ = q.out.Write(batch)
 			if n := q.lines.Dropped(); n > told && time.Now().After(next) {
-				l.Emit(Dropped, "count", n-told)
+				direct.Emit(Dropped, "count", n-told)
 				told, next = n, time.Now().Add(reportTime)
 			}
 		}
--- /dev/null
+++ b/limit/admit_test.go
@@ -0,0 +1,110 @@
+package limit_test
+
+import (
+	"testing"
+	"time"
+
+	"egretshunt/check"
+	"egretshunt/limit"
+)
+
+func TestAdmit(t *testing.T) {
+	ms := time.Millisecond
+	for name, c := range map[string]struct {
+		times limit.Times
+		want  limit.Admission
+	}{
+		"idle":                  {limit.Times{Goal: 400 * ms, Patience: 2000 * ms, First: 50 * ms, LateFirst: 50 * ms}, limit.OnTime},
+		"urgent work ahead":     {limit.Times{Goal: 400 * ms, Patience: 2000 * ms, First: 500 * ms, LateFirst: 900 * ms}, limit.Late},
+		"others are in no way":  {limit.Times{Goal: 400 * ms, Patience: 2000 * ms, First: 100 * ms, LateFirst: 9000 * ms}, limit.OnTime},
+		"caller would leave":    {limit.Times{Goal: 400 * ms, Patience: 2000 * ms, First: 500 * ms, LateFirst: 2500 * ms}, limit.Hopeless},
+		"objective passed":      {limit.Times{Goal: -ms, Patience: 500 * ms, First: 10 * ms, LateFirst: 100 * ms}, limit.Late},
+		"patience nearly spent": {limit.Times{Goal: -ms, Patience: 50 * ms, First: 10 * ms, LateFirst: 100 * ms}, limit.Hopeless},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, back := limit.Admit(c.times)
+			check.Equal(t, "admission", got, c.want)
+			check.Equal(t, "told when to come back", back > 0, c.want == limit.Hopeless)
+		})
+	}
+}
+
+// admitAll replays arrivals at one engine in virtual time; each costs the same work. It
+// returns how many were answered on time, late and not at all.
+func admitAll(arrivals int, every, work, goal, patience time.Duration) (onTime, late, refused int) {
+	var urgent, rest time.Duration // work that waits, by lane
+	for range arrivals {
+		times := limit.Times{Goal: goal, Patience: patience, First: urgent + work, LateFirst: urgent + rest + work}
+		switch got, _ := limit.Admit(times); got {
+		case limit.OnTime:
+			urgent += work
+			onTime++
+		case limit.Late:
+			rest += work
+			late++
+		default:
+			refused++
+		}
+		left := every
+		done := min(left, urgent)
+		urgent -= done
+		rest -= min(left-done, rest)
+	}
+	return onTime, late, refused
+}
+
+// A burst of twice what the engine can do: half must stay on time, where first come, first
+// served would make all late.
+func TestBurstKeepsHalfOnTime(t *testing.T) {
+	onTime, late, refused := admitAll(1000, 10*time.Millisecond, 20*time.Millisecond, 400*time.Millisecond, 2*time.Second)
+	check.Equal(t, "about half on time", onTime > 480 && onTime < 540, true)
+	check.Equal(t, "the others are late or told so", late+refused, 1000-onTime)
+	check.Equal(t, "few are taken that can't be served", late < 150, true)
+}
+
+func TestNobodyIsRefusedBelowCapacity(t *testing.T) {
+	onTime, late, refused := admitAll(1000, 20*time.Millisecond, 18*time.Millisecond, 400*time.Millisecond, 2*time.Second)
+	check.Equal(t, "served", []int{onTime, late, refused}, []int{1000, 0, 0})
+}
+
+func TestLevel(t *testing.T) {
+	check.Equal(t, "late behind all that can be on time", limit.Level(0, true) > limit.Level(9, false), true)
+	check.Equal(t, "urgent first", limit.Level(0, false) < limit.Level(1, false), true)
+	for rank := -1; rank < 12; rank++ {
+		for _, late := range []bool{false, true} {
+			l := limit.Level(rank, late)
+			check.Equal(t, "within the engines' levels", l >= 0 && l < limit.Levels, true)
+		}
+	}
+}
+
+// All entries retry at once while everything fails: together they must stay below the bound.
+func TestRepeatsShareOneBound(t *testing.T) {
+	const entries, requests, ratio, slack = 6, 200, 0.2, 58.0
+	start := time.Unix(1000, 0)
+	total := 0
+	for range entries {
+		r := limit.NewRepeats(limit.RepeatConfig{Ratio: ratio, Slack: slack, Window: 10 * time.Second})
+		for i := range requests {
+			now := start.Add(time.Duration(i) * 50 * time.Millisecond)
+			r.Request(now)
+			for range 3 {
+				if r.Take(now, entries) {
+					total++
+				}
+			}
+		}
+	}
+	check.Equal(t, "below the bound", float64(total) <= ratio*entries*requests+slack, true)
+	check.Equal(t, "but used", float64(total) > 0.5*ratio*entries*requests, true)
+}
+
+func TestRepeatsForgetOldRequests(t *testing.T) {
+	r := limit.NewRepeats(limit.RepeatConfig{Ratio: 0.2, Slack: 0, Window: 10 * time.Second})
+	start := time.Unix(1000, 0)
+	for range 100 {
+		r.Request(start)
+	}
+	check.Equal(t, "at once", r.Take(start, 1), true)
+	check.Equal(t, "a window later", r.Take(start.Add(11*time.Second), 1), false)
+}
--- /dev/null
+++ b/route/predict_test.go
@@ -0,0 +1,121 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"egretshunt/check"
+	"egretshunt/route"
+)
+
+var engine = route.Engine{Rate: 50000, TokenBytes: 18432}
+
+var (
+	fast = route.Source{Bandwidth: 83e9, Delay: time.Millisecond}
+	slow = route.Source{Bandwidth: 33e9, Delay: 6 * time.Millisecond}
+)
+
+func TestFill(t *testing.T) {
+	congested := slow
+	congested.Queued = 1 << 22
+	crawling := route.Source{Bandwidth: 1e8}
+	for name, c := range map[string]struct {
+		needs   []route.Need
+		plan    []int
+		compute int
+	}{
+		"held":                 {[]route.Need{{Tokens: 9000, Held: true}}, []int{route.Compute}, 0},
+		"held, with a spare":   {[]route.Need{{Tokens: 9000, Held: true, Sources: []route.Source{slow}}}, []int{0}, 0},
+		"kept nowhere":         {[]route.Need{{Tokens: 9000}}, []int{route.Compute}, 9000},
+		"the faster store":     {[]route.Need{{Tokens: 9000, Sources: []route.Source{slow, fast}}}, []int{1}, 0},
+		"a queue is no reason": {[]route.Need{{Tokens: 9000, Sources: []route.Source{congested}}}, []int{0}, 0},
+		"but ranks sources":    {[]route.Need{{Tokens: 9000, Sources: []route.Source{congested, slow}}}, []int{1}, 0},
+		"a crawling link":      {[]route.Need{{Tokens: 9000, Sources: []route.Source{crawling}}}, []int{route.Compute}, 9000},
+		"held behind a gap":    {[]route.Need{{Tokens: 500}, {Tokens: 9000, Held: true}}, []int{route.Compute, route.Compute}, 9500},
+	} {
+		t.Run(name, func(t *testing.T) {
+			plan, _, compute := route.Fill(engine, c.needs)
+			check.Equal(t, "plan", plan, c.plan)
+			check.Equal(t, "compute", compute, c.compute)
+		})
+	}
+}
+
+func TestFarTakesLonger(t *testing.T) {
+	far := slow
+	far.Far = true
+	_, near, _ := route.Fill(engine, []route.Need{{Tokens: 9000, Sources: []route.Source{slow}}})
+	_, distant, _ := route.Fill(engine, []route.Need{{Tokens: 9000, Sources: []route.Source{far}}})
+	check.Equal(t, "later", distant > near+near/2, true)
+}
+
+// Many subjects return; each must meet its kept context although entries don't confer.
+func TestSoonestHasOneHomeForNewSubjects(t *testing.T) {
+	bids := func() []route.Bid {
+		var all []route.Bid
+		for i := range 12 {
+			all = append(all, route.Bid{ID: fmt.Sprint("w", i), Compute: 9000, Fresh: 9000, Own: 2000, Slow: 1})
+		}
+		return all
+	}
+	homes := map[string]int{}
+	for i := range 600 {
+		subject := fmt.Sprint("s", i)
+		at := route.Soonest(subject, engine, bids())
+		check.Equal(t, "same at another entry", route.Soonest(subject, engine, bids()), at)
+		busier := bids()
+		busier[at].Ahead = 3000
+		check.Equal(t, "a little work ahead moves nothing", route.Soonest(subject, engine, busier), at)
+		homes[bids()[at].ID]++
+	}
+	check.Equal(t, "all endpoints have some", len(homes), 12)
+}
+
+// One subject draws much of the traffic: copies are made once its holder is busy.
+func TestSoonestLeavesABusyHolder(t *testing.T) {
+	bids := []route.Bid{
+		{ID: "holder", Own: 500, Slow: 1},
+		{ID: "other", Own: 500, Fetch: 10 * time.Millisecond, Slow: 1},
+	}
+	check.Equal(t, "idle holder", bids[route.Soonest("hot", engine, bids)].ID, "holder")
+	bids[0].Ahead = 20000
+	check.Equal(t, "busy holder", bids[route.Soonest("hot", engine, bids)].ID, "other")
+}
+
+func TestSoonestAvoidsSlowEndpoints(t *testing.T) {
+	bids := []route.Bid{{ID: "a", Own: 5000, Slow: 4}, {ID: "b", Own: 5000, Slow: 1}}
+	for i := range 50 {
+		check.Equal(t, "chosen", bids[route.Soonest(fmt.Sprint(i), engine, bids)].ID, "b")
+	}
+	check.Equal(t, "nobody", route.Soonest("s", engine, nil), -1)
+}
+
+func TestScatter(t *testing.T) {
+	seats := []route.Seat{{ID: "a", Load: 2}, {ID: "b", Load: 1}, {ID: "c", Load: 1, Near: true}}
+	for i := range 10 {
+		check.Equal(t, "least loaded, near", seats[route.Scatter(float64(i)/10, seats)].ID, "c")
+	}
+	check.Equal(t, "nobody", route.Scatter(0.5, nil), -1)
+	equal := []route.Seat{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+	drawn := map[int]bool{}
+	for i := range 10 {
+		drawn[route.Scatter(float64(i)/10, equal)] = true
+	}
+	check.Equal(t, "entries do not all choose alike", len(drawn), 3)
+}
+
+func TestHomeFillsFastStoresFirst(t *testing.T) {
+	shelves := []route.Shelf{
+		{ID: "big", Capacity: 1000000, Bandwidth: 33e9},
+		{ID: "quick-1", Capacity: 100000, Bandwidth: 83e9}, {ID: "quick-2", Capacity: 100000, Bandwidth: 83e9},
+	}
+	counts := map[int]int{}
+	for i := range 1000 {
+		counts[route.Home(fmt.Sprint(i), shelves)]++
+	}
+	check.Equal(t, "big", counts[0], 0)
+	check.Equal(t, "both quick ones", counts[1] > 350 && counts[2] > 350, true)
+	check.Equal(t, "when those are full", route.Home("x", shelves[:1]), 0)
+	check.Equal(t, "when all are", route.Home("x", nil), -1)
+}
