--- /dev/null
+++ b/pass/pass_test.go
@@ -0,0 +1,365 @@
+package pass_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"egretshunt/block"
+	"egretshunt/board"
+	"egretshunt/check"
+	"egretshunt/ctrl"
+	"egretshunt/limit"
+	"egretshunt/member"
+	"egretshunt/pass"
+)
+
+// known is a fixed knowledge of the system.
+type known struct {
+	view   *ctrl.View
+	list   *member.List
+	stale  bool
+	others map[string]int
+	where  map[string][]block.Holder
+}
+
+func (k *known) View() *ctrl.View                 { return k.view }
+func (k *known) List() *member.List               { return k.list }
+func (k *known) Changed() <-chan struct{}         { return nil }
+func (k *known) Fresh() bool                      { return !k.stale }
+func (k *known) Age() time.Duration               { return 0 }
+func (k *known) Where(part string) []block.Holder { return k.where[part] }
+func (k *known) Open(netip.AddrPort) bool         { return true }
+func (k *known) Use(string)                       {}
+func (k *known) EngineClock(time.Duration) int64  { return 1000 }
+func (k *known) Others(id string) int             { return k.others[id] }
+func (k *known) Entries() int                     { return 1 }
+
+// script answers attempts in turn; the last answer is repeated.
+type script struct {
+	mu    sync.Mutex
+	turns []func(s *pass.Send) (*pass.Reply, error)
+	sends []*pass.Send
+}
+
+// Send implements pass.Backend.
+func (b *script) Send(_ context.Context, s *pass.Send) (*pass.Reply, error) {
+	b.mu.Lock()
+	turn := b.turns[min(len(b.sends), len(b.turns)-1)]
+	b.sends = append(b.sends, s)
+	b.mu.Unlock()
+	return turn(s)
+}
+
+// cutBody ends with an error in place of io.EOF.
+type cutBody struct{ io.Reader }
+
+func (c cutBody) Read(p []byte) (int, error) {
+	n, err := c.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = pass.Lost.New("cut")
+	}
+	return n, err
+}
+
+func answer(status int, body string) func(*pass.Send) (*pass.Reply, error) {
+	return func(*pass.Send) (*pass.Reply, error) {
+		return &pass.Reply{Status: status, Signed: true, Header: http.Header{"Seal": {"s"}}, Body: io.NopCloser(strings.NewReader(body))}, nil
+	}
+}
+
+func cut(body string) func(*pass.Send) (*pass.Reply, error) {
+	return func(*pass.Send) (*pass.Reply, error) {
+		return &pass.Reply{Status: 200, Signed: true, Header: http.Header{}, Body: io.NopCloser(cutBody{strings.NewReader(body)})}, nil
+	}
+}
+
+func notRun(status int, other string) func(*pass.Send) (*pass.Reply, error) {
+	return func(*pass.Send) (*pass.Reply, error) {
+		return &pass.Reply{Status: status, NotRun: true, Other: other, Header: http.Header{}, Body: http.NoBody}, nil
+	}
+}
+
+func lost(*pass.Send) (*pass.Reply, error)    { return nil, pass.Lost.New("reset") }
+func notSent(*pass.Send) (*pass.Reply, error) { return nil, pass.NotSent.New("refused") }
+
+func unsigned(s *pass.Send) (*pass.Reply, error) {
+	r, err := answer(200, "forged")(s)
+	r.Signed = false
+	return r, err
+}
+
+const (
+	eventA = "id: 1\ndata: a\n\n"
+	eventB = "id: 2\ndata: b\n\n"
+)
+
+// world is one entry with its knowledge and its endpoints.
+type world struct {
+	entry *pass.Entry
+	known *known
+	back  *script
+}
+
+func newWorld(t *testing.T, turns ...func(*pass.Send) (*pass.Reply, error)) *world {
+	t.Helper()
+	route := func(prefix string, kind board.Kind, attempts int) board.Route {
+		return board.Route{
+			Name: prefix, Host: "h", Prefix: prefix, Kind: kind, Attempts: attempts, Timeout: 10 * time.Second, Goal: time.Second,
+			Patience: 2 * time.Second, Split: []board.Share{{Pool: "p", Weight: 1}}, Resumable: prefix == "/resume/",
+			Prompts: kind == board.Stream, Public: prefix == "/public/",
+		}
+	}
+	set, err := board.New(board.Draft{
+		Number: 1, Keyed: true, Pools: []board.Pool{{Name: "p", Engine: &board.Engine{Tokens: 90000, TokenBytes: 1000}}},
+		Accounts: []board.Account{{Name: "a", Keys: []string{"k"}}, {Name: "iso", Keys: []string{"i"}, Isolated: true}},
+		Routes: []board.Route{
+			route("/safe/", board.Safe, 2), route("/once/", board.Once, 1), route("/stream/", board.Stream, 1),
+			route("/resume/", board.Stream, 2), route("/public/", board.Safe, 1),
+		},
+	})
+	check.Good(t, err)
+	var ends []member.Endpoint
+	for i := range 4 {
+		ends = append(ends, member.Endpoint{
+			ID: fmt.Sprint("w", i), Pool: "p", Addr: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:80", i+1)), Weights: map[string]uint64{"m": 3},
+		})
+	}
+	w := &world{back: &script{turns: turns}, known: &known{
+		view: &ctrl.View{Set: &ctrl.Document{Number: 1}}, list: (&member.List{Endpoints: ends}).Index(),
+		others: map[string]int{}, where: map[string][]block.Holder{},
+	}}
+	w.entry = pass.New(pass.Config{
+		View: w.known, Backend: w.back, Decode: func([]byte) (*board.Set, error) { return set, nil },
+		Repeats: limit.RepeatConfig{Ratio: 0.2, Slack: 20, Window: 10 * time.Second},
+	})
+	t.Cleanup(w.entry.Close)
+	return w
+}
+
+// call sends one request and returns the answer; aborted is true where the connection was broken.
+func (w *world) call(path, key string, change ...func(*pass.Call)) (got *httptest.ResponseRecorder, aborted bool) {
+	c := &pass.Call{ID: "id-" + path, Host: "h", Method: http.MethodPost, Path: path, Target: path, Header: http.Header{}, Key: key, Arrived: time.Now(), Wait: 5 * time.Second}
+	if strings.Contains(path, "stream") || strings.Contains(path, "resume") {
+		c.Model, c.Parts = "m", []pass.Part{{ID: "sys", Tokens: 500}, {ID: "subject", Tokens: 8000}, {ID: "own", Tokens: 300}}
+	}
+	for _, f := range change {
+		f(c)
+	}
+	got = httptest.NewRecorder()
+	defer func() {
+		if r := recover(); r != nil {
+			aborted = r == http.ErrAbortHandler
+		}
+	}()
+	w.entry.Serve(context.Background(), c, got)
+	return got, false
+}
+
+func TestOutcomes(t *testing.T) {
+	type turn = func(*pass.Send) (*pass.Reply, error)
+	for name, c := range map[string]struct {
+		path   string
+		turns  []turn
+		status int
+		body   string
+		sends  int
+	}{
+		"answered":                               {"/once/x", []turn{answer(200, "ok")}, 200, "ok", 1},
+		"endpoint's failure goes through":        {"/once/x", []turn{answer(500, "bad")}, 500, "bad", 1},
+		"safe failure is tried again":            {"/safe/x", []turn{answer(500, "bad"), answer(200, "ok")}, 200, "ok", 2},
+		"safe failure twice":                     {"/safe/x", []turn{answer(500, "bad")}, 500, "bad", 2},
+		"lost, safe":                             {"/safe/x", []turn{lost, answer(200, "ok")}, 200, "ok", 2},
+		"lost, at most once":                     {"/once/x", []turn{lost, answer(200, "twice")}, 502, "", 1},
+		"lost stream, not resumable":             {"/stream/x", []turn{lost, answer(200, eventA)}, 502, "", 1},
+		"lost stream, resumable":                 {"/resume/x", []turn{lost, answer(200, eventA)}, 200, eventA, 2},
+		"never sent, at most once":               {"/once/x", []turn{notSent, notSent, answer(200, "ok")}, 200, "ok", 3},
+		"not run, at most once":                  {"/once/x", []turn{notRun(503, ""), answer(200, "ok")}, 200, "ok", 2},
+		"another endpoint at the address":        {"/once/x", []turn{notRun(421, "w9"), answer(200, "ok")}, 200, "ok", 2},
+		"nobody runs it":                         {"/once/x", []turn{notRun(503, "")}, 503, "", 3},
+		"unsigned success, at most once":         {"/once/x", []turn{unsigned, answer(200, "twice")}, 502, "", 1},
+		"unsigned success, safe":                 {"/safe/x", []turn{unsigned, answer(200, "ok")}, 200, "ok", 2},
+		"cut plain answer, at most once":         {"/once/x", []turn{cut("half"), answer(200, "twice")}, 502, "", 1},
+		"cut plain answer, safe":                 {"/safe/x", []turn{cut("half"), answer(200, "ok")}, 200, "ok", 2},
+		"stream cut before its first event":      {"/stream/x", []turn{cut("id: 1\nda")}, 502, "", 1},
+		"resumable stream, cut before its first": {"/resume/x", []turn{cut("id: 1\nda"), answer(200, eventA)}, 200, eventA, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, c.turns...)
+			got, aborted := w.call(c.path, "k")
+			check.Equal(t, "aborted", aborted, false)
+			check.Equal(t, "status", got.Code, c.status)
+			if c.body != "" {
+				check.Equal(t, "body", got.Body.String(), c.body)
+			}
+			check.Equal(t, "sends", len(w.back.sends), c.sends)
+			check.Equal(t, "told when to come back", got.Header().Get("Retry-After") != "", c.status == 503)
+		})
+	}
+}
+
+func TestStreamResumesAfterTheLastWholeEvent(t *testing.T) {
+	w := newWorld(t, cut(eventA+"id: 2\ndata: ha"), answer(200, eventB))
+	got, aborted := w.call("/resume/x", "k")
+	check.Equal(t, "aborted", aborted, false)
+	check.Equal(t, "body", got.Body.String(), eventA+eventB)
+	check.Equal(t, "resumed after", w.back.sends[1].After, "1")
+	check.Equal(t, "elsewhere", w.back.sends[0].To.ID != w.back.sends[1].To.ID, true)
+}
+
+func TestCutStreamNeverLooksComplete(t *testing.T) {
+	for _, path := range []string{"/stream/x", "/resume/x"} {
+		w := newWorld(t, cut(eventA))
+		got, aborted := w.call(path, "k")
+		check.Equal(t, "aborted", aborted, true)
+		check.Equal(t, "what came whole went out", strings.HasPrefix(got.Body.String(), eventA), true)
+	}
+}
+
+func TestTables(t *testing.T) {
+	for name, c := range map[string]struct {
+		path, key string
+		stale     bool
+		status    int
+	}{
+		"known key":               {"/once/x", "k", false, 200},
+		"unknown key":             {"/once/x", "z", false, 401},
+		"no key":                  {"/once/x", "", false, 401},
+		"no route":                {"/none/x", "k", false, 404},
+		"public route":            {"/public/x", "", false, 200},
+		"stale, known key":        {"/once/x", "k", true, 503},
+		"stale, unknown key":      {"/once/x", "z", true, 503},
+		"stale, no route":         {"/none/x", "k", true, 503},
+		"stale, but public route": {"/public/x", "", true, 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, answer(200, "ok"))
+			w.known.stale = c.stale
+			got, _ := w.call(c.path, c.key)
+			check.Equal(t, "status", got.Code, c.status)
+			check.Equal(t, "sent", len(w.back.sends) > 0, c.status == 200)
+		})
+	}
+}
+
+func TestNoTablesYet(t *testing.T) {
+	w := newWorld(t, answer(200, "ok"))
+	w.known.view = &ctrl.View{}
+	got, _ := w.call("/once/x", "k")
+	check.Equal(t, "status", got.Code, 503)
+	_, ready := w.entry.Ready()
+	check.Equal(t, "ready", ready, false)
+}
+
+func TestLeavingAndLoadingEndpointsGetNoWork(t *testing.T) {
+	w := newWorld(t, answer(200, "ok"))
+	for i := range 3 {
+		w.known.list.Endpoints[i].Leaving = i < 2
+		w.known.list.Endpoints[i].Loading = i == 2
+	}
+	for range 20 {
+		w.call("/safe/x", "k")
+	}
+	for _, s := range w.back.sends {
+		check.Equal(t, "endpoint", s.To.ID, "w3")
+	}
+}
+
+func TestPromptCarriesVersionAndSalt(t *testing.T) {
+	w := newWorld(t, answer(200, eventA))
+	w.call("/stream/x", "k")
+	w.call("/stream/x", "i")
+	check.Equal(t, "version", w.back.sends[0].Version, uint64(3))
+	check.Equal(t, "salt", w.back.sends[0].Salt, block.Salt(3, ""))
+	check.Equal(t, "isolated salt", w.back.sends[1].Salt, block.Salt(3, "iso"))
+	check.Equal(t, "account", w.back.sends[1].Account, "iso")
+}
+
+func TestOtherWeightsAreAskedForAgain(t *testing.T) {
+	w := newWorld(t, notRun(421, ""), answer(200, eventA))
+	w.known.view.Weights = map[string]ctrl.Weights{"m": {Model: "m", Version: 4}}
+	got, _ := w.call("/stream/x", "k")
+	check.Equal(t, "status", got.Code, 200)
+	check.Equal(t, "versions", []uint64{w.back.sends[0].Version, w.back.sends[1].Version}, []uint64{3, 4})
+	check.Equal(t, "same endpoint", w.back.sends[0].To.ID, w.back.sends[1].To.ID)
+}
+
+func TestSubjectGoesWhereItIsHeld(t *testing.T) {
+	w := newWorld(t, answer(200, eventA))
+	for i := range 4 {
+		at := w.known.list.Endpoints[i].Addr
+		for _, id := range []string{"sys", "subject"} {
+			w.known.where[block.PartName(block.Salt(3, ""), id)] = []block.Holder{{Store: at, Tokens: 8000}}
+		}
+		w.call("/stream/x", "k")
+		check.Equal(t, "endpoint", w.back.sends[i].To.Addr, at)
+	}
+}
+
+func TestHopelessPromptIsRefusedAtOnce(t *testing.T) {
+	w := newWorld(t, answer(200, eventA))
+	for i := range 4 {
+		for level := range limit.Levels {
+			w.known.others[fmt.Sprintf("w%d/%d", i, level)] = 1 << 20
+		}
+	}
+	got, _ := w.call("/stream/x", "k")
+	check.Equal(t, "status", got.Code, 503)
+	check.Equal(t, "never sent", len(w.back.sends), 0)
+	check.Equal(t, "told when to come back", got.Header().Get("Retry-After") != "", true)
+}
+
+func TestLatePromptGoesBehindOthers(t *testing.T) {
+	w := newWorld(t, answer(200, eventA))
+	for i := range 4 {
+		w.known.others[fmt.Sprintf("w%d/0", i)] = 50000
+	}
+	got, _ := w.call("/stream/x", "k")
+	check.Equal(t, "status", got.Code, 200)
+	check.Equal(t, "level", w.back.sends[0].Rank, limit.Level(0, true))
+}
+
+func TestEndpointIsTriedOnlyWhileFit(t *testing.T) {
+	w := newWorld(t, func(s *pass.Send) (*pass.Reply, error) {
+		if s.To.ID == "w0" {
+			return lost(s)
+		}
+		return answer(200, "ok")(s)
+	})
+	for i := range 60 {
+		w.call("/safe/x", "k", func(c *pass.Call) { c.ID = fmt.Sprint(i) })
+	}
+	bad := 0
+	for _, s := range w.back.sends {
+		if s.To.ID == "w0" {
+			bad++
+		}
+	}
+	check.Equal(t, "few requests are lost", bad <= 4, true)
+	check.Equal(t, "told to control", slices.Contains(w.entry.Unfit(), "w0"), true)
+}
+
+// No work under way may be counted for ever: counts that only rise would refuse all.
+func TestWorkIsCountedDown(t *testing.T) {
+	for name, turn := range map[string]func(*pass.Send) (*pass.Reply, error){
+		"answered": answer(200, eventA), "lost": lost, "cut": cut(eventA), "not run": notRun(503, ""), "not sent": notSent, "unsigned": unsigned,
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, turn)
+			for i := range 10 {
+				w.call("/resume/x", "k", func(c *pass.Call) { c.ID = fmt.Sprint(i) })
+			}
+			check.Equal(t, "work", w.entry.Work(), map[string]int{})
+			check.Equal(t, "open", w.entry.Open(), int64(0))
+		})
+	}
+}
