Let requests wait up to a second for control's word

Ruled out: a slower election (0.66 s from start to leader) and a slow hand-out (0.1 s). Change: a request that only lacks the tables or their freshness waits for them, a second and a third of its caller's time at most, and is then refused as before.

--- a/pass/pass_test.go
+++ b/pass/pass_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,9 +31,17 @@
 	stale  bool
 	others map[string]int
 	where  map[string][]block.Holder
+	// late replaces view where it comes later.
+	late func() *ctrl.View
+}
+
+func (k *known) View() *ctrl.View {
+	if k.late != nil {
+		return k.late()
+	}
+	return k.view
 }
 
-func (k *known) View() *ctrl.View                 { return k.view }
 func (k *known) List() *member.List               { return k.list }
 func (k *known) Changed() <-chan struct{}         { return nil }
 func (k *known) Fresh() bool                      { return !k.stale }
@@ -260,6 +269,21 @@
 	check.Equal(t, "ready", ready, false)
 }
 
+// All processes start anew with callers already there: their requests wait for the tables.
+func TestRequestWaitsForTables(t *testing.T) {
+	w := newWorld(t, answer(200, "ok"))
+	full := w.known.view
+	var looks atomic.Int64
+	w.known.late = func() *ctrl.View {
+		if looks.Add(1) < 5 {
+			return &ctrl.View{}
+		}
+		return full
+	}
+	got, _ := w.call("/once/x", "k")
+	check.Equal(t, "status", got.Code, 200)
+}
+
 func TestLeavingAndLoadingEndpointsGetNoWork(t *testing.T) {
 	w := newWorld(t, answer(200, "ok"))
 	for i := range 3 {
--- a/pass/serve.go
+++ b/pass/serve.go
@@ -16,6 +16,9 @@
 	staleRetry = 500 * time.Millisecond
 	// fullRetry is when callers should come back if nothing better is known.
 	fullRetry = 200 * time.Millisecond
+	// awaitTime is how long a request waits for control's word at most, awaitStep how often it looks.
+	awaitTime = time.Second
+	awaitStep = 10 * time.Millisecond
 	// leastLeft is the time below which an endpoint is not asked any more.
 	leastLeft = 5 * time.Millisecond
 	// answerMargin is how much before its time-out a request gets its final answer.
@@ -56,7 +59,7 @@
 func (e *Entry) Serve(ctx context.Context, c *Call, w http.ResponseWriter) {
 	e.open.Add(1)
 	defer e.open.Add(-1)
-	j, f := e.admit(c)
+	j, f := e.await(ctx, c)
 	if f != nil {
 		e.settle(j, f)
 		f.write(w)
@@ -70,6 +73,28 @@
 	}
 }
 
+// await admits a call, waiting a little where only control's word is missing: after a
+// restart, or while another control VM takes the lead, that comes within a second.
+//
+// It answers the pattern of all processes starting anew with callers already there.
+func (e *Entry) await(ctx context.Context, c *Call) (*job, *failure) {
+	until := c.Arrived.Add(awaitTime)
+	if c.Wait > 0 {
+		until = c.Arrived.Add(min(awaitTime, c.Wait/3))
+	}
+	for {
+		j, f := e.admit(c)
+		if f == nil || f.why != whyNoTables && f.why != whyStale || time.Now().After(until) {
+			return j, f
+		}
+		select {
+		case <-time.After(awaitStep):
+		case <-ctx.Done():
+			return j, f
+		}
+	}
+}
+
 // admit finds what the tables say of a call.
 func (e *Entry) admit(c *Call) (*job, *failure) {
 	j := &job{call: c}
