--- a/pass/failure.go
+++ b/pass/failure.go
@@ -18,7 +18,7 @@
 
 // Reasons of refusals and failures.
 const (
-	whyNoTables = "no tables yet"
+	whyNoTables = "no tables or endpoints known yet"
 	whyStale    = "control can't be reached"
 	whyNoRoute  = "no route"
 	whyKey      = "unknown key"
--- a/pass/pass_test.go
+++ b/pass/pass_test.go
@@ -33,6 +33,8 @@
 	where  map[string][]block.Holder
 	// late replaces view where it comes later.
 	late func() *ctrl.View
+	// lists replaces list where it comes later.
+	lists func() *member.List
 }
 
 func (k *known) View() *ctrl.View {
@@ -42,7 +44,13 @@
 	return k.view
 }
 
-func (k *known) List() *member.List               { return k.list }
+func (k *known) List() *member.List {
+	if k.lists != nil {
+		return k.lists()
+	}
+	return k.list
+}
+
 func (k *known) Changed() <-chan struct{}         { return nil }
 func (k *known) Fresh() bool                      { return !k.stale }
 func (k *known) Age() time.Duration               { return 0 }
@@ -284,6 +292,21 @@
 	check.Equal(t, "status", got.Code, 200)
 }
 
+// The tables come a moment before the endpoints; requests that wait must not be lost between.
+func TestRequestWaitsForEndpoints(t *testing.T) {
+	w := newWorld(t, answer(200, "ok"))
+	full := w.known.list
+	var looks atomic.Int64
+	w.known.lists = func() *member.List {
+		if looks.Add(1) < 5 {
+			return nil
+		}
+		return full
+	}
+	got, _ := w.call("/once/x", "k")
+	check.Equal(t, "status", got.Code, 200)
+}
+
 func TestLeavingAndLoadingEndpointsGetNoWork(t *testing.T) {
 	w := newWorld(t, answer(200, "ok"))
 	for i := range 3 {
--- a/pass/serve.go
+++ b/pass/serve.go
@@ -98,7 +98,7 @@
 // admit finds what the tables say of a call.
 func (e *Entry) admit(c *Call) (*job, *failure) {
 	j := &job{call: c}
-	if j.set = e.current(); j.set == nil {
+	if j.set = e.current(); j.set == nil || e.list() == nil {
 		return j, refuse(whyNoTables, staleRetry)
 	}
 	fresh := e.config.View.Fresh()
--- a/prog/prog.go
+++ b/prog/prog.go
@@ -46,6 +46,7 @@
 	Host    *hostArgs    `arg:"subcommand:host" help:"run a role on the consortium's platform"`
 	Ctl     *ctlArgs     `arg:"subcommand:ctl" help:"operate a system"`
 	Check   *checkArgs   `arg:"subcommand:check" help:"check a settings file"`
+	Trace   *traceArgs   `arg:"subcommand:trace" help:"show a request's way through logs"`
 	Key     *keyArgs     `arg:"subcommand:key" help:"make a key, or hash one"`
 	Load    *loadArgs    `arg:"subcommand:load" help:"replay load against entries"`
 	Restore *restoreArgs `arg:"subcommand:restore" help:"restore a control VM from a snapshot"`
@@ -104,6 +105,8 @@
 		return a.Ctl.run(out)
 	case a.Check != nil:
 		return a.Check.run(out)
+	case a.Trace != nil:
+		return a.Trace.run(out)
 	case a.Key != nil:
 		return a.Key.run(out)
 	case a.Load != nil:
