--- a/pass/entry.go
+++ b/pass/entry.go
@@ -228,15 +228,23 @@
 func (e *Entry) Ready() (why string, ok bool) {
 	switch {
 	case e.current() == nil:
-		return "no tables yet", false
+		return whyNoTables, false
 	case !e.config.View.Fresh():
-		return "control can't be reached", false
+		return whyStale, false
 	case e.list() == nil:
-		return "no endpoints known yet", false
+		return whyNoTables, false
 	}
 	return "", true
 }
 
+// Limits returns the bounds on what callers send; all zero before the first tables.
+func (e *Entry) Limits() board.Limits {
+	if set := e.current(); set != nil {
+		return set.Limits
+	}
+	return board.Limits{}
+}
+
 // Open returns how many requests are under way.
 func (e *Entry) Open() int64 { return e.open.Load() }
 
