--- /dev/null
+++ b/pass/log_test.go
@@ -0,0 +1,49 @@
+package pass_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+
+	"egretshunt/check"
+	"egretshunt/event"
+	"egretshunt/pass"
+)
+
+// buffer collects log lines of several goroutines.
+type buffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// Each request that failed must be found by its identity, with a reason, and no line may
+// tell what callers keep to themselves.
+func TestLogFindsEachRequestAndKeepsSecrets(t *testing.T) {
+	for name, c := range map[string]struct {
+		path, key string
+		turn      func(*pass.Send) (*pass.Reply, error)
+		want      string
+	}{
+		"served":  {"/once/x", "k-secret", answer(200, "body-secret"), "name=served"},
+		"denied":  {"/once/x", "z-secret", answer(200, "ok"), "name=denied"},
+		"lost":    {"/once/x", "k-secret", lost, "ran=unknown"},
+		"refused": {"/once/x", "k-secret", notRun(503, ""), "ran=no"},
+		"cut":     {"/stream/x", "k-secret", cut(eventA), "name=cut"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			out := &buffer{}
+			w := newWorldWith(t, event.New(event.Config{Out: out, Node: "n"}), c.turn)
+			w.call(c.path, c.key, func(call *pass.Call) { call.ID, call.Body = "request-7", []byte("body-secret") })
+			text := out.text.String()
+			check.Equal(t, "found", strings.Contains(text, "id=request-7") && strings.Contains(text, c.want), true)
+			check.Equal(t, "no secret in "+text, strings.Contains(text, "secret"), false)
+		})
+	}
+}
--- a/pass/pass_test.go
+++ b/pass/pass_test.go
@@ -19,6 +19,7 @@
 	"egretshunt/board"
 	"egretshunt/check"
 	"egretshunt/ctrl"
+	"egretshunt/event"
 	"egretshunt/limit"
 	"egretshunt/member"
 	"egretshunt/pass"
@@ -128,6 +129,11 @@
 }
 
 func newWorld(t *testing.T, turns ...func(*pass.Send) (*pass.Reply, error)) *world {
+	t.Helper()
+	return newWorldWith(t, event.Discard(), turns...)
+}
+
+func newWorldWith(t *testing.T, events *event.Log, turns ...func(*pass.Send) (*pass.Reply, error)) *world {
 	t.Helper()
 	route := func(prefix string, kind board.Kind, attempts int) board.Route {
 		return board.Route{
@@ -138,7 +144,7 @@
 	}
 	set, err := board.New(board.Draft{
 		Number: 1, Keyed: true, Pools: []board.Pool{{Name: "p", Engine: &board.Engine{Tokens: 90000, TokenBytes: 1000}}},
-		Accounts: []board.Account{{Name: "a", Keys: []string{"k"}}, {Name: "iso", Keys: []string{"i"}, Isolated: true}},
+		Accounts: []board.Account{{Name: "a", Keys: []string{"k", "k-secret"}}, {Name: "iso", Keys: []string{"i"}, Isolated: true}},
 		Routes: []board.Route{
 			route("/safe/", board.Safe, 2), route("/once/", board.Once, 1), route("/stream/", board.Stream, 1),
 			route("/resume/", board.Stream, 2), route("/public/", board.Safe, 1),
@@ -157,7 +163,7 @@
 	}}
 	w.entry = pass.New(pass.Config{
 		View: w.known, Backend: w.back, Decode: func([]byte) (*board.Set, error) { return set, nil },
-		Repeats: limit.RepeatConfig{Ratio: 0.2, Slack: 20, Window: 10 * time.Second},
+		Repeats: limit.RepeatConfig{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}, Events: events,
 	})
 	t.Cleanup(w.entry.Close)
 	return w
