Bring engines to new weights in the time allowed, and run no prompt on old ones after it

Ruled out: lost orders (each was answered or given again) and the leader's change (the first swap had none). Change: 0.4 of the pool at once, all that is left once 0.4 of the time has passed, a swap found at the start of a reign counts as half through; an entry sends no new prompt to older weights after 0.85 of the time, and none at all when it has just started.

--- a/ctrl/chief.go
+++ b/ctrl/chief.go
@@ -78,6 +78,8 @@
 	ListTime time.Duration
 	// Handover is how long orders must rest before another VM may give any.
 	Handover time.Duration
+	// SwapTime is how soon after it was named every engine must have a version of weights.
+	SwapTime time.Duration
 	// Reuse is how long after its last use a kept part is worth its room.
 	Reuse  time.Duration
 	Events *event.Log
@@ -141,6 +143,8 @@
 
 	// epoch is that of this reign's orders; zero before the first. Owned by weights.
 	epoch uint64
+	// seenWeights holds when versions were first seen, by model. Owned by weights.
+	seenWeights map[string]named
 
 	// listMu guards the rest.
 	listMu sync.Mutex
@@ -175,7 +179,7 @@
 		if since, ok := node.Leads(); ok {
 			r := &reign{
 				Reign: hub.Begin(), chief: c, node: node, since: since, began: clock.Now(),
-				given: map[string]given{}, has: map[string]map[string]uint64{},
+				given: map[string]given{}, seenWeights: map[string]named{}, has: map[string]map[string]uint64{},
 			}
 			r.run(ctx, t.C)
 		}
--- a/ctrl/swap.go
+++ b/ctrl/swap.go
@@ -65,13 +65,34 @@
 			continue
 		}
 		for model, w := range named {
-			r.step(ctx, &running, l, model, w.Version)
+			r.step(ctx, &running, l, model, w.Version, r.pace(model, w.Version))
 		}
 	}
 }
 
+// named is when this reign first saw a version of a model's weights.
+type named struct {
+	version uint64
+	at      time.Duration
+}
+
+// pace tells how much of the time for a change of weights has passed. A version named in an
+// earlier reign counts as half through: how long that was ago is not known.
+func (r *reign) pace(model string, version uint64) fence.Pace {
+	now, allowed := clock.Now(), r.chief.config.SwapTime
+	seen, ok := r.seenWeights[model]
+	if !ok || seen.version != version {
+		seen = named{version, now}
+		if now-r.began < 2*swapTime {
+			seen.at -= allowed / 2
+		}
+		r.seenWeights[model] = seen
+	}
+	return fence.Pace{Elapsed: now - seen.at, Allowed: allowed}
+}
+
 // step gives the orders that are due for one model.
-func (r *reign) step(ctx context.Context, running *sync.WaitGroup, l *member.List, model string, want uint64) {
+func (r *reign) step(ctx context.Context, running *sync.WaitGroup, l *member.List, model string, want uint64, pace fence.Pace) {
 	now := clock.Now()
 	var workers []fence.Worker
 	r.listMu.Lock()
@@ -87,7 +108,7 @@
 		})
 	}
 	r.listMu.Unlock()
-	due := fence.PlanSwap(workers, now)
+	due := fence.PlanSwap(workers, now, pace)
 	if len(due) == 0 {
 		return
 	}
--- a/fence/swap.go
+++ b/fence/swap.go
@@ -22,20 +22,36 @@
 }
 
 const (
-	// SwapShare is the share of a pool's engines that change weights at once: the rest must
-	// carry the traffic, and loads slow each other down.
-	SwapShare = 0.25
+	// SwapShare is the share of a pool's engines that change weights at once while there is time:
+	// the rest must carry the traffic, and loads slow each other down.
+	SwapShare = 0.4
 	// SwapLeast is how many may do so in a small pool.
 	SwapLeast = 2
+	// hurryShare is the part of the time allowed after which all that is left is changed at once.
+	hurryShare = 0.4
 	// orderPatience is how long an order without effect is waited for before it is given again.
 	orderPatience = 3 * time.Second
 )
 
+// Pace is the time that a change of weights may take.
+type Pace struct {
+	// Elapsed is the time since the version was named, Allowed the time in which every engine must have it.
+	Elapsed, Allowed time.Duration
+}
+
+// share returns the part of a pool's engines that may change weights at once.
+func (p Pace) share() float64 {
+	if p.Allowed > 0 && float64(p.Elapsed) > hurryShare*float64(p.Allowed) {
+		return 1
+	}
+	return SwapShare
+}
+
 // PlanSwap chooses which engines are to be ordered to change their weights now. Idle ones
 // come first, so that the least work waits for runs to end.
 //
 // It answers the pattern of new weights that are named while traffic goes on.
-func PlanSwap(workers []Worker, now time.Duration) []string {
+func PlanSwap(workers []Worker, now time.Duration, pace Pace) []string {
 	total, under := 0, 0
 	var due []Worker
 	for _, w := range workers {
@@ -52,7 +68,7 @@
 		}
 		due = append(due, w)
 	}
-	room := max(SwapLeast, int(SwapShare*float64(total)+0.5)) - under
+	room := max(SwapLeast, int(pace.share()*float64(total)+0.5)) - under
 	slices.SortFunc(due, func(a, b Worker) int {
 		return cmp.Or(cmp.Compare(a.Load, b.Load), cmp.Compare(a.ID, b.ID))
 	})
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -46,6 +46,9 @@
 	// Fallback lists endpoints while control can't be reached; nil means that there is no other source.
 	Fallback func(ctx context.Context) ([]member.Endpoint, error)
 	Repeats  limit.RepeatConfig
+	// SwapTime is how soon after it was named a version of weights must run all new prompts;
+	// zero means no bound.
+	SwapTime time.Duration
 	Events   *event.Log
 	Metrics  *metrics.Set
 }
@@ -54,6 +57,7 @@
 type Entry struct {
 	config  Config
 	meters  meters
+	started time.Time
 	cancel  context.CancelFunc
 	running sync.WaitGroup
 
@@ -74,6 +78,8 @@
 	rates map[string]float64
 	// links are the tokens that requests under way are to read from each source.
 	links map[netip.AddrPort]int
+	// named holds the newest weights by model and when this entry first saw them named.
+	named map[string]learned
 }
 
 // saving is a part that a request was told to save.
@@ -126,8 +132,8 @@
 		c.Metrics = metrics.NewSet()
 	}
 	e := &Entry{
-		config: c, meters: newMeters(c.Metrics), seats: map[string]*seat{}, budgets: map[string]*limit.Repeats{}, saving: map[string]saving{},
-		rates: map[string]float64{}, links: map[netip.AddrPort]int{},
+		config: c, meters: newMeters(c.Metrics), started: time.Now(), seats: map[string]*seat{}, budgets: map[string]*limit.Repeats{}, saving: map[string]saving{},
+		rates: map[string]float64{}, links: map[netip.AddrPort]int{}, named: map[string]learned{},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
--- a/pass/place.go
+++ b/pass/place.go
@@ -95,6 +95,7 @@
 		s := e.seat(to)
 		switch {
 		case to.Leaving || to.Loading || s.gone || slices.Contains(j.tried, to.ID):
+		case e.outdated(s, to, j.call.Model, now):
 		case now.Before(s.full):
 			if soonest.IsZero() || s.full.Before(soonest) {
 				soonest = s.full
@@ -112,6 +113,32 @@
 	return able, soonest
 }
 
+// swapShare is the part of the time for a change of weights after which an endpoint with
+// old ones gets no new prompt.
+const swapShare = 0.85
+
+// outdated reports whether an endpoint's weights are too old for new prompts; the caller holds mu.
+func (e *Entry) outdated(s *seat, to *member.Endpoint, model string, now time.Time) bool {
+	if model == "" || e.config.SwapTime == 0 {
+		return false
+	}
+	want := e.config.View.View().Weights[model].Version
+	n, ok := e.named[model]
+	switch {
+	case !ok && want > 0 && now.Sub(e.started) < e.config.SwapTime:
+		// How long ago it was named is not known to an entry that has just started.
+		n = learned{want, now.Add(-e.config.SwapTime)}
+		e.named[model] = n
+	case !ok || n.version != want:
+		n = learned{want, now}
+		e.named[model] = n
+	}
+	if s.version(to, model) >= want {
+		return false
+	}
+	return now.Sub(n.at) > time.Duration(swapShare*float64(e.config.SwapTime))
+}
+
 // scatter chooses for a request that reuses nothing; the caller holds mu.
 func (e *Entry) scatter(j *job, able []*member.Endpoint) *choice {
 	seats := make([]route.Seat, len(able))
