Keep installed tables on disk before they are used

Cause: a follower published new tables and wrote them to its disk afterwards. Ruled out: an older delta installed over a newer one (install is serialised and checks). Change: install waits for the disk, at most saveWait, so that a stalled disk doesn't delay a change that takes a key away.

--- a/ctrl/follow.go
+++ b/ctrl/follow.go
@@ -28,8 +28,17 @@
 	staleSwitch = 700 * time.Millisecond
 	// cacheName is the file that keeps the installed tables.
 	cacheName = "tables"
+	// saveWait is how long tables wait for the disk before they are used: well above a sync,
+	// well below the time in which a change must be in force.
+	saveWait = 250 * time.Millisecond
 )
 
+// saving is a request to keep tables on disk; done receives whether they were kept.
+type saving struct {
+	tables *table.Tables
+	done   chan bool
+}
+
 // FollowConfig constructs a Follow.
 type FollowConfig struct {
 	Node, Role, Place string
@@ -73,7 +82,9 @@
 	// upstream is the roster that answered last.
 	upstream atomic.Uint64
 
-	save chan *table.Tables
+	save chan saving
+	// closing ends with the follower.
+	closing <-chan struct{}
 
 	// Published for readers; what they point to is immutable.
 	tables atomic.Pointer[table.Tables]
@@ -98,7 +109,7 @@
 		c.Events = event.Discard()
 	}
 	f := &Follow{
-		config: c, roster: NewRoster(c.Lease), save: make(chan *table.Tables, 1), changed: newNotice(),
+		config: c, roster: NewRoster(c.Lease), save: make(chan saving, 1), changed: newNotice(),
 		life: rand.Uint64(),
 	}
 	f.tables.Store(table.Empty())
@@ -108,7 +119,7 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	f.cancel = cancel
+	f.cancel, f.closing = cancel, ctx.Done()
 	f.running.Go(func() { f.pull(ctx) })
 	f.running.Go(func() { f.keep(ctx) })
 	f.running.Go(func() { f.watch(ctx) })
@@ -338,9 +349,12 @@
 			return Malformed.Wrap(err, "install tables")
 		}
 		if next != old {
+			kept, err := f.persist(next)
+			if err != nil {
+				return err
+			}
 			f.tables.Store(next)
-			f.config.Events.Emit(event.Installed, "rev", next.Rev, "full", d.Full)
-			f.queueSave(next)
+			f.config.Events.Emit(event.Installed, "rev", next.Rev, "full", d.Full, "kept", kept)
 			f.changed.announce()
 		}
 	}
@@ -367,32 +381,44 @@
 // Changed returns a channel that is closed at the next change of tables or view.
 func (f *Follow) Changed() <-chan struct{} { return f.changed.wait() }
 
-func (f *Follow) queueSave(t *table.Tables) {
+// persist keeps tables on disk before they are used, so that a restart doesn't return to
+// older ones. A stalled disk is not waited for: it must not delay a change that takes a key away.
+func (f *Follow) persist(t *table.Tables) (kept bool, err error) {
+	if f.config.FS == nil {
+		return false, nil
+	}
+	// Only the newest is worth writing.
 	select {
 	case <-f.save:
 	default:
 	}
+	job := saving{t, make(chan bool, 1)}
+	f.save <- job
+	late := time.NewTimer(saveWait)
+	defer late.Stop()
 	select {
-	case f.save <- t:
-	default:
+	case kept = <-job.done:
+		return kept, nil
+	case <-late.C:
+		return false, nil
+	case <-f.closing:
+		return false, Stopped.New("this node is closing")
 	}
 }
 
-// keep writes the installed tables to disk, the newest only.
+// keep writes the installed tables to disk.
 func (f *Follow) keep(ctx context.Context) {
 	for {
 		select {
-		case t := <-f.save:
-			if f.config.FS == nil {
-				continue
-			}
-			data, err := json.Marshal(t)
+		case job := <-f.save:
+			data, err := json.Marshal(job.tables)
 			if err == nil {
 				err = disk.Save(f.config.FS, cacheName, data)
 			}
 			if err != nil {
 				f.config.Events.Emit(event.DiskFull, "file", cacheName, "err", err)
 			}
+			job.done <- err == nil
 		case <-ctx.Done():
 			return
 		}
--- /dev/null
+++ b/ctrl/follow_test.go
@@ -0,0 +1,105 @@
+package ctrl_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"egretshunt/check"
+	"egretshunt/ctrl"
+	"egretshunt/disk"
+	"egretshunt/fake"
+	"egretshunt/wire"
+)
+
+// slowDisk takes its time to open files.
+type slowDisk struct {
+	*fake.Disk
+	delay time.Duration
+}
+
+// Create implements disk.FS.
+func (d slowDisk) Create(name string) (disk.File, error) {
+	time.Sleep(d.delay)
+	return d.Disk.Create(name)
+}
+
+// stalledDisk opens no file until it is released.
+type stalledDisk struct {
+	*fake.Disk
+	released chan struct{}
+}
+
+// Create implements disk.FS.
+func (d stalledDisk) Create(name string) (disk.File, error) {
+	<-d.released
+	return d.Disk.Create(name)
+}
+
+// upstream serves one member's tables to followers.
+func upstream(t *testing.T, n *ctrl.Node) (netip.AddrPort, *wire.Keys) {
+	t.Helper()
+	keys, err := wire.NewKeys("a secret of this test, long enough")
+	check.Good(t, err)
+	control := ctrl.NewServer(ctrl.ServerConfig{Node: n})
+	serve := func(ctx context.Context, s *wire.Stream) {
+		if first, err := s.Recv(); err == nil {
+			control.Handle(ctx, s, first)
+		}
+	}
+	s, err := wire.Serve(wire.ServerConfig{
+		Addr: netip.MustParseAddrPort("127.0.0.1:0"), Keys: keys, Handle: serve,
+	})
+	check.Good(t, err)
+	t.Cleanup(func() { s.Close() })
+	return s.Addr(), keys
+}
+
+// TestFollowerKeepsWhatItShows ends a follower as soon as it shows a change, on a slow disk.
+func TestFollowerKeepsWhatItShows(t *testing.T) {
+	c := newCluster(t, 1)
+	addr, keys := upstream(t, c.node(c.leader()))
+	d := slowDisk{fake.NewDisk(), 20 * time.Millisecond}
+	start := func(from ...netip.AddrPort) *ctrl.Follow {
+		pool := wire.NewPool(wire.PoolConfig{Keys: keys})
+		t.Cleanup(pool.Close)
+		f, err := ctrl.NewFollow(ctrl.FollowConfig{
+			Node: "n", Role: "store", Pool: pool, FS: d, Upstreams: func() []netip.AddrPort { return from },
+		})
+		check.Good(t, err)
+		return f
+	}
+	for i := range 4 {
+		f := start(addr)
+		rev := c.mustChange(poolChange(fmt.Sprint(i), fmt.Sprint("row", i), 0, "here")).Rev
+		check.Soon(t, "the change", func() bool { return f.Rev() >= rev })
+		shown := f.Rev()
+		d.CrashAfter(0)
+		f.Close()
+		d.Restart(0)
+		again := start()
+		if kept := again.Rev(); kept < shown {
+			t.Errorf("a follower that showed revision %d starts again at %d", shown, kept)
+		}
+		again.Close()
+	}
+}
+
+// TestStalledDiskHoldsNothingUp installs a change while the disk stalls.
+func TestStalledDiskHoldsNothingUp(t *testing.T) {
+	c := newCluster(t, 1)
+	addr, keys := upstream(t, c.node(c.leader()))
+	pool := wire.NewPool(wire.PoolConfig{Keys: keys})
+	t.Cleanup(pool.Close)
+	d := stalledDisk{fake.NewDisk(), make(chan struct{})}
+	f, err := ctrl.NewFollow(ctrl.FollowConfig{
+		Node: "n", Role: "store", Pool: pool, FS: d, Upstreams: func() []netip.AddrPort { return []netip.AddrPort{addr} },
+	})
+	check.Good(t, err)
+	defer f.Close()
+	defer close(d.released)
+	rev := c.mustChange(poolChange("1", "row", 0, "here")).Rev
+	check.Soon(t, "the change", func() bool { return f.Rev() >= rev })
+}
