Claim blocks of ports for demo deployments

Cause: 'restart of worker-0: bind: address already in use' in TestDrill beside ./fleet: a member that was down lost its port to another process's deployment, which probes for free ports. Ruled out: outgoing connections (ports lie below their range). Change: a process claims blocks of ports by listening on each block's first port for life.

--- a/drill/drill.go
+++ b/drill/drill.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -78,6 +79,8 @@
 type drill struct {
 	config Config
 	fleet  *fleet.Fleet
+	// besides counts the engines crashed beside another fault.
+	besides atomic.Int64
 
 	// mu guards the rest.
 	mu       sync.Mutex
--- a/drill/faults.go
+++ b/drill/faults.go
@@ -89,6 +89,7 @@
 		defer close(done)
 		if d.config.Pairs && beside.IntN(3) == 0 {
 			// The second fault is one that needs no process the first may have taken.
+			d.besides.Add(1)
 			d.engine(beside).Crash()
 			if p := d.fleet.Proc(pick(beside, d.fleet.Entries)); p != nil {
 				p.BreakConnections()
@@ -173,6 +174,7 @@
 	name := pick(r, d.fleet.Entries)
 	index := slices.Index(d.fleet.Entries, name)
 	open := make(chan answer, 4)
+	besides := d.besides.Load()
 	for i := range 4 {
 		go func() {
 			open <- d.prompt(ctx, fleet.Client(), index, 0, fmt.Sprintf("open at the shutdown of %s %d", name, i), 40, true)
@@ -183,7 +185,7 @@
 	d.check(gentleStop, cut == 0, "%s cut off %d requests", name, cut)
 	for range 4 {
 		a := <-open
-		d.check(gentleStop, a.lost || a.status >= 300 || a.whole, "a stream of %s ended early", name)
+		d.check(gentleStop, a.lost || a.status >= 300 || a.whole, "a stream of %s ended early after %d letters, %d engines crashed beside", name, len(a.text), d.besides.Load()-besides)
 	}
 	pause(ctx, outage)
 	if err := d.fleet.Run(name); err != nil {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -11,7 +11,6 @@
 	"os"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -115,18 +114,54 @@
 const (
 	firstPort = 10_000
 	lastPort  = 31_000
+	// blockPorts is how many ports a process claims at a time: more than one deployment needs.
+	blockPorts = 200
 )
 
-// nextPort is where the next search begins; it differs from process to process.
-var nextPort atomic.Uint32
+// ports hands out loopback ports from blocks that this process has claimed by listening on
+// their first port for as long as it lives: a member that restarts would otherwise find its
+// port taken by another process's deployment.
+var ports struct {
+	// mu guards the rest.
+	mu     sync.Mutex
+	next   int
+	end    int
+	claims []net.Listener
+}
 
-func init() { nextPort.Store(uint32(os.Getpid()*97) % (lastPort - firstPort)) }
+// claimPorts takes the next block that no process has claimed; the caller holds ports.mu.
+func claimPorts() error {
+	const blocks = (lastPort - firstPort) / blockPorts
+	start := os.Getpid() % blocks
+	for i := range blocks {
+		first := firstPort + (start+i)%blocks*blockPorts
+		l, err := net.Listen("tcp", loopback(first).String())
+		if err != nil {
+			continue
+		}
+		ports.claims = append(ports.claims, l)
+		ports.next, ports.end = first+1, first+blockPorts
+		return nil
+	}
+	return Failed.New("all ports from %d to %d are claimed", firstPort, lastPort)
+}
 
-// freeAddr returns a loopback address that nothing listens on.
+func loopback(port int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port))
+}
+
+// freeAddr returns a loopback address that nothing listens on and no other deployment is given.
 func freeAddr() (netip.AddrPort, error) {
-	for range lastPort - firstPort {
-		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
-		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port))
+	ports.mu.Lock()
+	defer ports.mu.Unlock()
+	for {
+		if ports.next == ports.end {
+			if err := claimPorts(); err != nil {
+				return netip.AddrPort{}, err
+			}
+		}
+		a := loopback(ports.next)
+		ports.next++
 		l, err := net.Listen("tcp", a.String())
 		if err != nil {
 			continue
@@ -134,7 +169,6 @@
 		l.Close()
 		return a, nil
 	}
-	return netip.AddrPort{}, Failed.New("there is no free port")
 }
 
 // addrs returns n free addresses.
