Count what requests under way take up in engines' memory when choosing one

Engines fill up at subjects' homes while others have room. Change: entries count the tokens of their requests under way by endpoint and exchange the sums; a full engine (0.85 of its memory) counts 300 ms later. Test: TestSoonestSpreadsABurstByMemory fails without.

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -37,6 +37,7 @@
 	began := time.Now()
 	out.first = func() { e.firstCame(j, c, time.Since(began), true) }
 	defer e.firstCame(j, c, 0, false)
+	defer e.unload(j, c)
 	reply, err := e.config.Backend.Send(ctx, sent)
 	if err != nil {
 		return e.unanswered(ctx, j, to, out, err, began)
@@ -69,6 +70,14 @@
 	return e.copyBack(ctx, j, to, reply, out, began, false)
 }
 
+// unload notes that an attempt takes up no memory any more.
+func (e *Entry) unload(j *job, c *choice) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.seat(c.to)
+	s.memory = max(s.memory-j.size(), 0)
+}
+
 // copyBack gives the answer to the caller.
 func (e *Entry) copyBack(ctx context.Context, j *job, to *member.Endpoint, reply *Reply, out *relay, began time.Time, released bool) (bool, *failure) {
 	err := out.copy(reply, &j.first)
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -110,6 +110,8 @@
 	// slow is how much longer first tokens took of late than predicted; zero before the first.
 	slow  float64
 	grade member.Grade
+	// memory is the tokens that requests under way take up in the engine's memory.
+	memory int
 	// full is until when the endpoint has said that it takes no more.
 	full time.Time
 	// gone is set when another endpoint answered at the address.
@@ -281,6 +283,11 @@
 			}
 		}
 	}
+	for id, s := range e.seats {
+		if s.memory > 0 {
+			work[memoryKey(id)] = s.memory
+		}
+	}
 	for at, tokens := range e.links {
 		work[at.String()] = tokens
 	}
@@ -290,6 +297,9 @@
 // workKey names the work at one level of urgency of an endpoint.
 func workKey(id string, level int) string { return id + "/" + strconv.Itoa(level) }
 
+// memoryKey names the memory taken up at an endpoint.
+func memoryKey(id string) string { return id + "/m" }
+
 // ahead returns the prompt tokens that an endpoint computes before a request of a level; the
 // caller holds mu.
 func (e *Entry) ahead(id string, s *seat, level int) int {
--- a/pass/place.go
+++ b/pass/place.go
@@ -50,6 +50,9 @@
 	settled bool
 }
 
+// size returns the tokens that a request takes up in an engine's memory at most.
+func (j *job) size() int { return j.call.Tokens() + j.call.Output }
+
 // place chooses the endpoint of the next attempt.
 func (e *Entry) place(j *job) (*choice, *failure) {
 	now := time.Now()
@@ -80,6 +83,7 @@
 	}
 	s := e.seat(c.to)
 	s.flying++
+	s.memory += j.size()
 	s.awaited[c.level] += c.compute
 	e.link(c, 1)
 	s.grade.Sent(now)
@@ -185,7 +189,7 @@
 	engine := route.Engine{Rate: e.rate(j.pool)}
 	bandwidth := 0.0
 	if p := j.set.Pool(j.pool); p != nil && p.Engine != nil {
-		engine.TokenBytes, bandwidth = p.Engine.TokenBytes, p.Engine.Bandwidth
+		engine.TokenBytes, engine.Memory, bandwidth = p.Engine.TokenBytes, p.Engine.Tokens, p.Engine.Bandwidth
 	}
 	want := e.config.View.View().Weights[j.call.Model].Version
 	shared := j.call.Shared()
@@ -243,6 +247,7 @@
 		if c.version < want {
 			bids[i].Penalty += oldPenalty
 		}
+		bids[i].Taken = s.memory + e.config.View.Others(memoryKey(to.ID)) + j.size()
 		choices[i] = c
 	}
 	subject := j.call.Parts[len(j.call.Parts)-1].ID
--- a/route/predict.go
+++ b/route/predict.go
@@ -40,6 +40,8 @@
 	Rate float64
 	// TokenBytes is the size of a kept token.
 	TokenBytes int
+	// Memory is how many tokens fit into it; zero means that it is not known.
+	Memory int
 }
 
 const (
@@ -116,6 +118,8 @@
 	Fetch time.Duration
 	// Slow is how much longer the endpoint took of late than predicted.
 	Slow float64
+	// Taken is the tokens of all requests under way there and of this one.
+	Taken int
 	// Penalty is added for endpoints that are usable but not wanted.
 	Penalty time.Duration
 }
@@ -130,6 +134,11 @@
 	maxHomeSteps = 4
 	// freshShare is the share of the time to compute parts that are kept nowhere that is added for each rank.
 	freshShare = 1.5
+	// crowdedShare is the share of an engine's memory beyond which it counts as full: requests
+	// grow while they run, and other entries' requests are heard of late.
+	crowdedShare = 0.85
+	// crowdedCost is added at a full engine: a long prompt loses its place there and is read again.
+	crowdedCost = 300 * time.Millisecond
 )
 
 // First predicts the time to the first token.
@@ -145,7 +154,7 @@
 // endpoint far from the subject's home as a little later. It returns -1 without bids.
 //
 // It answers the pattern of returning subjects under load: what is kept draws requests
-// until its endpoint is so busy that a copy elsewhere is sooner.
+// until its endpoint is so busy, or its memory so full, that a copy elsewhere is sooner.
 func Soonest(subject string, e Engine, bids []Bid) int {
 	ranks := make([]uint64, len(bids))
 	for i, b := range bids {
@@ -167,6 +176,9 @@
 		if b.Compute > 0 || b.Fetch > 0 {
 			cost += copyCost + time.Duration((Recompute-1)*float64(b.Compute)/e.Rate*float64(time.Second))
 		}
+		if e.Memory > 0 && float64(b.Taken) > crowdedShare*float64(e.Memory) {
+			cost += crowdedCost
+		}
 		if best < 0 || cost < least {
 			best, least = i, cost
 		}
--- a/route/predict_test.go
+++ b/route/predict_test.go
@@ -83,6 +83,29 @@
 	check.Equal(t, "busy holder", bids[route.Soonest("hot", engine, bids)].ID, "other")
 }
 
+// A burst of long prompts with one subject: no engine's memory is filled while another has
+// room, and the holder is used again once it has some.
+func TestSoonestSpreadsABurstByMemory(t *testing.T) {
+	full := route.Engine{Rate: engine.Rate, TokenBytes: engine.TokenBytes, Memory: 95000}
+	const prompt = 12000
+	taken := map[string]int{}
+	for range 18 {
+		bids := []route.Bid{{ID: "holder", Slow: 1}, {ID: "a", Slow: 1}, {ID: "b", Slow: 1}}
+		for i := range bids {
+			bids[i].Own, bids[i].Taken = 2870, taken[bids[i].ID]+prompt
+			if bids[i].ID != "holder" {
+				bids[i].Fetch = 10 * time.Millisecond
+			}
+		}
+		taken[bids[route.Soonest("hot", full, bids)].ID] += prompt
+	}
+	for id, tokens := range taken {
+		check.Equal(t, "memory of "+id+" suffices", tokens <= full.Memory*85/100, true)
+	}
+	back := []route.Bid{{ID: "holder", Slow: 1, Taken: prompt}, {ID: "a", Slow: 1, Fetch: 10 * time.Millisecond, Taken: prompt}}
+	check.Equal(t, "with room again", back[route.Soonest("hot", full, back)].ID, "holder")
+}
+
 func TestSoonestAvoidsSlowEndpoints(t *testing.T) {
 	bids := []route.Bid{{ID: "a", Own: 5000, Slow: 4}, {ID: "b", Own: 5000, Slow: 1}}
 	for i := range 50 {
