--- a/ctrl/chief.go
+++ b/ctrl/chief.go
@@ -22,8 +22,8 @@
 	Held(ctx context.Context, s *board.Store) (Holding, error)
 	// Changes waits for changes in a store or engine after a position of its present run.
 	Changes(ctx context.Context, at netip.AddrPort, since int64) (Changes, error)
-	// Room asks a store how many tokens its parts take up, finished or not.
-	Room(ctx context.Context, s *board.Store) (tokens int, err error)
+	// Room asks a store how much of it is taken up.
+	Room(ctx context.Context, s *board.Store) (Room, error)
 	// Free frees parts in a run of a store, until a moment on the engines' clock.
 	Free(ctx context.Context, s *board.Store, epoch, until int64, names []string) error
 	// Order tells an engine to load weights; it returns true once the engine has them.
@@ -40,6 +40,14 @@
 	Unfinished []string
 }
 
+// Room is what a store says of itself.
+type Room struct {
+	// Tokens is what its parts take up, finished or not.
+	Tokens int
+	// Clock is the engines' clock in milliseconds; zero when not told.
+	Clock int64
+}
+
 // Changes are events of a store.
 type Changes struct {
 	Epoch, Next int64
--- /dev/null
+++ b/ctrl/chief_test.go
@@ -0,0 +1,73 @@
+package ctrl_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"egretshunt/block"
+	"egretshunt/board"
+	"egretshunt/check"
+	"egretshunt/clock"
+	"egretshunt/ctrl"
+	"egretshunt/member"
+	"egretshunt/wire"
+)
+
+// stillOutside is a platform with one store in which nothing changes.
+type stillOutside struct {
+	store netip.AddrPort
+	held  []block.Held
+}
+
+func (o *stillOutside) Endpoints(context.Context) ([]member.Endpoint, error) { return nil, nil }
+
+func (o *stillOutside) Held(context.Context, *board.Store) (ctrl.Holding, error) {
+	return ctrl.Holding{Epoch: 1, Parts: o.held}, nil
+}
+
+func (o *stillOutside) Changes(ctx context.Context, _ netip.AddrPort, since int64) (ctrl.Changes, error) {
+	<-ctx.Done()
+	return ctrl.Changes{}, ctx.Err()
+}
+
+func (o *stillOutside) Room(context.Context, *board.Store) (ctrl.Room, error) {
+	return ctrl.Room{Tokens: 100, Clock: 5_000_000}, nil
+}
+
+func (o *stillOutside) Free(context.Context, *board.Store, int64, int64, []string) error { return nil }
+
+func (o *stillOutside) Order(context.Context, *member.Endpoint, ctrl.SwapOrder) (bool, error) {
+	return false, nil
+}
+
+func (o *stillOutside) Report(context.Context, *member.Endpoint) (ctrl.EngineReport, error) {
+	return ctrl.EngineReport{}, nil
+}
+
+// TestStartKnowsWhatIsKept replays the moment after all processes were started anew: what
+// stores hold can be used before anything changes in them.
+func TestStartKnowsWhatIsKept(t *testing.T) {
+	o := &stillOutside{store: netip.MustParseAddrPort("10.9.9.9:80"), held: []block.Held{{Name: block.PartName("w1", "a"), Tokens: 100}}}
+	set, err := board.New(board.Draft{Number: 1, Pools: []board.Pool{{Name: "s", Store: &board.Store{Addr: o.store, Tokens: 1000, Managed: true}}}})
+	check.Good(t, err)
+	c := newCluster(t, 1)
+	n := c.node(c.leader())
+	hub := ctrl.NewHub(n)
+	chief := ctrl.NewChief(ctrl.ChiefConfig{
+		Member: func() (*ctrl.Node, *ctrl.Hub) { return n, hub }, Holder: "n", Outside: o,
+		Decode: func([]byte) (*board.Set, error) { return set, nil }, ListTime: 100 * time.Millisecond, Reuse: time.Minute,
+	})
+	t.Cleanup(chief.Close)
+	addr, keys := upstream(t, ctrl.ServerConfig{Node: n, Hub: hub})
+	_, err = n.Propose(t.Context(), ctrl.Command{Adopt: &ctrl.Document{Number: 1, Body: []byte("{}")}})
+	check.Good(t, err)
+	pool := wire.NewPool(wire.PoolConfig{Keys: keys})
+	t.Cleanup(pool.Close)
+	feed := ctrl.NewFeed(ctrl.FeedConfig{Node: "e", Pool: pool, Seeds: func() []netip.AddrPort { return []netip.AddrPort{addr} }})
+	t.Cleanup(feed.Close)
+	check.Soon(t, "the part and the engines' clock", func() bool {
+		return len(feed.Where(o.held[0].Name)) == 1 && feed.EngineClock(clock.Now()) >= 5_000_000
+	})
+}
--- a/ctrl/follow_test.go
+++ b/ctrl/follow_test.go
@@ -38,12 +38,12 @@
 	return d.Disk.Create(name)
 }
 
-// upstream serves one member's tables to followers.
-func upstream(t *testing.T, n *ctrl.Node) (netip.AddrPort, *wire.Keys) {
+// upstream serves one member to followers and entries.
+func upstream(t *testing.T, c ctrl.ServerConfig) (netip.AddrPort, *wire.Keys) {
 	t.Helper()
 	keys, err := wire.NewKeys("a secret of this test, long enough")
 	check.Good(t, err)
-	control := ctrl.NewServer(ctrl.ServerConfig{Node: n})
+	control := ctrl.NewServer(c)
 	serve := func(ctx context.Context, s *wire.Stream) {
 		if first, err := s.Recv(); err == nil {
 			control.Handle(ctx, s, first)
@@ -60,7 +60,7 @@
 // TestFollowerKeepsWhatItShows ends a follower as soon as it shows a change, on a slow disk.
 func TestFollowerKeepsWhatItShows(t *testing.T) {
 	c := newCluster(t, 1)
-	addr, keys := upstream(t, c.node(c.leader()))
+	addr, keys := upstream(t, ctrl.ServerConfig{Node: c.node(c.leader())})
 	d := slowDisk{fake.NewDisk(), 20 * time.Millisecond}
 	start := func(from ...netip.AddrPort) *ctrl.Follow {
 		pool := wire.NewPool(wire.PoolConfig{Keys: keys})
@@ -90,7 +90,7 @@
 // TestStalledDiskHoldsNothingUp installs a change while the disk stalls.
 func TestStalledDiskHoldsNothingUp(t *testing.T) {
 	c := newCluster(t, 1)
-	addr, keys := upstream(t, c.node(c.leader()))
+	addr, keys := upstream(t, ctrl.ServerConfig{Node: c.node(c.leader())})
 	pool := wire.NewPool(wire.PoolConfig{Keys: keys})
 	t.Cleanup(pool.Close)
 	d := stalledDisk{fake.NewDisk(), make(chan struct{})}
--- a/ctrl/stores.go
+++ b/ctrl/stores.go
@@ -117,13 +117,13 @@
 func (r *reign) measure(ctx context.Context, s *board.Store, shelf *block.Shelf) {
 	call, cancel := context.WithTimeout(ctx, outsideTime)
 	defer cancel()
-	tokens, err := r.chief.config.Outside.Room(call, s)
+	room, err := r.chief.config.Outside.Room(call, s)
 	if err != nil {
 		// The next wait for changes shows whether the store is gone.
 		r.chief.config.Events.Emit(event.OrderBad, "store", s.Addr, "duty", "room", "err", err)
 		return
 	}
-	if !shelf.Use(tokens, clock.Now()) {
+	if !shelf.Use(room.Tokens, clock.Now()) {
 		return
 	}
 	h, err := r.chief.config.Outside.Held(call, s)
@@ -146,10 +146,21 @@
 	}
 }
 
-// fill reads all that a store holds.
+// fill reads all that a store holds, and the engines' clock where it is not known yet:
+// without it no transfer can be bounded, and after a restart nothing kept would be used
+// until the first changes come.
 func (r *reign) fill(ctx context.Context, s *board.Store, shelf *block.Shelf) (next int64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, outsideTime)
 	defer cancel()
+	if r.engineClock.Load() == 0 {
+		room, err := r.chief.config.Outside.Room(ctx, s)
+		if err != nil {
+			return 0, err
+		}
+		if room.Clock > 0 {
+			r.SetEngineClock(room.Clock)
+		}
+	}
 	h, err := r.chief.config.Outside.Held(ctx, s)
 	if err != nil {
 		return 0, err
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -72,6 +72,8 @@
 	mu      sync.Mutex
 	seats   map[string]*seat
 	budgets map[string]*limit.Repeats
+	// sighted is when the entry first had a prompt that it could serve.
+	sighted time.Time
 	// saving holds parts that a request was told to save.
 	saving map[string]saving
 	// rates are the prompt tokens a second that engines of a pool were seen to compute.
--- a/pass/pass_test.go
+++ b/pass/pass_test.go
@@ -31,6 +31,8 @@
 	stale  bool
 	others map[string]int
 	where  map[string][]block.Holder
+	// blind is set while the engines' clock is not known.
+	blind atomic.Bool
 	// late replaces view where it comes later.
 	late func() *ctrl.View
 	// lists replaces list where it comes later.
@@ -57,9 +59,16 @@
 func (k *known) Where(part string) []block.Holder { return k.where[part] }
 func (k *known) Open(netip.AddrPort) bool         { return true }
 func (k *known) Use(string)                       {}
-func (k *known) EngineClock(time.Duration) int64  { return 1000 }
-func (k *known) Others(id string) int             { return k.others[id] }
-func (k *known) Entries() int                     { return 1 }
+
+func (k *known) EngineClock(time.Duration) int64 {
+	if k.blind.Load() {
+		return 0
+	}
+	return 1000
+}
+
+func (k *known) Others(id string) int { return k.others[id] }
+func (k *known) Entries() int         { return 1 }
 
 // script answers attempts in turn; the last answer is repeated.
 type script struct {
@@ -450,3 +459,31 @@
 		})
 	}
 }
+
+// All processes start anew with callers already there: prompts wait until it is known what
+// is kept, a little while.
+func TestFirstPromptsWaitForWhatIsKept(t *testing.T) {
+	prompt := func(c *pass.Call) {
+		c.Model, c.Parts = "m", []pass.Part{{ID: "shared", Tokens: 9000}, {ID: "own", Tokens: 100}}
+	}
+	store := netip.MustParseAddrPort("10.0.0.2:80")
+	t.Run("known in time", func(t *testing.T) {
+		w := newWorld(t, answer(200, eventA))
+		w.known.where[block.PartName(block.Salt(3, ""), "shared")] = []block.Holder{{Store: store, Tokens: 9000}}
+		w.known.blind.Store(true)
+		time.AfterFunc(50*time.Millisecond, func() { w.known.blind.Store(false) })
+		got, _ := w.call("/resume/x", "k", prompt)
+		check.Equal(t, "status", got.Code, 200)
+		s := w.back.sends[0]
+		check.Equal(t, "reads or has the part", s.To.Addr == store || s.Fetch[0] == store, true)
+		check.Equal(t, "bounds the transfer", s.Until > 0, true)
+	})
+	t.Run("never known", func(t *testing.T) {
+		w := newWorld(t, answer(200, eventA))
+		w.known.blind.Store(true)
+		got, _ := w.call("/resume/x", "k", prompt)
+		check.Equal(t, "served all the same", got.Code, 200)
+		got, _ = w.call("/safe/x", "k")
+		check.Equal(t, "what is no prompt", got.Code, 200)
+	})
+}
