Find silent engines by control's held calls

Change: the leader's call for changes, which each engine holds for 500 ms, is given up after 900 ms and asked again; two unanswered in a row make the engine down for all entries until it answers (member.Silent; not when over half are silent: then the caller is cut off). Tests: TestSilent, TestSilentEngineIsAvoidedByAll.

--- a/ctrl/chief.go
+++ b/ctrl/chief.go
@@ -12,6 +12,7 @@
 	"egretshunt/event"
 	"egretshunt/member"
 	"egretshunt/quorum"
+	"egretshunt/value"
 )
 
 // Outside is what the leader needs of the platform that the system runs on.
@@ -162,6 +163,8 @@
 	given map[string]given
 	// has holds versions that engines were seen to have, by engine and model.
 	has map[string]map[string]uint64
+	// silent are the addresses of engines that answer nobody.
+	silent value.Set[string]
 }
 
 // given is an order to an engine.
--- a/ctrl/chief_test.go
+++ b/ctrl/chief_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,19 +18,28 @@
 	"egretshunt/wire"
 )
 
-// stillOutside is a platform with one store in which nothing changes.
+// stillOutside is a platform with one store and some engines in which nothing changes.
 type stillOutside struct {
-	store netip.AddrPort
-	held  []block.Held
+	store   netip.AddrPort
+	held    []block.Held
+	engines []member.Endpoint
+	// quiet is the engine that answers nobody, in engines; negative for none.
+	quiet atomic.Int64
 }
 
-func (o *stillOutside) Endpoints(context.Context) ([]member.Endpoint, error) { return nil, nil }
+func (o *stillOutside) Endpoints(context.Context) ([]member.Endpoint, error) { return o.engines, nil }
 
 func (o *stillOutside) Held(context.Context, *board.Store) (ctrl.Holding, error) {
 	return ctrl.Holding{Epoch: 1, Parts: o.held}, nil
 }
 
-func (o *stillOutside) Changes(ctx context.Context, _ netip.AddrPort, since int64) (ctrl.Changes, error) {
+func (o *stillOutside) Changes(ctx context.Context, at netip.AddrPort, since int64) (ctrl.Changes, error) {
+	for i, e := range o.engines {
+		if e.Addr == at && int64(i) != o.quiet.Load() {
+			time.Sleep(20 * time.Millisecond)
+			return ctrl.Changes{Epoch: 1}, nil
+		}
+	}
 	<-ctx.Done()
 	return ctrl.Changes{}, ctx.Err()
 }
@@ -46,10 +58,9 @@
 	return ctrl.EngineReport{}, nil
 }
 
-// TestStartKnowsWhatIsKept replays the moment after all processes were started anew: what
-// stores hold can be used before anything changes in them.
-func TestStartKnowsWhatIsKept(t *testing.T) {
-	o := &stillOutside{store: netip.MustParseAddrPort("10.9.9.9:80"), held: []block.Held{{Name: block.PartName("w1", "a"), Tokens: 100}}}
+// follow starts a control VM that looks after a platform, and an entry's feed from it.
+func (o *stillOutside) follow(t *testing.T) *ctrl.Feed {
+	t.Helper()
 	set, err := board.New(board.Draft{Number: 1, Pools: []board.Pool{{Name: "s", Store: &board.Store{Addr: o.store, Tokens: 1000, Managed: true}}}})
 	check.Good(t, err)
 	c := newCluster(t, 1)
@@ -67,7 +78,45 @@
 	t.Cleanup(pool.Close)
 	feed := ctrl.NewFeed(ctrl.FeedConfig{Node: "e", Pool: pool, Seeds: func() []netip.AddrPort { return []netip.AddrPort{addr} }})
 	t.Cleanup(feed.Close)
+	return feed
+}
+
+// TestStartKnowsWhatIsKept replays the moment after all processes were started anew: what
+// stores hold can be used before anything changes in them.
+func TestStartKnowsWhatIsKept(t *testing.T) {
+	o := &stillOutside{store: netip.MustParseAddrPort("10.9.9.9:80"), held: []block.Held{{Name: block.PartName("w1", "a"), Tokens: 100}}}
+	feed := o.follow(t)
 	check.Soon(t, "the part and the engines' clock", func() bool {
 		return len(feed.Where(o.held[0].Name)) == 1 && feed.EngineClock(clock.Now()) >= 5_000_000
 	})
 }
+
+// TestSilentEngineIsAvoidedByAll replays an engine that loses power and comes back.
+func TestSilentEngineIsAvoidedByAll(t *testing.T) {
+	o := &stillOutside{store: netip.MustParseAddrPort("10.9.9.9:80")}
+	for i := range 3 {
+		o.engines = append(o.engines, member.Endpoint{
+			ID: fmt.Sprint("e", i), Pool: "p", Addr: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:80", i+1)), Weights: map[string]uint64{"m": 1},
+		})
+	}
+	o.quiet.Store(-1)
+	feed := o.follow(t)
+	down := func() string {
+		l := feed.List()
+		if l == nil {
+			return "unknown"
+		}
+		var ids []string
+		for _, e := range l.Endpoints {
+			if e.Down {
+				ids = append(ids, e.ID)
+			}
+		}
+		return strings.Join(ids, ",")
+	}
+	check.Soon(t, "all engines in use", func() bool { return down() == "" })
+	o.quiet.Store(1)
+	check.Soon(t, "the silent one avoided", func() bool { return down() == "e1" })
+	o.quiet.Store(-1)
+	check.Soon(t, "back in use", func() bool { return down() == "" })
+}
--- a/ctrl/swap.go
+++ b/ctrl/swap.go
@@ -33,7 +33,7 @@
 	votes, entries := r.Bad()
 	for i := range out {
 		e := &out[i]
-		e.Down = member.Condemned(votes[e.ID], entries)
+		e.Down = member.Condemned(votes[e.ID], entries) || r.silent.Has(e.Addr.String())
 		e.Loading = r.given[e.ID].busy
 		for model, version := range r.has[e.ID] {
 			if version > e.Weights[model] {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -38,6 +38,7 @@
 	StoreUp   = declare(221, "storeup", "info", "A store of kept context is known again and takes new parts.")
 	StoreDown = declare(222, "storedown", "warn", "A store of kept context stopped answering or lost its content; its parts are forgotten.")
 	Freed     = declare(223, "freed", "info", "Parts that were not used for a while were freed at a store.")
+	Silent    = declare(224, "silent", "warn", "The engines named answer nobody; entries send them nothing until they do.")
 	Settled   = declare(213, "settled", "info", "An operator settled a request whose outcome was unknown.")
 )
 
--- a/member/grade.go
+++ b/member/grade.go
@@ -1,6 +1,10 @@
 package member
 
-import "time"
+import (
+	"time"
+
+	"egretshunt/value"
+)
 
 const (
 	// gradeWindow is how many of the latest outcomes are judged.
@@ -102,3 +106,26 @@
 func Condemned(votes, entries int) bool {
 	return votes >= condemnVotes && 3*votes >= entries
 }
+
+// silentCalls is how many calls in a row an endpoint leaves unanswered before it is believed
+// to be silent: one may be lost on the way.
+const silentCalls = 2
+
+// Silent lists the endpoints that answer nobody, given how many calls in a row each of those
+// followed has left unanswered. With more than half of them silent the caller is taken to be
+// the one that is cut off.
+//
+// It answers the pattern of engines that lose power: their connections hang, and each entry
+// would send them work until its own requests had timed out.
+func Silent(missed map[string]int) value.Set[string] {
+	silent := value.SetOf[string]()
+	for k, n := range missed {
+		if n >= silentCalls {
+			silent.Add(k)
+		}
+	}
+	if 2*len(silent) > len(missed) {
+		return value.SetOf[string]()
+	}
+	return silent
+}
--- a/member/grade_test.go
+++ b/member/grade_test.go
@@ -1,6 +1,7 @@
 package member_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -68,3 +69,20 @@
 		check.Equal(t, "condemned", member.Condemned(c.votes, c.entries), c.want)
 	}
 }
+
+func TestSilent(t *testing.T) {
+	for name, c := range map[string]struct {
+		missed map[string]int
+		want   []string
+	}{
+		"all answer":             {map[string]int{"a": 0, "b": 0, "c": 0}, nil},
+		"one call lost":          {map[string]int{"a": 1, "b": 0, "c": 0}, nil},
+		"two engines lose power": {map[string]int{"a": 2, "b": 5, "c": 0, "d": 0, "e": 0}, []string{"a", "b"}},
+		"the caller is cut off":  {map[string]int{"a": 2, "b": 2, "c": 0}, nil},
+		"nobody is followed":     {nil, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			check.Equal(t, "silent", fmt.Sprint(member.Silent(c.missed).Sorted()), fmt.Sprint(c.want))
+		})
+	}
+}
