Let prompts with a close objective go before others of their rank

Cause: most accounts name a rank of their own, so short prompts (400 ms) and long ones (1 s) share a level at engines; with four long prompts ahead a short one is late. Change: limit.Level takes the objective; up to 500 ms it goes first within its rank, on time and late. Test: TestShortPromptsAreNotHeldUpByLongOnes (burst of long ones among short ones).

--- a/limit/admit_test.go
+++ b/limit/admit_test.go
@@ -1,6 +1,7 @@
 package limit_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -68,14 +69,55 @@
 }
 
 func TestLevel(t *testing.T) {
-	check.Equal(t, "late behind all that can be on time", limit.Level(0, true) > limit.Level(9, false), true)
-	check.Equal(t, "urgent first", limit.Level(0, false) < limit.Level(1, false), true)
+	const soon, far = 400 * time.Millisecond, time.Second
+	check.Equal(t, "late behind all that can be on time", limit.Level(0, soon, true) > limit.Level(9, far, false), true)
+	check.Equal(t, "urgent first", limit.Level(0, far, false) < limit.Level(1, soon, false), true)
+	check.Equal(t, "close objective first", limit.Level(1, soon, false) < limit.Level(1, far, false), true)
 	for rank := -1; rank < 12; rank++ {
 		for _, late := range []bool{false, true} {
-			l := limit.Level(rank, late)
-			check.Equal(t, "within the engines' levels", l >= 0 && l < limit.Levels, true)
+			for _, goal := range []time.Duration{0, soon, far} {
+				l := limit.Level(rank, goal, late)
+				check.Equal(t, "within the engines' levels", l >= 0 && l < limit.Levels, true)
+			}
+		}
+	}
+}
+
+// Four long prompts come at once every second and short ones all the while, at nine tenths of
+// what the engine can do: in order of arrival each burst makes short ones late.
+func TestShortPromptsAreNotHeldUpByLongOnes(t *testing.T) {
+	type prompt struct {
+		at, work, goal time.Duration
+		level          int
+	}
+	var waiting []prompt
+	for at := time.Duration(0); at < 20*time.Second; at += 100 * time.Millisecond {
+		waiting = append(waiting, prompt{at, 10 * time.Millisecond, 400 * time.Millisecond, limit.Level(1, 400*time.Millisecond, false)})
+		if at%time.Second == 0 {
+			for range 4 {
+				waiting = append(waiting, prompt{at, 200 * time.Millisecond, time.Second, limit.Level(1, time.Second, false)})
+			}
+		}
+	}
+	late := map[time.Duration]int{}
+	for now := time.Duration(0); len(waiting) > 0; {
+		next := -1
+		for i, p := range waiting {
+			if p.at <= now && (next < 0 || p.level < waiting[next].level) {
+				next = i
+			}
+		}
+		if next < 0 {
+			now = waiting[0].at
+			continue
+		}
+		p := waiting[next]
+		waiting = slices.Delete(waiting, next, next+1)
+		if now += p.work; now-p.at > p.goal {
+			late[p.goal]++
 		}
 	}
+	check.Equal(t, "late", late, map[time.Duration]int{})
 }
 
 // All entries retry at once while everything fails: together they must stay below the bound.
--- a/limit/lane.go
+++ b/limit/lane.go
@@ -5,17 +5,29 @@
 // Levels is how many levels of urgency engines tell apart; 0 is the most urgent.
 const Levels = 10
 
-// lateLevel is the level of the most urgent request that can't be on time any more.
-const lateLevel = 5
+const (
+	// lateLevel is the level of the most urgent request that can't be on time any more.
+	lateLevel = 5
+	// closeGoal is the objective up to which a request goes before others of its rank: about
+	// what one long prompt takes to be read twice.
+	closeGoal = 500 * time.Millisecond
+)
 
 // Level returns the urgency of a request at its engine: those that can still be on time
-// go before all others, so that under overload some are on time rather than none.
-func Level(rank int, late bool) int {
-	rank = min(max(rank, 0), lateLevel-1)
+// go before all others, so that under overload some are on time rather than none. Among
+// equals, those with a close objective go first: they are short, and soon late.
+//
+// It answers the pattern of short and long prompts that wait for the same engines.
+func Level(rank int, goal time.Duration, late bool) int {
+	level := 2 * max(rank, 0)
+	if goal > closeGoal {
+		level++
+	}
+	level = min(level, lateLevel-1)
 	if late {
-		return lateLevel + rank
+		level += lateLevel
 	}
-	return rank
+	return level
 }
 
 // Admission is the decision on a prompt at the endpoint that would answer it soonest.
--- a/pass/pass_test.go
+++ b/pass/pass_test.go
@@ -421,7 +421,7 @@
 	}
 	got, _ := w.call("/stream/x", "k")
 	check.Equal(t, "status", got.Code, 200)
-	check.Equal(t, "level", w.back.sends[0].Rank, limit.Level(0, true))
+	check.Equal(t, "level", w.back.sends[0].Rank, limit.Level(0, time.Second, true))
 }
 
 func TestEndpointIsTriedOnlyWhileFit(t *testing.T) {
--- a/pass/place.go
+++ b/pass/place.go
@@ -168,13 +168,13 @@
 	if p := j.route.Patience; p > 0 {
 		times.Patience = min(times.Patience, p-elapsed)
 	}
-	onTime := limit.Level(j.rank, false)
+	onTime := limit.Level(j.rank, j.route.Goal, false)
 	c := e.soonest(j, list, able, onTime)
 	times.First, times.LateFirst = c.first, c.first
 	if admission, _ := limit.Admit(times); admission == limit.OnTime {
 		return c, nil
 	}
-	c = e.soonest(j, list, able, limit.Level(j.rank, true))
+	c = e.soonest(j, list, able, limit.Level(j.rank, j.route.Goal, true))
 	times.LateFirst = c.first
 	admission, back := limit.Admit(times)
 	if admission == limit.Hopeless && j.runs == 0 {
