--- a/ctrl/feed.go
+++ b/ctrl/feed.go
@@ -18,7 +18,7 @@
 
 const (
 	// DefaultSyncHold is how long a sync without news is held, and so how old the catalogue may be.
-	DefaultSyncHold = 300 * time.Millisecond
+	DefaultSyncHold = 150 * time.Millisecond
 	// syncTimeout is how long an answer may take beyond the time that the sync is held.
 	syncTimeout = 700 * time.Millisecond
 	// CatalogLease is how long an entry may trust its catalogue of kept parts.
