Make the level and bound of logs settings, keep refusals longest, add metrics

Metrics: first token against its prediction, backlog, repeats asked of the budget by answer; TestMetricsArePaged fails when docs/METRICS.md and the code differ.

--- a/conf/conf.go
+++ b/conf/conf.go
@@ -13,6 +13,7 @@
 	"github.com/BurntSushi/toml"
 	"github.com/joomcode/errorx"
 
+	"egretshunt/event"
 	"egretshunt/quorum"
 	"egretshunt/value"
 )
@@ -50,7 +51,9 @@
 
 // Log configures events.
 type Log struct {
-	JSON bool `toml:"json" doc:"Writes JSON lines in place of logfmt."`
+	JSON  bool   `toml:"json" doc:"Writes JSON lines in place of logfmt."`
+	Level string `toml:"level" doc:"Lowest level written: debug, info, warn or error; all when missing."`
+	Queue int    `toml:"queue" doc:"Lines that may wait for a slow reader before some are dropped, those below warn first; 4096 when missing."`
 }
 
 // Ops configures the listener for metrics and health.
@@ -159,6 +162,8 @@
 		c.must(fmt.Sprintf("wire.secrets[%d]", i), len(secret) >= 16, "must have at least 16 bytes")
 	}
 	c.need("control", len(s.Control) > 0, "lists the control VMs")
+	c.must("log.level", s.Log.Level == "" || event.Level(s.Log.Level) == nil, "must be debug, info, warn or error")
+	c.must("log.queue", s.Log.Queue >= 0, "can't be negative")
 	c.must("roles", s.Entry != nil || s.Member != nil || s.Agent != nil || s.Store != nil, "there is no [entry], [member], [agent] or [store] section")
 	if s.Entry != nil {
 		s.Entry.check(c)
--- a/event/event.go
+++ b/event/event.go
@@ -10,8 +10,12 @@
 	"strings"
 
 	"github.com/go-kit/log"
+	"github.com/joomcode/errorx"
 )
 
+// BadLevel reports a level that does not exist.
+var BadLevel = errorx.NewNamespace("event").NewType("badlevel")
+
 // Kind is one entry of the catalogue.
 type Kind struct {
 	// Number is stable for ever; a retired number is not used again.
@@ -50,8 +54,25 @@
 	out log.Logger
 	// queue is set for a log that never waits for its reader.
 	queue *queue
+	// least is the rank of the lowest level written.
+	least int
+}
+
+// levels ranks the levels of kinds.
+var levels = map[string]int{"debug": 0, "info": 1, "warn": 2, "error": 3}
+
+// Level checks the name of a level.
+func Level(name string) error {
+	if _, ok := levels[name]; !ok {
+		return BadLevel.New("there is no level %q; want debug, info, warn or error", name)
+	}
+	return nil
 }
 
+// DefaultQueue is how many lines wait for a slow reader where nothing else is set: some
+// seconds of a busy entry.
+const DefaultQueue = 4096
+
 // Config constructs a Log.
 type Config struct {
 	// Out receives the lines; nil discards them.
@@ -61,8 +82,10 @@
 	// JSON selects JSON lines in place of logfmt.
 	JSON bool
 	// Queue bounds the lines that wait for a slow reader; further ones are dropped and
-	// counted. Zero writes each line at once.
+	// counted, first those below warn. Zero writes each line at once.
 	Queue int
+	// Level is the lowest level written; "" writes all.
+	Level string
 }
 
 // New returns a log that writes to c.Out.
@@ -71,10 +94,10 @@
 		return &Log{out: log.NewNopLogger()}
 	}
 	if c.Queue == 0 {
-		return &Log{out: c.logger(log.NewSyncWriter(c.Out))}
+		return &Log{out: c.logger(log.NewSyncWriter(c.Out)), least: levels[c.Level]}
 	}
 	q := newQueue(c.Out, c.Queue)
-	l := &Log{out: c.logger(q), queue: q}
+	l := &Log{out: c.logger(q), queue: q, least: levels[c.Level]}
 	// What tells of dropped lines must not be dropped with them.
 	q.start(&Log{out: c.logger(c.Out)})
 	return l
@@ -101,7 +124,7 @@
 	if l.queue == nil {
 		return 0
 	}
-	return l.queue.lines.Dropped()
+	return l.queue.dropped()
 }
 
 // Discard returns a log that writes nothing.
@@ -110,6 +133,9 @@
 // Emit writes one event with its key and value pairs. Values under keys that name
 // a secret are replaced.
 func (l *Log) Emit(k Kind, pairs ...any) {
+	if rank := levels[k.Level]; rank < l.least || l.queue != nil && rank < levels["warn"] && l.queue.crowded() {
+		return
+	}
 	line := make([]any, 0, len(pairs)+6)
 	line = append(line, "event", k.Number, "name", k.Name, "level", k.Level)
 	for i := 0; i+1 < len(pairs); i += 2 {
--- a/event/queue.go
+++ b/event/queue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"egretshunt/ring"
@@ -21,12 +22,28 @@
 	out   io.Writer
 	lines *ring.Ring[[]byte]
 	ended chan struct{}
+	// size is how many lines fit; skipped counts those below warn given up before it was full.
+	size    int
+	skipped atomic.Uint64
 }
 
 func newQueue(out io.Writer, size int) *queue {
-	return &queue{out: out, lines: ring.New[[]byte](size), ended: make(chan struct{})}
+	return &queue{out: out, lines: ring.New[[]byte](size), ended: make(chan struct{}), size: size}
 }
 
+// crowded reports, and counts, that a line below warn must be given up: the last quarter of
+// the queue is kept for failures and refusals.
+func (q *queue) crowded() bool {
+	if 4*q.lines.Len() < 3*q.size {
+		return false
+	}
+	q.skipped.Add(1)
+	return true
+}
+
+// dropped returns how many lines were given up.
+func (q *queue) dropped() uint64 { return q.lines.Dropped() + q.skipped.Load() }
+
 // Write implements io.Writer for one whole line.
 func (q *queue) Write(line []byte) (int, error) {
 	q.lines.Offer(append([]byte(nil), line...))
@@ -53,7 +70,7 @@
 			}
 			// A log line that can't be written has nowhere else to go.
 			_, _ = q.out.Write(batch)
-			if n := q.lines.Dropped(); n > told && time.Now().After(next) {
+			if n := q.dropped(); n > told && time.Now().After(next) {
 				direct.Emit(Dropped, "count", n-told)
 				told, next = n, time.Now().Add(reportTime)
 			}
--- a/node/process.go
+++ b/node/process.go
@@ -6,6 +6,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"io"
@@ -70,7 +71,9 @@
 
 // Start begins all roles of the settings. Log lines go to out.
 func Start(s *conf.Settings, out io.Writer) (*Process, error) {
-	p := &Process{settings: s, events: event.New(event.Config{Out: out, Node: s.Node, JSON: s.Log.JSON}), metrics: metrics.NewSet()}
+	p := &Process{settings: s, events: event.New(event.Config{
+		Out: out, Node: s.Node, JSON: s.Log.JSON, Level: s.Log.Level, Queue: cmp.Or(s.Log.Queue, event.DefaultQueue),
+	}), metrics: metrics.NewSet()}
 	for _, step := range []func() error{
 		p.startKeys, p.startFolder, p.startMember, p.startFollow, p.startStore, p.startAgent,
 		p.startWire, p.startOwner, p.startEntry, p.startAdmin, p.startOps,
--- a/node/stop.go
+++ b/node/stop.go
@@ -68,13 +68,20 @@
 		}
 		cut += p.entry.Drain(ctx)
 	}
-	p.Kill()
+	p.release()
 	p.events.Emit(event.Stopped, "cut", cut)
+	p.events.Close()
 	return cut
 }
 
 // Kill ends the process at once, as a crash would but for releasing its sockets.
 func (p *Process) Kill() {
+	p.release()
+	p.events.Close()
+}
+
+// release ends all that the process has started but its log.
+func (p *Process) release() {
 	for _, s := range []*http.Server{p.callers, p.operator, p.ops} {
 		if s != nil {
 			s.Close()
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -250,4 +250,5 @@
 		"first", first.Milliseconds(), "took", time.Since(j.call.Arrived).Milliseconds(), "fetched", j.fetched, "saved", j.saved, "weights", j.version, "level", j.level, "expected", j.expected.Milliseconds())
 	e.meters.outcome(j.route.Name, "served")
 	e.meters.first(j.route.Kind.String(), first)
+	e.meters.predicted(j.route.Kind.String(), first, j.expected)
 }
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -139,6 +139,7 @@
 		config: c, meters: newMeters(c.Metrics), started: time.Now(), seats: map[string]*seat{}, budgets: map[string]*limit.Repeats{}, saving: map[string]saving{},
 		rates: map[string]float64{}, links: map[netip.AddrPort]int{}, named: map[string]learned{},
 	}
+	c.Metrics.NewGauge("egretshunt_pass_backlog_tokens", func() float64 { return float64(e.backlog()) })
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	e.running.Go(func() { e.housekeep(ctx) })
@@ -296,6 +297,19 @@
 	return work
 }
 
+// backlog returns the prompt tokens that this entry awaits of all endpoints.
+func (e *Entry) backlog() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	sum := 0
+	for _, s := range e.seats {
+		for _, tokens := range s.awaited {
+			sum += tokens
+		}
+	}
+	return sum
+}
+
 // workKey names the work at one level of urgency of an endpoint.
 func workKey(id string, level int) string { return id + "/" + strconv.Itoa(level) }
 
@@ -340,7 +354,9 @@
 func (e *Entry) mayRepeat(pool string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.budget(pool).Take(time.Now(), e.config.View.Entries())
+	allowed := e.budget(pool).Take(time.Now(), e.config.View.Entries())
+	e.meters.repeat(pool, allowed)
+	return allowed
 }
 
 // draw turns a request's identity into a number in [0, 1).
--- a/pass/meters.go
+++ b/pass/meters.go
@@ -34,6 +34,18 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf("egretshunt_pass_first_seconds{kind=%q}", kind)).Update(d.Seconds())
 }
 
+// predicted takes how many times longer the first token took than was expected.
+func (m meters) predicted(kind string, first, expected time.Duration) {
+	if expected > 0 {
+		m.set.GetOrCreateHistogram(fmt.Sprintf("egretshunt_pass_first_ratio{kind=%q}", kind)).Update(first.Seconds() / expected.Seconds())
+	}
+}
+
+// repeat counts a repeated send by whether the shared budget allowed it.
+func (m meters) repeat(pool string, allowed bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("egretshunt_pass_repeats_total{pool=%q,allowed=\"%t\"}", pool, allowed)).Inc()
+}
+
 // reuse counts prompt tokens by where they were expected to be found.
 func (m meters) reuse(source string, tokens int) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("egretshunt_pass_prompt_tokens_total{source=%q}", source)).Add(tokens)
--- /dev/null
+++ b/pass/meters_test.go
@@ -0,0 +1,39 @@
+package pass_test
+
+import (
+	"bytes"
+	"os"
+	"regexp"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"egretshunt/check"
+	"egretshunt/pass"
+	"egretshunt/value"
+)
+
+// The page names the metrics that entries serve, and no others.
+func TestMetricsArePaged(t *testing.T) {
+	set := metrics.NewSet()
+	w := newWorldWith(t, pass.Config{Metrics: set}, notRun(503, ""), lost, cut(eventA), answer(200, eventB))
+	w.call("/safe/x", "k")
+	w.call("/once/x", "no key")
+	w.call("/resume/x", "k", func(c *pass.Call) { c.Model, c.Parts = "m", []pass.Part{{ID: "own", Tokens: 100}} })
+	var text bytes.Buffer
+	set.WritePrometheus(&text)
+	served := value.SetOf[string]()
+	for _, m := range regexp.MustCompile(`(?m)^egretshunt_(pass_[a-z]+(?:_[a-z]+)*?)(?:_bucket|_sum|_count)?[{ ]`).FindAllStringSubmatch(text.String(), -1) {
+		served.Add(m[1])
+	}
+	page, err := os.ReadFile("../docs/METRICS.md")
+	check.Good(t, err)
+	paged := value.SetOf[string]()
+	for _, m := range regexp.MustCompile("`(pass_[a-z_]+)").FindAllStringSubmatch(string(page), -1) {
+		// Open requests are served by the process that holds the entry.
+		if m[1] != "pass_open_requests" {
+			paged.Add(m[1])
+		}
+	}
+	check.Equal(t, "served and paged", served.Sorted(), paged.Sorted())
+}
