Add baselines to place prompts by, to measure the prediction against

EGRETSHUNT_POLICY names one: drawn, leastloaded, affine (rendezvous among three), storeless; predicted stays what runs. A baseline neither refuses nor marks prompts as late. Cause of the second change: the test of the baselines showed that draws by identity are uneven for short identities (FNV's high bits): requests numbered 0 to 39 all went to one place. route.Draw mixes them; TestDrawIsEvenForNumberedRequests fails without.

--- a/pass/entry.go
+++ b/pass/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"net/netip"
 	"strconv"
 	"sync"
@@ -49,8 +48,10 @@
 	// SwapTime is how soon after it was named a version of weights must run all new prompts;
 	// zero means no bound.
 	SwapTime time.Duration
-	Events   *event.Log
-	Metrics  *metrics.Set
+	// Policy places prompts; "" is Predicted.
+	Policy  Policy
+	Events  *event.Log
+	Metrics *metrics.Set
 }
 
 // Entry passes requests on.
@@ -359,13 +360,6 @@
 	return allowed
 }
 
-// draw turns a request's identity into a number in [0, 1).
-func draw(id string) float64 {
-	h := fnv.New64a()
-	h.Write([]byte(id))
-	return float64(h.Sum64()>>11) / (1 << 53)
-}
-
 // Close stops the duties.
 func (e *Entry) Close() {
 	e.cancel()
--- a/pass/pass_test.go
+++ b/pass/pass_test.go
@@ -487,3 +487,26 @@
 		check.Equal(t, "what is no prompt", got.Code, 200)
 	})
 }
+
+// Each baseline serves; only the one by affinity keeps a subject together.
+func TestPolicies(t *testing.T) {
+	for name, spread := range map[string]bool{"": false, "predicted": false, "drawn": true, "leastloaded": true, "affine": false, "storeless": false} {
+		t.Run(name, func(t *testing.T) {
+			p, err := pass.ParsePolicy(name)
+			check.Good(t, err)
+			w := newWorldWith(t, pass.Config{Policy: p}, answer(200, eventA))
+			used := map[string]bool{}
+			for i := range 40 {
+				got, _ := w.call("/resume/x", "k", func(c *pass.Call) {
+					c.ID, c.Model, c.Parts = fmt.Sprint(i), "m", []pass.Part{{ID: "subject", Tokens: 100}, {ID: fmt.Sprint("own", i), Tokens: 10}}
+				})
+				check.Equal(t, "status", got.Code, 200)
+				s := w.back.sends[len(w.back.sends)-1]
+				used[s.To.ID] = true
+			}
+			check.Equal(t, "spread over all", len(used) == 4, spread)
+		})
+	}
+	_, err := pass.ParsePolicy("guess")
+	check.Equal(t, "unknown policy", err != nil, true)
+}
--- a/pass/place.go
+++ b/pass/place.go
@@ -158,7 +158,7 @@
 			seats[i].Penalty = coldPenalty
 		}
 	}
-	return &choice{to: able[route.Scatter(draw(j.call.ID+strconv.Itoa(len(j.tried))), seats)]}
+	return &choice{to: able[route.Scatter(route.Draw(j.call.ID+strconv.Itoa(len(j.tried))), seats)]}
 }
 
 // gather chooses for a prompt and admits it; the caller holds mu.
@@ -168,8 +168,12 @@
 	if p := j.route.Patience; p > 0 {
 		times.Patience = min(times.Patience, p-elapsed)
 	}
+	able, chosen := e.narrow(j, able)
 	onTime := limit.Level(j.rank, j.route.Goal, false)
 	c := e.soonest(j, list, able, onTime)
+	if chosen {
+		return c, nil
+	}
 	times.First, times.LateFirst = c.first, c.first
 	if admission, _ := limit.Admit(times); admission == limit.OnTime {
 		return c, nil
@@ -250,11 +254,7 @@
 		bids[i].Taken = s.memory + e.config.View.Others(memoryKey(to.ID)) + j.size()
 		choices[i] = c
 	}
-	subject := j.call.Parts[len(j.call.Parts)-1].ID
-	if len(shared) > 0 {
-		subject = shared[len(shared)-1].ID
-	}
-	at := route.Soonest(subject, engine, bids)
+	at := route.Soonest(j.subject(), engine, bids)
 	choices[at].first = bids[at].First(engine)
 	return choices[at]
 }
@@ -262,7 +262,7 @@
 // whereAll returns the holders of each shared part under a salt.
 func (e *Entry) whereAll(salt string, version uint64, shared []Part) [][]block.Holder {
 	held := make([][]block.Holder, len(shared))
-	if version == 0 {
+	if version == 0 || e.config.Policy == Storeless {
 		return held
 	}
 	for i, p := range shared {
@@ -350,7 +350,7 @@
 	}
 	j.version, j.fetched, j.saved, j.level, j.expected = c.version, c.moved, 0, c.level, c.first
 	s.Version, s.Salt, s.Fetch = c.version, c.salt, c.fetch
-	if s.Version > 0 {
+	if s.Version > 0 && e.config.Policy != Storeless {
 		e.save(j, s, now)
 	}
 	if ms := e.config.View.EngineClock(clock.Now()); ms > 0 {
--- a/pass/serve.go
+++ b/pass/serve.go
@@ -10,6 +10,7 @@
 	"egretshunt/board"
 	"egretshunt/clock"
 	"egretshunt/event"
+	"egretshunt/route"
 )
 
 const (
@@ -140,7 +141,7 @@
 		}
 		j.account, j.isolated, j.rank = a.Name, a.Isolated, a.Rank.Or(j.route.Rank)
 	}
-	j.pool = j.route.Pick(draw(c.ID))
+	j.pool = j.route.Pick(route.Draw(c.ID))
 	wait := j.route.Timeout
 	if c.Wait > 0 && c.Wait < wait {
 		wait = c.Wait
--- a/route/predict_test.go
+++ b/route/predict_test.go
@@ -142,3 +142,14 @@
 	check.Equal(t, "when those are full", route.Home("x", shelves[:1]), 0)
 	check.Equal(t, "when all are", route.Home("x", nil), -1)
 }
+
+// Callers may number their requests: weights of a split must hold all the same.
+func TestDrawIsEvenForNumberedRequests(t *testing.T) {
+	tenths := map[int]int{}
+	for i := range 1000 {
+		tenths[int(10*route.Draw(fmt.Sprint(i)))]++
+	}
+	for tenth := range 10 {
+		check.Equal(t, fmt.Sprint("tenth ", tenth), tenths[tenth] > 60 && tenths[tenth] < 140, true)
+	}
+}
--- a/route/seat.go
+++ b/route/seat.go
@@ -79,6 +79,13 @@
 	return mix(h.Sum64())
 }
 
+// Draw turns a request's identity into a number in [0, 1) that looks drawn by lot.
+func Draw(id string) float64 {
+	h := fnv.New64a()
+	h.Write([]byte(id))
+	return float64(mix(h.Sum64())>>11) / (1 << 53)
+}
+
 // mix spreads the differences of similar inputs over all bits.
 func mix(x uint64) uint64 {
 	x ^= x >> 33
