--- a/ctrl/chief.go
+++ b/ctrl/chief.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -255,3 +257,28 @@
 		}
 	}
 }
+
+// publish gives entries the endpoints, with what is known of them beside the list.
+func (r *reign) publish() {
+	r.listMu.Lock()
+	defer r.listMu.Unlock()
+	if r.listed == nil {
+		return
+	}
+	out := slices.Clone(r.listed)
+	votes, entries := r.Bad()
+	for i := range out {
+		e := &out[i]
+		e.Down = member.Condemned(votes[e.ID], entries) || r.silent.Has(e.Addr.String())
+		e.Loading = r.given[e.ID].busy
+		for model, version := range r.has[e.ID] {
+			if version > e.Weights[model] {
+				e.Weights = maps.Clone(e.Weights)
+				e.Weights[model] = version
+			}
+		}
+	}
+	if r.SetList(out) {
+		r.chief.config.Events.Emit(event.Listed, "count", len(out), "rev", r.List().Rev)
+	}
+}
--- a/ctrl/swap.go
+++ b/ctrl/swap.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -22,31 +20,6 @@
 	reportLag = 400 * time.Millisecond
 )
 
-// publish gives entries the endpoints, with what is known of them beside the list.
-func (r *reign) publish() {
-	r.listMu.Lock()
-	defer r.listMu.Unlock()
-	if r.listed == nil {
-		return
-	}
-	out := slices.Clone(r.listed)
-	votes, entries := r.Bad()
-	for i := range out {
-		e := &out[i]
-		e.Down = member.Condemned(votes[e.ID], entries) || r.silent.Has(e.Addr.String())
-		e.Loading = r.given[e.ID].busy
-		for model, version := range r.has[e.ID] {
-			if version > e.Weights[model] {
-				e.Weights = maps.Clone(e.Weights)
-				e.Weights[model] = version
-			}
-		}
-	}
-	if r.SetList(out) {
-		r.chief.config.Events.Emit(event.Listed, "count", len(out), "rev", r.List().Rev)
-	}
-}
-
 // weights runs the swaps of the reign.
 func (r *reign) weights(ctx context.Context) {
 	t := time.NewTicker(swapTime)
@@ -60,11 +33,11 @@
 			return
 		}
 		l := r.List()
-		named := r.node.View().Weights
-		if l == nil || len(named) == 0 || !r.leads() {
+		wanted := r.node.View().Weights
+		if l == nil || len(wanted) == 0 || !r.leads() {
 			continue
 		}
-		for model, w := range named {
+		for model, w := range wanted {
 			r.step(ctx, &running, l, model, w.Version, r.pace(model, w.Version))
 		}
 	}
