Let an entry's answers outweigh an engine's silence towards control

Change: an entry that gets bytes from an endpoint which control has as down says so with its next sync; for 5 s after such word the leader does not count that silence.

--- a/ctrl/chief.go
+++ b/ctrl/chief.go
@@ -269,7 +269,8 @@
 	votes, entries := r.Bad()
 	for i := range out {
 		e := &out[i]
-		e.Down = member.Condemned(votes[e.ID], entries) || r.silent.Has(e.Addr.String())
+		// An engine may be cut off from control alone.
+		e.Down = member.Condemned(votes[e.ID], entries) || r.silent.Has(e.Addr.String()) && !r.Heard(e.ID)
 		e.Loading = r.given[e.ID].busy
 		for model, version := range r.has[e.ID] {
 			if version > e.Weights[model] {
--- a/ctrl/chief_test.go
+++ b/ctrl/chief_test.go
@@ -59,7 +59,7 @@
 }
 
 // follow starts a control VM that looks after a platform, and an entry's feed from it.
-func (o *stillOutside) follow(t *testing.T) *ctrl.Feed {
+func (o *stillOutside) follow(t *testing.T, heard func() []string) *ctrl.Feed {
 	t.Helper()
 	set, err := board.New(board.Draft{Number: 1, Pools: []board.Pool{{Name: "s", Store: &board.Store{Addr: o.store, Tokens: 1000, Managed: true}}}})
 	check.Good(t, err)
@@ -76,7 +76,7 @@
 	check.Good(t, err)
 	pool := wire.NewPool(wire.PoolConfig{Keys: keys})
 	t.Cleanup(pool.Close)
-	feed := ctrl.NewFeed(ctrl.FeedConfig{Node: "e", Pool: pool, Seeds: func() []netip.AddrPort { return []netip.AddrPort{addr} }})
+	feed := ctrl.NewFeed(ctrl.FeedConfig{Node: "e", Pool: pool, Heard: heard, Seeds: func() []netip.AddrPort { return []netip.AddrPort{addr} }})
 	t.Cleanup(feed.Close)
 	return feed
 }
@@ -85,14 +85,14 @@
 // stores hold can be used before anything changes in them.
 func TestStartKnowsWhatIsKept(t *testing.T) {
 	o := &stillOutside{store: netip.MustParseAddrPort("10.9.9.9:80"), held: []block.Held{{Name: block.PartName("w1", "a"), Tokens: 100}}}
-	feed := o.follow(t)
+	feed := o.follow(t, nil)
 	check.Soon(t, "the part and the engines' clock", func() bool {
 		return len(feed.Where(o.held[0].Name)) == 1 && feed.EngineClock(clock.Now()) >= 5_000_000
 	})
 }
 
-// TestSilentEngineIsAvoidedByAll replays an engine that loses power and comes back.
-func TestSilentEngineIsAvoidedByAll(t *testing.T) {
+// threeEngines is a platform with three engines that all answer.
+func threeEngines() *stillOutside {
 	o := &stillOutside{store: netip.MustParseAddrPort("10.9.9.9:80")}
 	for i := range 3 {
 		o.engines = append(o.engines, member.Endpoint{
@@ -100,23 +100,48 @@
 		})
 	}
 	o.quiet.Store(-1)
-	feed := o.follow(t)
-	down := func() string {
-		l := feed.List()
-		if l == nil {
-			return "unknown"
-		}
-		var ids []string
-		for _, e := range l.Endpoints {
-			if e.Down {
-				ids = append(ids, e.ID)
-			}
+	return o
+}
+
+// down names the endpoints that a feed has as down.
+func down(feed *ctrl.Feed) string {
+	l := feed.List()
+	if l == nil {
+		return "unknown"
+	}
+	var ids []string
+	for _, e := range l.Endpoints {
+		if e.Down {
+			ids = append(ids, e.ID)
 		}
-		return strings.Join(ids, ",")
 	}
-	check.Soon(t, "all engines in use", func() bool { return down() == "" })
+	return strings.Join(ids, ",")
+}
+
+// TestSilentEngineIsAvoidedByAll replays an engine that loses power and comes back.
+func TestSilentEngineIsAvoidedByAll(t *testing.T) {
+	o := threeEngines()
+	feed := o.follow(t, nil)
+	check.Soon(t, "all engines in use", func() bool { return down(feed) == "" })
 	o.quiet.Store(1)
-	check.Soon(t, "the silent one avoided", func() bool { return down() == "e1" })
+	check.Soon(t, "the silent one avoided", func() bool { return down(feed) == "e1" })
 	o.quiet.Store(-1)
-	check.Soon(t, "back in use", func() bool { return down() == "" })
+	check.Soon(t, "back in use", func() bool { return down(feed) == "" })
+}
+
+// TestEngineCutOffFromControlAlone replays an engine that answers entries but not control.
+func TestEngineCutOffFromControlAlone(t *testing.T) {
+	o := threeEngines()
+	var seen atomic.Bool
+	feed := o.follow(t, func() []string {
+		if seen.Load() {
+			return []string{"e1"}
+		}
+		return nil
+	})
+	check.Soon(t, "all engines in use", func() bool { return down(feed) == "" })
+	o.quiet.Store(1)
+	check.Soon(t, "believed silent", func() bool { return down(feed) == "e1" })
+	seen.Store(true)
+	check.Soon(t, "in use again on an entry's word", func() bool { return down(feed) == "" })
 }
--- a/ctrl/feed.go
+++ b/ctrl/feed.go
@@ -38,6 +38,8 @@
 	Events *event.Log
 	// Bad returns the endpoints that this entry judges unfit.
 	Bad func() []string
+	// Heard returns the endpoints that answer this entry though control has them as down.
+	Heard func() []string
 	// Work returns the prompt tokens that this entry awaits of each endpoint.
 	Work func() map[string]int
 }
@@ -170,6 +172,9 @@
 	if f.config.Bad != nil {
 		ask.Bad = f.config.Bad()
 	}
+	if f.config.Heard != nil {
+		ask.Heard = f.config.Heard()
+	}
 	if f.config.Work != nil {
 		ask.Work = map[string]uint32{}
 		for id, tokens := range f.config.Work() {
--- a/ctrl/hub.go
+++ b/ctrl/hub.go
@@ -52,6 +52,8 @@
 	// shared are parts used since Shared was last called.
 	shared  []string
 	entries map[string]seen
+	// heard is when entries last told that an endpoint answers which control has as down.
+	heard map[string]time.Duration
 }
 
 // seen is what an entry said last.
@@ -72,7 +74,7 @@
 func (h *Hub) Begin() *Reign {
 	r := &Reign{
 		Life: rand.Uint64() | 1, Catalog: block.NewCatalog(), hub: h,
-		used: map[string]time.Duration{}, entries: map[string]seen{},
+		used: map[string]time.Duration{}, entries: map[string]seen{}, heard: map[string]time.Duration{},
 	}
 	h.reign.Store(r)
 	return r
@@ -166,6 +168,18 @@
 	return votes, entries
 }
 
+// heardTime is how long an entry's word that an endpoint answers it outweighs its silence
+// towards control.
+const heardTime = 5 * time.Second
+
+// Heard reports whether some entry has told of late that an endpoint answers it.
+func (r *Reign) Heard(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at, ok := r.heard[id]
+	return ok && clock.Now()-at < heardTime
+}
+
 // Handle answers the syncs of one entry until its stream ends.
 func (h *Hub) Handle(ctx context.Context, s *wire.Stream, first *wire.Sync) {
 	stop := context.AfterFunc(ctx, s.Abort)
@@ -221,6 +235,9 @@
 		r.used[name] = now
 	}
 	r.shared = append(r.shared, ask.GetUsed()...)
+	for _, id := range ask.GetHeard() {
+		r.heard[id] = now
+	}
 	r.entries[ask.GetNode()] = seen{at: now, bad: ask.GetBad(), work: ask.GetWork()}
 }
 
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -36,6 +36,7 @@
 	sent := e.compose(j, c, out.last)
 	began := time.Now()
 	out.first = func() { e.firstCame(j, c, time.Since(began), true) }
+	out.came = func() { e.hear(to) }
 	defer e.firstCame(j, c, 0, false)
 	defer e.unload(j, c)
 	reply, err := e.config.Backend.Send(ctx, sent)
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -115,6 +115,8 @@
 	grade member.Grade
 	// memory is the tokens that requests under way take up in the engine's memory.
 	memory int
+	// heard is when the endpoint last answered though control had it as down.
+	heard time.Time
 	// full is until when the endpoint has said that it takes no more.
 	full time.Time
 	// gone is set when another endpoint answered at the address.
@@ -274,6 +276,36 @@
 	return bad
 }
 
+// hear notes that an endpoint answers; that counts against control's word that it is down.
+func (e *Entry) hear(to *member.Endpoint) {
+	l := e.list()
+	if l == nil {
+		return
+	}
+	if now := l.Find(to.ID); now == nil || !now.Down {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.seat(to).heard = time.Now()
+}
+
+// heardTime is how long an answer counts against control's word that its endpoint is down.
+const heardTime = time.Second
+
+// Heard returns the endpoints that answer though control has them as down.
+func (e *Entry) Heard() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var heard []string
+	for id, s := range e.seats {
+		if time.Since(s.heard) < heardTime {
+			heard = append(heard, id)
+		}
+	}
+	return heard
+}
+
 // Work returns the prompt tokens that this entry awaits of each endpoint, by identity, and
 // those to be read over each source's link, by address.
 func (e *Entry) Work() map[string]int {
--- a/pass/pass_test.go
+++ b/pass/pass_test.go
@@ -510,3 +510,15 @@
 	_, err := pass.ParsePolicy("guess")
 	check.Equal(t, "unknown policy", err != nil, true)
 }
+
+// Control has an endpoint as down that still answers: the entry says so.
+func TestHeardThoughDown(t *testing.T) {
+	w := newWorld(t, answer(200, eventA))
+	w.call("/resume/x", "k")
+	check.Equal(t, "nothing to tell", len(w.entry.Heard()), 0)
+	for i := range w.known.list.Endpoints {
+		w.known.list.Endpoints[i].Down = true
+	}
+	w.call("/resume/x", "k")
+	check.Equal(t, "told", w.entry.Heard(), []string{w.back.sends[1].To.ID})
+}
--- a/pass/relay.go
+++ b/pass/relay.go
@@ -21,8 +21,8 @@
 	sent int
 	// gone is set when the caller takes no more bytes.
 	gone bool
-	// first is called with each answer's first event.
-	first func()
+	// first is called with each answer's first event, came with all bytes of answers.
+	first, came func()
 }
 
 func newRelay(w http.ResponseWriter, stream bool) *relay { return &relay{w: w, stream: stream} }
@@ -59,6 +59,7 @@
 		return err
 	}
 	*first = time.Now()
+	r.hear()
 	if len(head) < maxWhole {
 		r.w.Header().Set("Content-Length", strconv.Itoa(len(head)))
 		r.head(reply)
@@ -96,6 +97,9 @@
 	for {
 		n, err := reply.Body.Read(buf)
 		held = append(held, buf[:n]...)
+		if n > 0 {
+			r.hear()
+		}
 		if n > 0 && !came && r.first != nil {
 			came = true
 			r.first()
@@ -125,6 +129,13 @@
 	}
 }
 
+// hear tells that the endpoint answers.
+func (r *relay) hear() {
+	if r.came != nil {
+		r.came()
+	}
+}
+
 // remember finds the identity of the last event of some whole ones.
 func (r *relay) remember(events []byte) {
 	for line := range bytes.Lines(events) {
