Log where each request goes before it is sent, and what a caller who leaves had got

Change: event 316 'placed' before each attempt with what decided it; 'left' tells the first event's time, the last event, bytes, the time expected and the level. Test: TestPlacedBeforeSent.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -55,10 +55,11 @@
 	Denied      = declare(309, "denied", "info", "A request was not allowed by the tables, whose number and age stand beside it.")
 	TurnedAway  = declare(310, "turnedaway", "warn", "A request was refused and has not run; why says what spoke against it.")
 	Failed      = declare(311, "failed", "warn", "A request ended without an endpoint's whole answer; ran says whether it may have run.")
-	Left        = declare(312, "left", "info", "A caller left before its answer was whole.")
+	Left        = declare(312, "left", "info", "A caller left before its answer was whole; first is when its first event came, in milliseconds, or -1.")
 	Attempted   = declare(313, "attempted", "info", "An attempt at an endpoint failed; outcome says how, next what follows.")
 	Unfit       = declare(314, "unfit", "warn", "An endpoint fails too many requests and gets none for a while.")
 	Fit         = declare(315, "fit", "info", "An endpoint that was unfit serves again.")
+	Placed      = declare(316, "placed", "info", "A request goes to an endpoint; beside it stands what decided that, in tokens and milliseconds.")
 	Fenced      = declare(307, "fenced", "warn", "An order with an old epoch was refused.")
 )
 
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -34,6 +34,8 @@
 func (e *Entry) attempt(ctx context.Context, j *job, c *choice, out *relay) (again bool, f *failure) {
 	to := c.to
 	sent := e.compose(j, c, out.last)
+	e.config.Events.Emit(event.Placed, "id", j.call.ID, "route", j.route.Name, "endpoint", to.ID, "tried", len(j.tried), "level", c.level,
+		"expected", c.first.Milliseconds(), "ahead", c.ahead, "compute", c.compute, "moved", c.moved, "weights", c.version)
 	began := time.Now()
 	out.first = func() { e.firstCame(j, c, time.Since(began), true) }
 	out.came = func() { e.hear(to) }
@@ -95,7 +97,7 @@
 		e.served(j, to, reply)
 		return false, nil
 	case out.gone || ctx.Err() == context.Canceled:
-		e.callerLeft(j, to)
+		e.callerLeft(j, to, out)
 		out.abort()
 		return false, nil
 	case ctx.Err() != nil:
@@ -131,7 +133,7 @@
 		}
 		e.note(j, to, outNotSent, "again", 0)
 		if ctx.Err() == context.Canceled {
-			e.callerLeft(j, to)
+			e.callerLeft(j, to, out)
 			return false, nil
 		}
 		return true, nil
@@ -141,7 +143,7 @@
 	switch ctx.Err() {
 	case context.Canceled:
 		e.leave(to)
-		e.callerLeft(j, to)
+		e.callerLeft(j, to, out)
 		if out.begun {
 			out.abort()
 		}
@@ -234,8 +236,13 @@
 	s.grade.Drop()
 }
 
-func (e *Entry) callerLeft(j *job, to *member.Endpoint) {
-	e.config.Events.Emit(event.Left, "id", j.call.ID, "route", j.route.Name, "endpoint", to.ID, "took", time.Since(j.call.Arrived).Milliseconds())
+func (e *Entry) callerLeft(j *job, to *member.Endpoint, out *relay) {
+	first := int64(-1)
+	if !j.first.IsZero() {
+		first = j.first.Sub(j.call.Arrived).Milliseconds()
+	}
+	e.config.Events.Emit(event.Left, "id", j.call.ID, "route", j.route.Name, "endpoint", to.ID, "took", time.Since(j.call.Arrived).Milliseconds(),
+		"first", first, "last", out.last, "bytes", out.sent, "expected", j.expected.Milliseconds(), "level", j.level)
 	e.meters.outcome(j.route.Name, "left")
 }
 
--- a/pass/log_test.go
+++ b/pass/log_test.go
@@ -47,3 +47,17 @@
 		})
 	}
 }
+
+// A process may be killed while a request is under way: the line of where it went must be out.
+func TestPlacedBeforeSent(t *testing.T) {
+	out := &buffer{}
+	found := false
+	w := newWorldWith(t, pass.Config{Events: event.New(event.Config{Out: out, Node: "n"})}, func(s *pass.Send) (*pass.Reply, error) {
+		out.mu.Lock()
+		defer out.mu.Unlock()
+		found = strings.Contains(out.text.String(), "name=placed") && strings.Contains(out.text.String(), "id=request-9") && strings.Contains(out.text.String(), s.To.ID)
+		return answer(200, "ok")(s)
+	})
+	w.call("/once/x", "k", func(call *pass.Call) { call.ID = "request-9" })
+	check.Equal(t, "placed before it was sent", found, true)
+}
