--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -34,7 +34,7 @@
 func (e *Entry) attempt(ctx context.Context, j *job, c *choice, out *relay) (again bool, f *failure) {
 	to := c.to
 	sent := e.compose(j, c, out.last)
-	e.config.Events.Emit(event.Placed, "id", j.call.ID, "route", j.route.Name, "endpoint", to.ID, "tried", len(j.tried), "level", c.level,
+	e.config.Events.Emit(event.Placed, "id", j.call.ID, "route", j.route.Name, "endpoint", to.ID, "tried", len(j.tried), "urgency", c.level,
 		"expected", c.first.Milliseconds(), "ahead", c.ahead, "compute", c.compute, "moved", c.moved, "weights", c.version)
 	began := time.Now()
 	out.first = func() { e.firstCame(j, c, time.Since(began), true) }
@@ -242,7 +242,7 @@
 		first = j.first.Sub(j.call.Arrived).Milliseconds()
 	}
 	e.config.Events.Emit(event.Left, "id", j.call.ID, "route", j.route.Name, "endpoint", to.ID, "took", time.Since(j.call.Arrived).Milliseconds(),
-		"first", first, "last", out.last, "bytes", out.sent, "expected", j.expected.Milliseconds(), "level", j.level)
+		"first", first, "last", out.last, "bytes", out.sent, "expected", j.expected.Milliseconds(), "urgency", j.level)
 	e.meters.outcome(j.route.Name, "left")
 }
 
@@ -255,7 +255,7 @@
 func (e *Entry) served(j *job, to *member.Endpoint, reply *Reply) {
 	first := j.first.Sub(j.call.Arrived)
 	e.config.Events.Emit(event.Served, "id", j.call.ID, "route", j.route.Name, "endpoint", to.ID, "status", reply.Status, "tried", len(j.tried),
-		"first", first.Milliseconds(), "took", time.Since(j.call.Arrived).Milliseconds(), "fetched", j.fetched, "saved", j.saved, "weights", j.version, "level", j.level, "expected", j.expected.Milliseconds())
+		"first", first.Milliseconds(), "took", time.Since(j.call.Arrived).Milliseconds(), "fetched", j.fetched, "saved", j.saved, "weights", j.version, "urgency", j.level, "expected", j.expected.Milliseconds())
 	e.meters.outcome(j.route.Name, "served")
 	e.meters.first(j.route.Kind.String(), first)
 	e.meters.predicted(j.route.Kind.String(), first, j.expected)
