--- a/ctrl/chief_test.go
+++ b/ctrl/chief_test.go
@@ -143,5 +143,7 @@
 	o.quiet.Store(1)
 	check.Soon(t, "believed silent", func() bool { return down(feed) == "e1" })
 	seen.Store(true)
-	check.Soon(t, "in use again on an entry's word", func() bool { return down(feed) == "" })
+	check.Soon(t, "in use again on an entry's report", func() bool { return down(feed) == "" })
+	seen.Store(false)
+	check.Soon(t, "avoided again once the report is old", func() bool { return down(feed) == "e1" })
 }
--- a/ctrl/hub.go
+++ b/ctrl/hub.go
@@ -168,7 +168,7 @@
 	return votes, entries
 }
 
-// heardTime is how long an entry's word that an endpoint answers it outweighs its silence
+// heardTime is how long an entry's report that an endpoint answers overrules its silence
 // towards control.
 const heardTime = 5 * time.Second
 
--- a/drill/drill.go
+++ b/drill/drill.go
@@ -79,8 +79,8 @@
 type drill struct {
 	config Config
 	fleet  *fleet.Fleet
-	// besides counts the engines crashed beside another fault.
-	besides atomic.Int64
+	// extraCrashes counts engines crashed while another fault was under way.
+	extraCrashes atomic.Int64
 
 	// mu guards the rest.
 	mu       sync.Mutex
--- a/drill/faults.go
+++ b/drill/faults.go
@@ -89,7 +89,7 @@
 		defer close(done)
 		if d.config.Pairs && beside.IntN(3) == 0 {
 			// The second fault is one that needs no process the first may have taken.
-			d.besides.Add(1)
+			d.extraCrashes.Add(1)
 			d.engine(beside).Crash()
 			if p := d.fleet.Proc(pick(beside, d.fleet.Entries)); p != nil {
 				p.BreakConnections()
@@ -174,7 +174,7 @@
 	name := pick(r, d.fleet.Entries)
 	index := slices.Index(d.fleet.Entries, name)
 	open := make(chan answer, 4)
-	besides := d.besides.Load()
+	before := d.extraCrashes.Load()
 	for i := range 4 {
 		go func() {
 			open <- d.prompt(ctx, fleet.Client(), index, 0, fmt.Sprintf("open at the shutdown of %s %d", name, i), 40, true)
@@ -185,8 +185,8 @@
 	d.check(gentleStop, cut == 0, "%s cut off %d requests", name, cut)
 	for range 4 {
 		a := <-open
-		// A stream ends with its engine; one that was crashed beside the stop is no fault of it.
-		crashed := d.besides.Load() > besides
+		// A stream that can't be resumed ends with its engine, whoever stops meanwhile.
+		crashed := d.extraCrashes.Load() > before
 		d.check(gentleStop, a.lost || a.status >= 300 || a.whole || crashed, "a stream of %s ended early after %d letters", name, len(a.text))
 	}
 	pause(ctx, outage)
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -38,7 +38,7 @@
 	StoreUp   = declare(221, "storeup", "info", "A store of kept context is known again and takes new parts.")
 	StoreDown = declare(222, "storedown", "warn", "A store of kept context stopped answering or lost its content; its parts are forgotten.")
 	Freed     = declare(223, "freed", "info", "Parts that were not used for a while were freed at a store.")
-	Silent    = declare(224, "silent", "warn", "The engines named answer nobody; entries send them nothing until they do.")
+	Silent    = declare(224, "silent", "warn", "The engines named leave calls of control unanswered; entries send them nothing until they answer again, control or an entry.")
 	Settled   = declare(213, "settled", "info", "An operator settled a request whose outcome was unknown.")
 )
 
@@ -59,7 +59,7 @@
 	Attempted   = declare(313, "attempted", "info", "An attempt at an endpoint failed; outcome says how, next what follows.")
 	Unfit       = declare(314, "unfit", "warn", "An endpoint fails too many requests and gets none for a while.")
 	Fit         = declare(315, "fit", "info", "An endpoint that was unfit serves again.")
-	Placed      = declare(316, "placed", "info", "A request goes to an endpoint; beside it stands what decided that, in tokens and milliseconds.")
+	Placed      = declare(316, "placed", "info", "A request is sent to an endpoint. The fields tell what decided that: prompt tokens ahead of it, to compute and to move, and the expected first event in milliseconds.")
 	Fenced      = declare(307, "fenced", "warn", "An order with an old epoch was refused.")
 )
 
--- a/event/event.go
+++ b/event/event.go
@@ -133,7 +133,7 @@
 // Emit writes one event with its key and value pairs. Values under keys that name
 // a secret are replaced.
 func (l *Log) Emit(k Kind, pairs ...any) {
-	if rank := levels[k.Level]; rank < l.least || l.queue != nil && rank < levels["warn"] && l.queue.crowded() {
+	if rank := levels[k.Level]; rank < l.least || l.queue != nil && rank < levels["warn"] && l.queue.skipsInfo() {
 		return
 	}
 	line := make([]any, 0, len(pairs)+6)
--- a/event/queue.go
+++ b/event/queue.go
@@ -31,9 +31,9 @@
 	return &queue{out: out, lines: ring.New[[]byte](size), ended: make(chan struct{}), size: size}
 }
 
-// crowded reports, and counts, that a line below warn must be given up: the last quarter of
+// skipsInfo reports, and counts, that a line below warn must be given up: the last quarter of
 // the queue is kept for failures and refusals.
-func (q *queue) crowded() bool {
+func (q *queue) skipsInfo() bool {
 	if 4*q.lines.Len() < 3*q.size {
 		return false
 	}
--- a/pass/meters_test.go
+++ b/pass/meters_test.go
@@ -13,8 +13,8 @@
 	"egretshunt/value"
 )
 
-// The page names the metrics that entries serve, and no others.
-func TestMetricsArePaged(t *testing.T) {
+// docs/METRICS.md names the metrics that entries serve, and no others.
+func TestMetricsAreDocumented(t *testing.T) {
 	set := metrics.NewSet()
 	w := newWorldWith(t, pass.Config{Metrics: set}, notRun(503, ""), lost, cut(eventA), answer(200, eventB))
 	w.call("/safe/x", "k")
@@ -28,12 +28,12 @@
 	}
 	page, err := os.ReadFile("../docs/METRICS.md")
 	check.Good(t, err)
-	paged := value.SetOf[string]()
+	documented := value.SetOf[string]()
 	for _, m := range regexp.MustCompile("`(pass_[a-z_]+)").FindAllStringSubmatch(string(page), -1) {
 		// Open requests are served by the process that holds the entry.
 		if m[1] != "pass_open_requests" {
-			paged.Add(m[1])
+			documented.Add(m[1])
 		}
 	}
-	check.Equal(t, "served and paged", served.Sorted(), paged.Sorted())
+	check.Equal(t, "served and documented", served.Sorted(), documented.Sorted())
 }
--- a/pass/serve.go
+++ b/pass/serve.go
@@ -21,9 +21,9 @@
 	// awaitTime is how long a request waits for control's word at most, awaitStep how often it looks.
 	awaitTime = time.Second
 	awaitStep = 10 * time.Millisecond
-	// blindTime is how long after an entry could first serve its prompts wait for what is kept
-	// where; the leader needs two calls to each store for it.
-	blindTime = 300 * time.Millisecond
+	// catalogWait is how long after its first prompt an entry lets prompts wait for the catalogue;
+	// the leader needs two calls to each store for it.
+	catalogWait = 300 * time.Millisecond
 	// leastLeft is the time below which an endpoint is not asked any more.
 	leastLeft = 5 * time.Millisecond
 	// answerMargin is how much before its time-out a request gets its final answer.
@@ -90,8 +90,8 @@
 	for {
 		j, f := e.admit(c)
 		now := time.Now()
-		unheard := f != nil && (f.why == whyNoTables || f.why == whyStale) && now.Before(until)
-		if !unheard && (f != nil || !e.blind(j, now)) {
+		waitsForControl := f != nil && (f.why == whyNoTables || f.why == whyStale) && now.Before(until)
+		if !waitsForControl && (f != nil || !e.lacksCatalog(j, now)) {
 			return j, f
 		}
 		select {
@@ -102,18 +102,18 @@
 	}
 }
 
-// blind reports whether a prompt should wait until it is known what is kept where: an entry
-// that has just started would have all of it computed anew.
-func (e *Entry) blind(j *job, now time.Time) bool {
+// lacksCatalog reports whether a prompt should wait for the catalogue: an entry that has just
+// started would otherwise have the engines compute all that stores hold.
+func (e *Entry) lacksCatalog(j *job, now time.Time) bool {
 	if !j.route.Prompts || len(j.call.Parts) == 0 || e.config.View.EngineClock(clock.Now()) > 0 {
 		return false
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.sighted.IsZero() {
-		e.sighted = now
+	if e.firstPrompt.IsZero() {
+		e.firstPrompt = now
 	}
-	return now.Sub(e.sighted) < blindTime
+	return now.Sub(e.firstPrompt) < catalogWait
 }
 
 // admit finds what the tables say of a call.
