Operators' limits on headers and idle connections hold while entries serve

Cause: only the limit on bodies was applied; headers and idle times were the entry's own (10 s, 60 s, 64 KiB), as a running Go server can't change its own. A table set that names more idle time would have had reused connections closed under callers. Ruled out: a new server for each table set (cuts kept-alive connections); deadlines in a wrapped connection (the server overwrites them).

--- /dev/null
+++ b/pass/conns_test.go
@@ -0,0 +1,125 @@
+package pass_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"egretshunt/board"
+	"egretshunt/check"
+	"egretshunt/pass"
+)
+
+// boundServer serves requests under limits that a test may change.
+type boundServer struct {
+	addr   string
+	limits atomic.Pointer[board.Limits]
+	// hold delays each answer.
+	hold time.Duration
+}
+
+func serveBound(t *testing.T, limits board.Limits, hold time.Duration) *boundServer {
+	t.Helper()
+	b := &boundServer{hold: hold}
+	b.limits.Store(&limits)
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(b.hold)
+		io.WriteString(w, "served")
+	})}
+	pass.NewConns(s, func() board.Limits { return *b.limits.Load() })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	check.Good(t, err)
+	b.addr = l.Addr().String()
+	go s.Serve(l)
+	t.Cleanup(func() { s.Close() })
+	return b
+}
+
+// dial opens a connection that waits for answers no longer than a test may.
+func (b *boundServer) dial(t *testing.T) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", b.addr)
+	check.Good(t, err)
+	t.Cleanup(func() { c.Close() })
+	check.Good(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+	return c, bufio.NewReader(c)
+}
+
+// ask sends one request and returns its status.
+func ask(t *testing.T, c net.Conn, in *bufio.Reader, header string) int {
+	t.Helper()
+	_, err := fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: a\r\n%s\r\n", header)
+	check.Good(t, err)
+	resp, err := http.ReadResponse(in, nil)
+	check.Good(t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	check.Good(t, err)
+	return resp.StatusCode
+}
+
+// ended waits until the server has closed or reset the connection.
+func ended(t *testing.T, in *bufio.Reader) {
+	t.Helper()
+	_, err := in.ReadByte()
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the connection is still open: %v", err)
+	}
+}
+
+func TestConnectionsKeepLimits(t *testing.T) {
+	wide := board.Limits{Header: 1 << 10, HeaderTime: time.Minute, Idling: time.Minute}
+	const brief = 50 * time.Millisecond
+	t.Run("headers that come too slowly end the connection", func(t *testing.T) {
+		limits := wide
+		limits.HeaderTime = brief
+		c, in := serveBound(t, limits, 0).dial(t)
+		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost:")
+		check.Good(t, err)
+		ended(t, in)
+	})
+	t.Run("a connection without any request ends", func(t *testing.T) {
+		limits := wide
+		limits.HeaderTime = brief
+		_, in := serveBound(t, limits, 0).dial(t)
+		ended(t, in)
+	})
+	t.Run("a long answer is not cut by the time for headers", func(t *testing.T) {
+		limits := wide
+		limits.HeaderTime = brief
+		c, in := serveBound(t, limits, 4*brief).dial(t)
+		check.Equal(t, "status", ask(t, c, in, ""), http.StatusOK)
+	})
+	t.Run("an idle connection ends by the limit now in force", func(t *testing.T) {
+		b := serveBound(t, wide, 0)
+		c, in := b.dial(t)
+		check.Equal(t, "status", ask(t, c, in, ""), http.StatusOK)
+		limits := wide
+		limits.Idling = brief
+		b.limits.Store(&limits)
+		check.Equal(t, "status of the next", ask(t, c, in, ""), http.StatusOK)
+		ended(t, in)
+	})
+	t.Run("a connection is used again within the limit", func(t *testing.T) {
+		limits := wide
+		limits.Idling = 20 * brief
+		c, in := serveBound(t, limits, 0).dial(t)
+		for range 4 {
+			check.Equal(t, "status", ask(t, c, in, ""), http.StatusOK)
+			time.Sleep(brief)
+		}
+	})
+	t.Run("headers that are too large are refused", func(t *testing.T) {
+		b := serveBound(t, wide, 0)
+		c, in := b.dial(t)
+		check.Equal(t, "within", ask(t, c, in, "X-Note: "+strings.Repeat("x", 900)+"\r\n"), http.StatusOK)
+		check.Equal(t, "beyond", ask(t, c, in, "X-Note: "+strings.Repeat("x", 1100)+"\r\n"), http.StatusRequestHeaderFieldsTooLarge)
+	})
+}
