Requests that crash endpoints are refused at all entries, on the path without agents too

Cause: on this path such a request was bounded by its own attempts only. It comes again at any entry, and each time takes an endpoint down with all that runs beside it; the bound on repeats counts per entry and never saw it as one request. Ruled out: the replicated suspects of the agents' path (they need to know what ran alone, and each change would carry the whole view to all entries); a count at each entry (starts at zero elsewhere). Change: limit.Blame, a pure count of breaks under a print, one a second at most, three within a minute convict; entries tell the leader with each sync, the leader names the convicted, each entry refuses them for a minute before they reach an endpoint.

--- a/ctrl/feed.go
+++ b/ctrl/feed.go
@@ -70,10 +70,14 @@
 	// others is the work that the other entries await of each endpoint, in units.
 	others atomic.Pointer[map[string]uint32]
 	stale  atomic.Bool
+	// refused is when control first told that a request crashes endpoints, by its print.
+	refused atomic.Pointer[map[string]time.Duration]
 
-	// mu guards used.
+	// mu guards used, broke and members.
 	mu   sync.Mutex
 	used value.Set[string]
+	// broke holds the requests under which endpoints broke off since the last sync.
+	broke value.Set[string]
 }
 
 // NewFeed starts to sync.
@@ -87,7 +91,7 @@
 	if c.Events == nil {
 		c.Events = event.Discard()
 	}
-	f := &Feed{config: c, changed: newNotice(), catalog: block.NewCatalog(), members: value.SetOf[string](), used: value.SetOf[string]()}
+	f := &Feed{config: c, changed: newNotice(), catalog: block.NewCatalog(), members: value.SetOf[string](), used: value.SetOf[string](), broke: value.SetOf[string]()}
 	f.view.Store(&View{Suspects: limit.NewSuspects()})
 	f.stale.Store(true)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -164,10 +168,10 @@
 // exchange sends one sync and installs the answer.
 func (f *Feed) exchange(s *wire.Stream, hold time.Duration) (fresh bool, err error) {
 	began := clock.Now()
-	used := f.takeUsed()
+	used, broke := f.take(&f.used), f.take(&f.broke)
 	ask := &wire.Sync{
 		Node: f.config.Node, Place: f.config.Place, View: f.View().Rev, List: f.listRev, Kept: f.keptRev, Life: f.life,
-		HoldMs: uint32(hold.Milliseconds()), Used: used,
+		HoldMs: uint32(hold.Milliseconds()), Used: used, Broke: broke,
 	}
 	if f.config.Bad != nil {
 		ask.Bad = f.config.Bad()
@@ -183,10 +187,12 @@
 	}
 	s.SetDeadline(time.Now().Add(hold + syncTimeout))
 	if err := s.Send(&wire.Frame{Body: &wire.Frame_Sync{Sync: ask}}); err != nil {
+		f.Broke(broke...)
 		return false, err
 	}
 	frame, err := s.Recv()
 	if err != nil {
+		f.Broke(broke...)
 		return false, err
 	}
 	got := frame.GetSynced()
@@ -195,6 +201,8 @@
 	}
 	f.learn(got)
 	if !got.GetFresh() {
+		// This control VM doesn't lead, and has counted nothing.
+		f.Broke(broke...)
 		return false, nil
 	}
 	if err := f.install(got); err != nil {
@@ -263,16 +271,17 @@
 	f.entries.Store(int64(got.GetEntries()))
 	work := got.GetWork()
 	f.others.Store(&work)
+	f.hearRefused(got.GetRefused())
 	return nil
 }
 
-// takeUsed empties the list of parts used since the last sync.
-func (f *Feed) takeUsed() []string {
+// take empties what was noted since the last sync.
+func (f *Feed) take(noted *value.Set[string]) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	used := f.used.Sorted()
-	clear(f.used)
-	return used
+	names := noted.Sorted()
+	clear(*noted)
+	return names
 }
 
 // Use notes that a request uses a kept part.
@@ -282,6 +291,62 @@
 	f.used.Add(name)
 }
 
+// maxBroke bounds the prints of one sync, so that a crash of many endpoints doesn't swell it.
+const maxBroke = 256
+
+// Broke notes that an endpoint broke off under each request with one of the prints.
+func (f *Feed) Broke(prints ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, print := range prints {
+		if len(f.broke) < maxBroke {
+			f.broke.Add(print)
+		}
+	}
+}
+
+// hearRefused takes the prints that the leader refuses. Each is kept for its time, for the next
+// leader has counted nothing yet.
+func (f *Feed) hearRefused(prints []string) {
+	old := f.refused.Load()
+	if len(prints) == 0 && old == nil {
+		return
+	}
+	now := clock.Now()
+	next := map[string]time.Duration{}
+	if old != nil {
+		for print, at := range *old {
+			if now-at < limit.BlameTime {
+				next[print] = at
+			}
+		}
+	}
+	for _, print := range prints {
+		if _, known := next[print]; !known {
+			next[print] = now
+		}
+	}
+	if len(next) == 0 {
+		f.refused.Store(nil)
+		return
+	}
+	f.refused.Store(&next)
+}
+
+// Refuses reports whether requests are refused because they crash endpoints, and if so
+// for how much longer the one with the print is; zero means that it may run.
+func (f *Feed) Refuses(print func() string) time.Duration {
+	refused := f.refused.Load()
+	if refused == nil {
+		return 0
+	}
+	at, ok := (*refused)[print()]
+	if !ok {
+		return 0
+	}
+	return max(at+limit.BlameTime-clock.Now(), 0)
+}
+
 // watch writes an event when freshness comes or goes.
 func (f *Feed) watch(ctx context.Context) {
 	t := time.NewTicker(f.config.Lease / 8)
--- a/ctrl/hub.go
+++ b/ctrl/hub.go
@@ -10,6 +10,8 @@
 
 	"egretshunt/block"
 	"egretshunt/clock"
+	"egretshunt/event"
+	"egretshunt/limit"
 	"egretshunt/member"
 	"egretshunt/wire"
 )
@@ -54,6 +56,8 @@
 	entries map[string]seen
 	// heard is when entries last told that an endpoint answers which control has as down.
 	heard map[string]time.Duration
+	// blame counts under which requests endpoints broke off, over all entries.
+	blame *limit.Blame
 }
 
 // seen is what an entry said last.
@@ -75,6 +79,7 @@
 	r := &Reign{
 		Life: rand.Uint64() | 1, Catalog: block.NewCatalog(), hub: h,
 		used: map[string]time.Duration{}, entries: map[string]seen{}, heard: map[string]time.Duration{},
+		blame: limit.NewBlame(),
 	}
 	h.reign.Store(r)
 	return r
@@ -238,6 +243,11 @@
 	for _, id := range ask.GetHeard() {
 		r.heard[id] = now
 	}
+	for _, print := range ask.GetBroke() {
+		if r.blame.Broke(print, now) {
+			r.hub.node.config.Events.Emit(event.Quarantined, "print", print)
+		}
+	}
 	r.entries[ask.GetNode()] = seen{at: now, bad: ask.GetBad(), work: ask.GetWork()}
 }
 
@@ -299,6 +309,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := clock.Now()
+	reply.Refused = r.blame.Refused(now)
 	for node, e := range r.entries {
 		if now-e.at > entryLife {
 			delete(r.entries, node)
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -47,7 +47,7 @@
 	Cut         = declare(300, "cut", "warn", "An answer was cut before its end; the caller was told.")
 	Unknown     = declare(301, "unknown", "warn", "A non-idempotent request was accepted and its outcome is unknown. See ctl unknown list.")
 	Crash       = declare(302, "crash", "error", "An endpoint crashed while it ran a request.")
-	Quarantined = declare(303, "quarantined", "warn", "A request that crashed endpoints is refused for a while. See ctl suspect list.")
+	Quarantined = declare(303, "quarantined", "warn", "A request that crashed endpoints is refused for a while; print names its content. See ctl suspect list where endpoints have agents.")
 	Leaving     = declare(304, "leaving", "info", "An endpoint leaves and gets no new work.")
 	Retried     = declare(305, "retried", "info", "A request that had not run was sent to another endpoint.")
 	Resumed     = declare(306, "resumed", "info", "A stream went on over a new connection.")
--- /dev/null
+++ b/limit/blame_test.go
@@ -0,0 +1,45 @@
+package limit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"egretshunt/check"
+	"egretshunt/limit"
+)
+
+func TestBlame(t *testing.T) {
+	const s = time.Second
+	for name, tc := range map[string]struct {
+		// breaks are when endpoints broke off under the request, at when it comes again.
+		breaks  []time.Duration
+		at      time.Duration
+		refused bool
+	}{
+		"crashes one after the other":           {[]time.Duration{0, 3 * s, 6 * s}, 7 * s, true},
+		"two crashes":                           {[]time.Duration{0, 3 * s}, 4 * s, false},
+		"many endpoints down at once":           {[]time.Duration{0, s / 10, s / 5, s / 2}, s, false},
+		"crashes far apart":                     {[]time.Duration{0, 70 * s, 140 * s, 210 * s}, 211 * s, false},
+		"refused for a while":                   {[]time.Duration{0, 3 * s, 6 * s}, 65 * s, true},
+		"tried again after it":                  {[]time.Duration{0, 3 * s, 6 * s}, 67 * s, false},
+		"and refused at once if it crashes one": {[]time.Duration{0, 3 * s, 6 * s, 66 * s}, 67 * s, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := limit.NewBlame()
+			for _, at := range tc.breaks {
+				b.Broke("a", at)
+			}
+			check.Equal(t, "refused", len(b.Refused(tc.at)) == 1, tc.refused)
+		})
+	}
+	t.Run("bounded, the newest stay", func(t *testing.T) {
+		b := limit.NewBlame()
+		for i := range 10_000 {
+			b.Broke(fmt.Sprint("x", i), time.Duration(i)*time.Millisecond)
+		}
+		b.Broke("a", 10*s)
+		b.Broke("a", 12*s)
+		check.Equal(t, "refused", b.Broke("a", 14*s), true)
+	})
+}
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -112,6 +112,9 @@
 
 // again decides what follows an attempt that may have run.
 func (e *Entry) again(j *job, to *member.Endpoint, out *relay, outcome, why string, status int) (bool, *failure) {
+	if outcome == outLost {
+		e.config.View.Broke(j.print())
+	}
 	if j.route.Repeatable() && j.runs < j.route.Attempts && e.mayRepeat(j.pool) {
 		e.note(j, to, outcome, "again", status)
 		return true, nil
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -32,6 +32,10 @@
 	// Others returns the prompt tokens that the other entries await of an endpoint.
 	Others(id string) int
 	Entries() int
+	// Broke notes that an endpoint broke off under a request with the print.
+	Broke(prints ...string)
+	// Refuses returns for how long a request with the print is still refused, since it crashes endpoints.
+	Refuses(print func() string) time.Duration
 }
 
 // Config constructs an Entry.
--- a/pass/failure.go
+++ b/pass/failure.go
@@ -29,6 +29,7 @@
 	whyTimeout  = "no answer in time"
 	whyLost     = "answer lost"
 	whyUnsigned = "answer not vouched for"
+	whyCrashes  = "it crashes endpoints"
 	whyTooMany  = "too many requests at once"
 )
 
--- a/pass/pass_test.go
+++ b/pass/pass_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -36,6 +37,11 @@
 	late func() *ctrl.View
 	// lists replaces list where it comes later.
 	lists func() *member.List
+
+	// mu guards blame, which counts breaks a second apart.
+	mu    sync.Mutex
+	blame *limit.Blame
+	clock time.Duration
 }
 
 func (k *known) View() *ctrl.View {
@@ -66,6 +72,27 @@
 	return 1000
 }
 
+func (k *known) Broke(prints ...string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.blame == nil {
+		k.blame = limit.NewBlame()
+	}
+	k.clock += time.Second
+	for _, print := range prints {
+		k.blame.Broke(print, k.clock)
+	}
+}
+
+func (k *known) Refuses(print func() string) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.blame != nil && slices.Contains(k.blame.Refused(k.clock), print()) {
+		return limit.BlameTime
+	}
+	return 0
+}
+
 func (k *known) Others(id string) int { return k.others[id] }
 func (k *known) Entries() int         { return 1 }
 
@@ -256,6 +283,38 @@
 	}
 }
 
+// A request that crashes what runs it comes again and again: after a few endpoints it is refused
+// before it reaches another, whatever else its caller sends.
+func TestCrashingRequestIsRefused(t *testing.T) {
+	bad := func(c *pass.Call) { c.Body = []byte("bad") }
+	w := newWorld(t, lost, cut("half"), lost, answer(200, "ok"))
+	for range limit.BlameCount {
+		got, _ := w.call("/once/x", "k", bad)
+		check.Equal(t, "status", got.Code, 502)
+	}
+	got, _ := w.call("/once/x", "k", bad)
+	check.Equal(t, "status once known", got.Code, 503)
+	check.Equal(t, "told when to come back", got.Header().Get("Retry-After"), "60.000")
+	check.Equal(t, "sends", len(w.back.sends), limit.BlameCount)
+	for what, call := range map[string]func() (*httptest.ResponseRecorder, bool){
+		"another body":    func() (*httptest.ResponseRecorder, bool) { return w.call("/once/x", "k") },
+		"another path":    func() (*httptest.ResponseRecorder, bool) { return w.call("/once/y", "k", bad) },
+		"another account": func() (*httptest.ResponseRecorder, bool) { return w.call("/once/x", "i", bad) },
+	} {
+		got, _ := call()
+		check.Equal(t, what, got.Code, 200)
+	}
+}
+
+// It is also refused between the attempts of one call.
+func TestCrashingRequestIsNotTriedAgain(t *testing.T) {
+	w := newWorld(t, lost)
+	for range limit.BlameCount {
+		w.call("/safe/x", "k")
+	}
+	check.Equal(t, "sends", len(w.back.sends), limit.BlameCount)
+}
+
 func TestTables(t *testing.T) {
 	for name, c := range map[string]struct {
 		path, key string
--- a/pass/serve.go
+++ b/pass/serve.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -160,7 +163,7 @@
 		if out.begun && ctx.Err() != nil {
 			return e.broken(j, out)
 		}
-		to, f := e.place(j)
+		to, f := e.next(j)
 		if f != nil {
 			if out.begun {
 				return e.broken(j, out)
@@ -174,6 +177,28 @@
 	}
 }
 
+// next chooses where the request goes, unless it must go nowhere any more.
+func (e *Entry) next(j *job) (*choice, *failure) {
+	if left := e.config.View.Refuses(j.print); left > 0 {
+		return nil, j.giveUp(whyCrashes, left)
+	}
+	return e.place(j)
+}
+
+// print names what the request asks for, the same at each entry and each time it comes.
+func (j *job) print() string {
+	h := sha256.New()
+	for _, part := range []string{j.account, j.call.Method, j.call.Target} {
+		fmt.Fprintf(h, "%d:%s,", len(part), part)
+	}
+	h.Write(j.call.Body)
+	return hex.EncodeToString(h.Sum(nil)[:printBytes])
+}
+
+// printBytes is the length of a print before it is written as text: enough that two requests
+// don't share one by chance.
+const printBytes = 16
+
 // broken ends an answer that has begun and can't be finished.
 func (e *Entry) broken(j *job, out *relay) *failure {
 	e.config.Events.Emit(event.Cut, "id", j.call.ID, "route", j.route.Name, "tried", len(j.tried), "last", out.last, "bytes", out.sent)
