One table of all log fields; a name means the same in every line

Cause: a test kept events from reusing the names of every line, but nothing kept two events from giving one name two meanings. The list of all fields showed nine that did: rev (tables, list, view), version beside weights, held (a right's number, tokens), id (a request, a change), open (a store's state, a count), bytes (an answer, a record, a table set), took (a request, an attempt). Change: event.Fields with one meaning each; docs/EVENTS.md is made from it; the test refuses a field outside it, a field listed twice, one not in use.

--- a/ctrl/chief.go
+++ b/ctrl/chief.go
@@ -280,6 +280,6 @@
 		}
 	}
 	if r.SetList(out) {
-		r.chief.config.Events.Emit(event.Listed, "count", len(out), "rev", r.List().Rev)
+		r.chief.config.Events.Emit(event.Listed, "count", len(out), "list", r.List().Rev)
 	}
 }
--- a/ctrl/feed.go
+++ b/ctrl/feed.go
@@ -239,7 +239,7 @@
 			if v.Set != nil {
 				number = v.Set.Number
 			}
-			f.config.Events.Emit(event.Installed, "rev", v.Rev, "set", number, "leader", got.GetLeader())
+			f.config.Events.Emit(event.Installed, "view", v.Rev, "set", number, "leader", got.GetLeader())
 			f.changed.announce()
 		}
 	}
@@ -365,7 +365,7 @@
 		if stale {
 			kind = event.Stale
 		}
-		f.config.Events.Emit(kind, "rev", f.View().Rev, "age", f.Age().Milliseconds())
+		f.config.Events.Emit(kind, "view", f.View().Rev, "age", f.Age().Milliseconds())
 	}
 }
 
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -137,7 +137,7 @@
 		return nil, err
 	}
 	if loaded.Torn > 0 {
-		c.Events.Emit(event.Torn, "bytes", loaded.Torn)
+		c.Events.Emit(event.Torn, "lost", loaded.Torn)
 	}
 	had, err := recoverState(loaded)
 	if err != nil {
@@ -333,7 +333,7 @@
 		kind = event.Refused
 	}
 	n.config.Events.Emit(kind, "table", c.Change.Table, "row", c.Change.Name, "op", c.Change.Op, "who", c.Change.Who,
-		"id", c.Change.ID, "rev", r.Change.Rev, "code", r.Change.Code, "text", r.Change.Text)
+		"change", c.Change.ID, "rev", r.Change.Rev, "code", r.Change.Code, "text", r.Change.Text)
 }
 
 // noteRole reacts to a change of role.
--- a/ctrl/owner.go
+++ b/ctrl/owner.go
@@ -171,9 +171,9 @@
 	}()
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	o.config.Events.Emit(event.Ordered, "endpoint", order.Endpoint, "version", order.Version, "epoch", epoch)
+	o.config.Events.Emit(event.Ordered, "endpoint", order.Endpoint, "weights", order.Version, "epoch", epoch)
 	if err := o.send(ctx, epoch, order, to); err != nil {
-		o.config.Events.Emit(event.OrderBad, "endpoint", order.Endpoint, "version", order.Version, "err", err)
+		o.config.Events.Emit(event.OrderBad, "endpoint", order.Endpoint, "weights", order.Version, "err", err)
 		select {
 		case <-time.After(time.Second):
 		case <-ctx.Done():
--- a/ctrl/stores.go
+++ b/ctrl/stores.go
@@ -99,7 +99,7 @@
 			}
 			r.Keep([]block.Part{{Store: s.Addr, Tokens: state}})
 			tokens, capacity := shelf.Held()
-			r.chief.config.Events.Emit(event.StoreUp, "store", s.Addr, "epoch", shelf.Epoch(), "held", tokens, "capacity", capacity, "open", open)
+			r.chief.config.Events.Emit(event.StoreUp, "store", s.Addr, "epoch", shelf.Epoch(), "tokens", tokens, "capacity", capacity, "open", open)
 		}
 		if now-looked >= withdrawTime {
 			looked = now
--- a/event/event_test.go
+++ b/event/event_test.go
@@ -20,6 +20,10 @@
 	for _, k := range event.All() {
 		fmt.Fprintf(&b, "| %d | %s | %s | %s |\n", k.Number, k.Name, k.Level, k.Text)
 	}
+	b.WriteString("\n## Fields\n\nA name means the same in every line. Each line begins with `ts`, `node`, `event`, `name` and `level`.\n\n| field | meaning |\n| --- | --- |\n")
+	for _, f := range event.Fields() {
+		fmt.Fprintf(&b, "| %s | %s |\n", f.Name, f.Text)
+	}
 	return b.String()
 }
 
--- a/event/fields_test.go
+++ b/event/fields_test.go
@@ -11,10 +11,17 @@
 	"testing"
 
 	"egretshunt/check"
+	"egretshunt/event"
 )
 
-// Every line begins with fields of its own; no event may use their names for another thing.
-func TestNoEventReusesTheNamesOfEveryLine(t *testing.T) {
+// Every line begins with fields of its own, which no event may use for another thing; all others
+// are in the table of fields, once, and each of that table is in use.
+func TestFieldsMeanOneThing(t *testing.T) {
+	listed, used := map[string]bool{}, map[string]bool{}
+	for _, f := range event.Fields() {
+		check.Equal(t, f.Name+" is listed twice", listed[f.Name], false)
+		listed[f.Name] = true
+	}
 	reserved := map[string]bool{"ts": true, "node": true, "event": true, "name": true, "level": true}
 	calls := 0
 	err := filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
@@ -45,7 +52,10 @@
 				if reserved[key] || seen[key] {
 					t.Errorf("%s: an event names a field %q that the line has already", path, key)
 				}
-				seen[key] = true
+				if !listed[key] {
+					t.Errorf("%s: field %q is not in the table of fields", path, key)
+				}
+				seen[key], used[key] = true, true
 			}
 			return true
 		})
@@ -53,4 +63,7 @@
 	})
 	check.Good(t, err)
 	check.Equal(t, "calls were found", calls > 50, true)
+	for name := range listed {
+		check.Equal(t, name+" is in use", used[name], true)
+	}
 }
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -224,7 +224,7 @@
 	e.mu.Unlock()
 	switch {
 	case found:
-		e.config.Events.Emit(event.Unfit, "endpoint", to.ID, "pool", to.Pool, "took", now.Sub(began).Milliseconds())
+		e.config.Events.Emit(event.Unfit, "endpoint", to.ID, "pool", to.Pool, "spent", now.Sub(began).Milliseconds())
 	case back:
 		e.config.Events.Emit(event.Fit, "endpoint", to.ID, "pool", to.Pool)
 	}
