Placement draws one outline for all endpoints of a place

Change: pass.outline, made once for each place and version of the weights, and for each endpoint that holds a part itself; the choice is made of the winner alone; the names of an endpoint's work are made once. The decision is the same.

--- a/pass/entry.go
+++ b/pass/entry.go
@@ -110,6 +110,7 @@
 // seat is what this entry knows of one endpoint from its own requests.
 type seat struct {
 	born   int64
+	keys   seatKeys
 	flying int
 	// awaited is the prompt tokens sent whose first token has not come, by level of urgency.
 	awaited [limit.Levels]int
@@ -273,7 +274,7 @@
 		if ok {
 			flying = s.flying
 		}
-		s = &seat{born: to.Born, flying: flying, versions: map[string]learned{}}
+		s = &seat{born: to.Born, keys: keysOf(to.ID), flying: flying, versions: map[string]learned{}}
 		e.seats[to.ID] = s
 	}
 	return s
--- a/pass/place.go
+++ b/pass/place.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"time"
 
-	"egretshunt/block"
 	"egretshunt/clock"
 	"egretshunt/ctrl"
 	"egretshunt/limit"
@@ -169,7 +168,8 @@
 	}
 	able, chosen := e.narrow(j, able)
 	onTime := limit.Level(j.rank, j.route.Goal, false)
-	c := e.soonest(j, list, able, onTime)
+	outlines := e.outlines(j, list)
+	c := e.soonest(j, outlines, able, onTime)
 	if chosen {
 		return c, nil
 	}
@@ -177,7 +177,7 @@
 	if admission, _ := limit.Admit(times); admission == limit.OnTime {
 		return c, nil
 	}
-	c = e.soonest(j, list, able, limit.Level(j.rank, j.route.Goal, true))
+	c = e.soonest(j, outlines, able, limit.Level(j.rank, j.route.Goal, true))
 	times.LateFirst = c.first
 	admission, back := limit.Admit(times)
 	if admission == limit.Hopeless && j.runs == 0 {
@@ -188,74 +188,36 @@
 
 // soonest chooses the endpoint with the soonest first token for a level of urgency; the
 // caller holds mu.
-func (e *Entry) soonest(j *job, list *member.List, able []*member.Endpoint, level int) *choice {
-	engine := route.Engine{Rate: e.rate(j.pool)}
-	bandwidth := 0.0
-	if p := j.set.Pool(j.pool); p != nil && p.Engine != nil {
-		engine.TokenBytes, engine.Memory, bandwidth = p.Engine.TokenBytes, p.Engine.Tokens, p.Engine.Bandwidth
-	}
+func (e *Entry) soonest(j *job, outlines *outlines, able []*member.Endpoint, level int) *choice {
 	want := e.config.View.View().Weights[j.call.Model].Version
-	shared := j.call.Shared()
 	own := j.call.Tokens()
-	for _, p := range shared {
+	for _, p := range j.call.Shared() {
 		own -= p.Tokens
 	}
-	bounded := e.config.View.EngineClock(clock.Now()) > 0
-	held := map[uint64][][]block.Holder{}
-	choices := make([]*choice, len(able))
 	bids := make([]route.Bid, len(able))
 	for i, to := range able {
 		s := e.seat(to)
-		c := &choice{to: to, version: s.version(to, j.call.Model)}
-		c.salt = saltOf(c.version, j)
-		if _, ok := held[c.version]; !ok {
-			held[c.version] = e.whereAll(c.salt, c.version, shared)
-		}
-		needs := make([]route.Need, len(shared))
-		from := make([][]netip.AddrPort, len(shared))
-		for k, p := range shared {
-			needs[k].Tokens = p.Tokens
-			for _, h := range held[c.version][k] {
-				if h.Store == to.Addr {
-					needs[k].Held = true
-				} else if source, ok := e.source(h.Store, j.set, list, to.Place, bandwidth); ok && bounded {
-					needs[k].Sources = append(needs[k].Sources, source)
-					from[k] = append(from[k], h.Store)
-				}
-			}
-		}
-		plan, fetch, compute := route.Fill(engine, needs)
-		fresh := 0
-		for k, h := range held[c.version] {
-			if len(h) == 0 {
-				fresh += shared[k].Tokens
-			}
-		}
-		c.fetch, c.found, c.tokens = make([]netip.AddrPort, len(j.call.Parts)), make([]bool, len(j.call.Parts)), make([]int, len(j.call.Parts))
-		for k, at := range plan {
-			c.found[k], c.tokens[k] = needs[k].Held, shared[k].Tokens
-			if at != route.Compute {
-				c.fetch[k] = from[k][at]
-				if !needs[k].Held {
-					c.moved += shared[k].Tokens
-				}
-			}
+		version := s.version(to, j.call.Model)
+		l := outlines.of(to, version)
+		bids[i] = route.Bid{
+			ID: to.ID, Ahead: float64(e.ahead(s, level)), Compute: l.compute, Fresh: l.held.fresh, Own: own, Fetch: l.fetch, Slow: 1,
+			Taken: s.memory + e.config.View.Others(s.keys.memory) + j.size(),
 		}
-		c.compute, c.ahead, c.level = compute+own, e.ahead(to.ID, s, level), level
-		bids[i] = route.Bid{ID: to.ID, Ahead: float64(c.ahead), Compute: compute, Fresh: fresh, Own: own, Fetch: fetch, Slow: 1}
-		c.plain = bids[i].First(engine)
 		if s.slow > 0 {
 			bids[i].Slow = s.slow
 		}
-		if c.version < want {
-			bids[i].Penalty += oldPenalty
+		if version < want {
+			bids[i].Penalty = oldPenalty
 		}
-		bids[i].Taken = s.memory + e.config.View.Others(memoryKey(to.ID)) + j.size()
-		choices[i] = c
 	}
-	at := route.Soonest(j.subject(), engine, bids)
-	choices[at].first = bids[at].First(engine)
-	return choices[at]
+	at := route.Soonest(j.subject(), outlines.engine, bids)
+	to, bid := able[at], bids[at]
+	version := e.seat(to).version(to, j.call.Model)
+	c := outlines.of(to, version).choose(j, to, version)
+	c.compute, c.ahead, c.level, c.first = bid.Compute+own, int(bid.Ahead), level, bid.First(outlines.engine)
+	bid.Slow, bid.Penalty, bid.Taken = 1, 0, 0
+	c.plain = bid.First(outlines.engine)
+	return c
 }
 
 // rate returns the prompt tokens a second that engines of a pool compute; the caller holds mu.
--- a/pass/report.go
+++ b/pass/report.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"egretshunt/limit"
 	"egretshunt/member"
 )
 
@@ -94,12 +95,26 @@
 // memoryKey names the memory taken up at an endpoint.
 func memoryKey(id string) string { return id + "/m" }
 
+// seatKeys are the names of one endpoint's work in what entries exchange.
+type seatKeys struct {
+	work   [limit.Levels]string
+	memory string
+}
+
+func keysOf(id string) seatKeys {
+	keys := seatKeys{memory: memoryKey(id)}
+	for level := range keys.work {
+		keys.work[level] = workKey(id, level)
+	}
+	return keys
+}
+
 // ahead returns the prompt tokens that an endpoint computes before a request of a level; the
 // caller holds mu.
-func (e *Entry) ahead(id string, s *seat, level int) int {
+func (e *Entry) ahead(s *seat, level int) int {
 	sum := 0
 	for l := range level + 1 {
-		sum += s.awaited[l] + e.config.View.Others(workKey(id, l))
+		sum += s.awaited[l] + e.config.View.Others(s.keys.work[l])
 	}
 	return sum
 }
