--- a/pass/conns.go
+++ b/pass/conns.go
@@ -18,8 +18,8 @@
 	mostIdle       = time.Hour
 )
 
-// Conns holds callers' connections to limits that change while the server runs.
-type Conns struct {
+// conns holds callers' connections to limits that change while the server runs.
+type conns struct {
 	limits func() board.Limits
 	// open holds a *conn for each net.Conn.
 	open sync.Map
@@ -36,16 +36,16 @@
 
 type connKey struct{}
 
-// NewConns attaches limits to a server that doesn't serve yet; limits must name a value for each bound.
-func NewConns(s *http.Server, limits func() board.Limits) *Conns {
-	c := &Conns{limits: limits}
+// BoundConns holds the connections of a server that doesn't serve yet to limits, which may change
+// later and must name a value for each bound.
+func BoundConns(s *http.Server, limits func() board.Limits) {
+	c := &conns{limits: limits}
 	s.ReadHeaderTimeout, s.IdleTimeout, s.MaxHeaderBytes = mostHeaderTime, mostIdle, mostHeader
 	s.ConnContext, s.ConnState = c.attach, c.follow
 	s.Handler = c.guard(s.Handler)
-	return c
 }
 
-func (c *Conns) attach(ctx context.Context, raw net.Conn) context.Context {
+func (c *conns) attach(ctx context.Context, raw net.Conn) context.Context {
 	to := &conn{raw: raw}
 	c.open.Store(raw, to)
 	to.allow(c.limits().HeaderTime)
@@ -53,7 +53,7 @@
 }
 
 // follow gives each connection its time as its state changes.
-func (c *Conns) follow(raw net.Conn, state http.ConnState) {
+func (c *conns) follow(raw net.Conn, state http.ConnState) {
 	v, ok := c.open.Load(raw)
 	if !ok {
 		return
@@ -71,7 +71,7 @@
 }
 
 // guard ends the time for headers once they are read, and refuses those that are too large.
-func (c *Conns) guard(next http.Handler) http.Handler {
+func (c *conns) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if to, ok := r.Context().Value(connKey{}).(*conn); ok {
 			to.release()
