A new control VM answers a leader that it doesn't know yet

Change: a leader's messages carry its address, and a member answers whoever last said that it leads; silence counts from when a member joined. Tests: a member whose settings name others than the leader is brought in; a learner is given its time. Both failed before.

--- a/ctrl/cluster_test.go
+++ b/ctrl/cluster_test.go
@@ -100,9 +100,15 @@
 }
 
 func (c *cluster) start(id quorum.ID) {
+	c.t.Helper()
+	c.startKnowing(id, c.members)
+}
+
+// startKnowing starts a member that takes members for the group while its disk tells of none.
+func (c *cluster) startKnowing(id quorum.ID, members quorum.Members) {
 	c.t.Helper()
 	n, err := ctrl.NewNode(ctrl.NodeConfig{
-		ID: id, Members: c.members, FS: c.disks[id], Transport: port{c.net, id}, Compact: c.compact,
+		ID: id, Members: members, FS: c.disks[id], Transport: port{c.net, id}, Compact: c.compact,
 		Election: 100 * time.Millisecond, Beat: 20 * time.Millisecond,
 		Wall: func() time.Time { return time.Now().Add(c.wall) },
 	})
--- a/ctrl/convert.go
+++ b/ctrl/convert.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"encoding/json"
 	"io"
+	"net/netip"
 	"strings"
 	"sync"
 	"time"
@@ -21,6 +22,7 @@
 	w := &wire.Raft{
 		Kind: m.Kind, From: string(m.From), To: string(m.To), Term: m.Term, Index: m.Index, Logterm: m.LogTerm,
 		Commit: m.Commit, Reject: m.Reject, Hint: m.Hint, Round: uint64(m.Sent),
+		Addr: addrText(m.Addr),
 	}
 	for _, e := range m.Entries {
 		w.Entries = append(w.Entries, &wire.Entry{Index: e.Index, Term: e.Term, Kind: e.Kind, Data: e.Data})
@@ -41,6 +43,13 @@
 		Kind: w.GetKind(), From: quorum.ID(w.GetFrom()), To: quorum.ID(w.GetTo()), Term: w.GetTerm(), Index: w.GetIndex(),
 		LogTerm: w.GetLogterm(), Commit: w.GetCommit(), Reject: w.GetReject(), Hint: w.GetHint(), Sent: time.Duration(w.GetRound()),
 	}
+	if w.GetAddr() != "" {
+		at, err := netip.ParseAddrPort(w.GetAddr())
+		if err != nil {
+			return m, Malformed.Wrap(err, "read the leader's address")
+		}
+		m.Addr = at
+	}
 	for _, e := range w.GetEntries() {
 		m.Entries = append(m.Entries, quorum.Entry{Index: e.GetIndex(), Term: e.GetTerm(), Kind: e.GetKind(), Data: e.GetData()})
 	}
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -69,6 +69,8 @@
 	answers []pending
 	clock   groupClock
 	was     quorum.Role
+	// leader is who last said that it leads; a new member finds it nowhere else.
+	leader quorum.Member
 
 	changed *notice
 
@@ -211,6 +213,9 @@
 func (n *Node) take(in input) {
 	switch {
 	case in.message != nil:
+		if in.message.Addr.IsValid() {
+			n.leader = quorum.Member{ID: in.message.From, Addr: in.message.Addr}
+		}
 		n.core.Step(n.now(), *in.message)
 	case in.command != nil:
 		n.propose(*in.command, in.reply)
@@ -269,10 +274,19 @@
 
 func (n *Node) sendAll(messages []quorum.Message) {
 	members := n.core.Members()
+	self, _ := members.Find(n.config.ID)
 	for _, m := range messages {
-		if to, ok := members.Find(m.To); ok {
-			n.config.Transport.Send(to, m)
+		to, ok := members.Find(m.To)
+		if !ok && m.To == n.leader.ID {
+			to, ok = n.leader, true
+		}
+		if !ok {
+			continue
+		}
+		if m.Kind == quorum.Append || m.Kind == quorum.Install {
+			m.Addr = self.Addr
 		}
+		n.config.Transport.Send(to, m)
 	}
 }
 
--- a/ctrl/node_test.go
+++ b/ctrl/node_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -13,6 +14,7 @@
 
 	"egretshunt/check"
 	"egretshunt/ctrl"
+	"egretshunt/fake"
 	"egretshunt/ledger"
 	"egretshunt/quorum"
 	"egretshunt/table"
@@ -312,3 +314,23 @@
 		check.Soon(t, "all changes on every member", func() bool { return len(c.node(id).Tables().Pools) == 500 })
 	}
 }
+
+// TestNewMemberAnswersAnyLeader brings in a member whose settings name others than the one
+// that leads, as seeds do once the group has changed.
+func TestNewMemberAnswersAnyLeader(t *testing.T) {
+	c := newCluster(t, 3)
+	lead := c.leader()
+	c.mustChange(poolChange("1", "before", 0, "here"))
+	others := quorum.Members{}
+	for _, m := range c.members.Voters {
+		if m.ID != lead {
+			others.Voters = append(others.Voters, m)
+		}
+	}
+	fresh := quorum.Member{ID: "new", Addr: netip.MustParseAddrPort("127.0.0.1:1")}
+	c.disks[fresh.ID] = fake.NewDisk()
+	c.startKnowing(fresh.ID, others)
+	t.Cleanup(func() { c.kill(fresh.ID) })
+	check.Good(t, c.node(lead).AddMember(t.Context(), fresh, ""))
+	check.Soon(t, "the new member votes", func() bool { return c.node(lead).Status().Members.Voter(fresh.ID) })
+}
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -84,13 +84,16 @@
 	configAt uint64
 
 	outbox []Message
+	// now is the time of the latest step, tick or flush.
+	now time.Duration
 }
 
 // progress is a leader's knowledge of one other member.
 type progress struct {
 	next, match uint64
-	// acked is the time of sending of the latest message that was answered.
-	acked time.Duration
+	// acked is the time of sending of the latest message that was answered, since when this
+	// progress began.
+	acked, since time.Duration
 	// snapAt is when a snapshot was sent that is not yet answered; zero when none is.
 	snapAt time.Duration
 	// probing holds back entries until the member has agreed on a position.
@@ -149,6 +152,7 @@
 
 // Tick moves time on.
 func (c *Core) Tick(now time.Duration) {
+	c.now = now
 	if c.role == Leader {
 		c.tickLeader(now)
 		return
@@ -266,6 +270,7 @@
 
 // Flush queues entries for the followers; the driver calls it once a batch.
 func (c *Core) Flush(now time.Duration) {
+	c.now = now
 	if c.role == Leader {
 		c.broadcast(now, false)
 	}
--- a/quorum/core_test.go
+++ b/quorum/core_test.go
@@ -148,3 +148,25 @@
 	answer(3)
 	check.Equal(t, "voters after", len(c.Status(now).Members.Voters), 2)
 }
+
+// A new member is given time to answer, however long the leader has led.
+func TestLearnerIsNotSilentFromTheStart(t *testing.T) {
+	c := coreOf(t, quorum.Hard{Term: 2}, 1)
+	now := elect(c)
+	answer := func(index uint64) {
+		for _, id := range []quorum.ID{"b", "c"} {
+			c.Step(now, quorum.Message{Kind: quorum.AppendReply, From: id, To: "a", Term: c.Term(), Index: index, Sent: now})
+		}
+		drain(c, now)
+	}
+	answer(2)
+	now += time.Minute
+	answer(2)
+	c.Flush(now)
+	check.Good(t, c.Add(quorum.Member{ID: "d"}, ""))
+	drain(c, now)
+	answer(3)
+	const patience = 3 * time.Second
+	check.Equal(t, "surplus at once", c.Surplus(now+patience/2, 3, patience), quorum.ID(""))
+	check.Equal(t, "surplus after its time", c.Surplus(now+patience, 3, patience), quorum.ID("d"))
+}
--- a/quorum/elect.go
+++ b/quorum/elect.go
@@ -4,6 +4,7 @@
 
 // Step takes one message from another member.
 func (c *Core) Step(now time.Duration, m Message) {
+	c.now = now
 	if m.To != c.id {
 		return
 	}
@@ -196,7 +197,7 @@
 			kept[m.ID] = p
 			continue
 		}
-		kept[m.ID] = &progress{next: c.log.last() + 1, probing: true}
+		kept[m.ID] = &progress{next: c.log.last() + 1, probing: true, since: c.now}
 	}
 	c.progress = kept
 }
--- a/quorum/health.go
+++ b/quorum/health.go
@@ -10,7 +10,7 @@
 	}
 	silent := make(map[ID]time.Duration, len(c.progress))
 	for id, p := range c.progress {
-		silent[id] = now - max(p.acked, c.electedAt)
+		silent[id] = now - max(p.acked, p.since)
 	}
 	return silent
 }
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -134,6 +134,8 @@
 	Snapshot *Snapshot
 	// Sent is the leader's time of sending, echoed in the reply.
 	Sent time.Duration
+	// Addr is where a leader listens: one whose log is empty can't know that from the group.
+	Addr netip.AddrPort
 }
 
 // Ready is what the driver must carry out, in the order of the fields.
