An idle connection gets the time of a limit that was raised meanwhile

Change: at the end of its time a connection's limit is looked up again; a timer that has been replaced closes nothing. The test failed before.

--- a/pass/conns.go
+++ b/pass/conns.go
@@ -30,7 +30,8 @@
 	raw net.Conn
 
 	// mu guards expiry.
-	mu     sync.Mutex
+	mu sync.Mutex
+	// expiry is nil while a request is under way.
 	expiry *time.Timer
 }
 
@@ -48,7 +49,7 @@
 func (c *conns) attach(ctx context.Context, raw net.Conn) context.Context {
 	to := &conn{raw: raw}
 	c.open.Store(raw, to)
-	to.allow(c.limits().HeaderTime)
+	to.allow(c.headerTime)
 	return context.WithValue(ctx, connKey{}, to)
 }
 
@@ -61,9 +62,9 @@
 	to := v.(*conn)
 	switch state {
 	case http.StateActive:
-		to.allow(c.limits().HeaderTime)
+		to.allow(c.headerTime)
 	case http.StateIdle:
-		to.allow(c.limits().Idling)
+		to.allow(c.idling)
 	case http.StateClosed, http.StateHijacked:
 		to.release()
 		c.open.Delete(raw)
@@ -98,20 +99,40 @@
 	return int64(n + lineEnds)
 }
 
-// allow closes the connection after span unless it is given another time before.
-func (c *conn) allow(span time.Duration) {
+func (c *conns) headerTime() time.Duration { return c.limits().HeaderTime }
+func (c *conns) idling() time.Duration     { return c.limits().Idling }
+
+// allow closes the connection after a limit unless it is given another time before. The limit is
+// looked up again at the end: the caller may have heard of a longer one meanwhile.
+func (c *conn) allow(limit func() time.Duration) {
+	from := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.expiry != nil {
 		c.expiry.Stop()
 	}
-	c.expiry = time.AfterFunc(span, func() { c.raw.Close() })
+	var expiry *time.Timer
+	expiry = time.AfterFunc(limit(), func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.expiry != expiry {
+			return
+		}
+		if left := limit() - time.Since(from); left > 0 {
+			expiry.Reset(left)
+			return
+		}
+		c.raw.Close()
+	})
+	c.expiry = expiry
 }
 
+// release ends the time; a request is under way.
 func (c *conn) release() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.expiry != nil {
 		c.expiry.Stop()
+		c.expiry = nil
 	}
 }
--- a/pass/conns_test.go
+++ b/pass/conns_test.go
@@ -116,6 +116,16 @@
 			time.Sleep(brief)
 		}
 	})
+	t.Run("an idle connection gets the time of a limit that was raised meanwhile", func(t *testing.T) {
+		limits := wide
+		limits.Idling = 4 * brief
+		b := serveBound(t, limits, 0)
+		c, in := b.dial(t)
+		check.Equal(t, "status", ask(t, c, in, ""), http.StatusOK)
+		b.limits.Store(&wide)
+		time.Sleep(3 * limits.Idling)
+		check.Equal(t, "status after the former limit", ask(t, c, in, ""), http.StatusOK)
+	})
 	t.Run("headers that are too large are refused", func(t *testing.T) {
 		b := serveBound(t, wide, 0)
 		c, in := b.dial(t)
