--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -150,8 +150,8 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port))
 }
 
-// freeAddr returns a loopback address that nothing listens on and no other deployment is given.
-func freeAddr() (netip.AddrPort, error) {
+// FreeAddr returns a loopback address that nothing listens on and no other deployment is given.
+func FreeAddr() (netip.AddrPort, error) {
 	ports.mu.Lock()
 	defer ports.mu.Unlock()
 	for {
@@ -176,7 +176,7 @@
 	out := make([]netip.AddrPort, n)
 	for i := range out {
 		var err error
-		if out[i], err = freeAddr(); err != nil {
+		if out[i], err = FreeAddr(); err != nil {
 			return nil, err
 		}
 	}
@@ -226,7 +226,7 @@
 
 func (f *Fleet) planStores() error {
 	for i := range f.Shape.Stores {
-		a, err := freeAddr()
+		a, err := FreeAddr()
 		if err != nil {
 			return err
 		}
@@ -271,7 +271,7 @@
 }
 
 func (f *Fleet) planAgent(name, pool string, kind table.Kind, i int, backend netip.AddrPort) error {
-	a, err := freeAddr()
+	a, err := FreeAddr()
 	if err != nil {
 		return err
 	}
--- a/pass/conns.go
+++ b/pass/conns.go
@@ -1,7 +1,6 @@
 package pass
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -35,34 +34,25 @@
 	expiry *time.Timer
 }
 
-type connKey struct{}
-
 // BoundConns holds the connections of a server that doesn't serve yet to limits, which may change
 // later and must name a value for each bound.
 func BoundConns(s *http.Server, limits func() board.Limits) {
 	c := &conns{limits: limits}
 	s.ReadHeaderTimeout, s.IdleTimeout, s.MaxHeaderBytes = mostHeaderTime, mostIdle, mostHeader
-	s.ConnContext, s.ConnState = c.attach, c.follow
+	s.ConnState = c.follow
 	s.Handler = c.guard(s.Handler)
 }
 
-func (c *conns) attach(ctx context.Context, raw net.Conn) context.Context {
-	to := &conn{raw: raw}
-	c.open.Store(raw, to)
-	to.allow(c.headerTime)
-	return context.WithValue(ctx, connKey{}, to)
-}
-
-// follow gives each connection its time as its state changes.
+// follow gives each connection its time as its state changes. A connection is active from when a
+// request's headers are read until its answer is whole.
 func (c *conns) follow(raw net.Conn, state http.ConnState) {
-	v, ok := c.open.Load(raw)
-	if !ok {
-		return
-	}
+	v, _ := c.open.LoadOrStore(raw, &conn{raw: raw})
 	to := v.(*conn)
 	switch state {
-	case http.StateActive:
+	case http.StateNew:
 		to.allow(c.headerTime)
+	case http.StateActive:
+		to.release()
 	case http.StateIdle:
 		to.allow(c.idling)
 	case http.StateClosed, http.StateHijacked:
@@ -71,12 +61,9 @@
 	}
 }
 
-// guard ends the time for headers once they are read, and refuses those that are too large.
+// guard refuses headers that are too large.
 func (c *conns) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if to, ok := r.Context().Value(connKey{}).(*conn); ok {
-			to.release()
-		}
 		if headerSize(r) > c.limits().Header {
 			w.Header().Set("Connection", "close")
 			http.Error(w, "the headers are too large", http.StatusRequestHeaderFieldsTooLarge)
