--- a/ctrl/feed.go
+++ b/ctrl/feed.go
@@ -57,7 +57,6 @@
 
 	// Owned by the syncing goroutine.
 	life, listRev, keptRev uint64
-	members                value.Set[string]
 	leader                 netip.AddrPort
 
 	// Published for readers; what they point to is immutable.
@@ -73,9 +72,10 @@
 	// refused is when control first told that a request crashes endpoints, by its print.
 	refused atomic.Pointer[map[string]time.Duration]
 
-	// mu guards used, broke and members.
-	mu   sync.Mutex
-	used value.Set[string]
+	// mu guards the rest.
+	mu sync.Mutex
+	// members are the addresses of the control VMs; used holds the parts used since the last sync.
+	members, used value.Set[string]
 	// broke holds the requests under which endpoints broke off since the last sync.
 	broke value.Set[string]
 }
