Log crash reports, their counts and the fingerprints of attempts that may have run

Cause: an attempt's lines had no fingerprint and a counted report had no line, so the logs couldn't tell lost counts, expired counts and unreported ends apart. Ruled out: a line per request served; most of them never matter. Change: 'reported' at the entry (id, endpoint, incarnation, print), 'counted' at the leader (print, entry, count, term); 'attempted' and 'left' carry print where the endpoint may have run the request.

--- a/ctrl/hub.go
+++ b/ctrl/hub.go
@@ -248,9 +248,12 @@
 	for _, id := range req.GetHeard() {
 		ls.reachableAt[id] = now
 	}
+	events := ls.hub.node.config.Events
 	for _, fingerprint := range req.GetBroke() {
-		if ls.crashCounts.Broke(fingerprint, now) {
-			ls.hub.node.config.Events.Emit(event.Quarantined, "print", fingerprint)
+		refused := ls.crashCounts.Broke(fingerprint, now)
+		events.Emit(event.CrashCounted, "print", fingerprint, "entry", req.GetNode(), "count", ls.crashCounts.Crashes(fingerprint), "term", ls.hub.node.Status().Term)
+		if refused {
+			events.Emit(event.Quarantined, "print", fingerprint)
 		}
 	}
 	ls.entries[req.GetNode()] = entryReport{at: now, ejected: req.GetBad(), work: decodeWork(req.GetWork())}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -39,6 +39,7 @@
 	StoreDown        = declare(222, "storedown", "warn", "A KV store stopped responding or lost its content; its parts are removed from the index.")
 	Freed            = declare(223, "freed", "info", "Parts that had not been used for a while were freed in a store.")
 	Silent           = declare(224, "silent", "warn", "The listed engines don't respond to control; entries send them no requests until they respond again to control or an entry.")
+	CrashCounted     = declare(225, "counted", "info", "An entry reported that an endpoint ended while it ran a request; print is the request's fingerprint, count how many such ends count against it.")
 	Settled          = declare(213, "settled", "info", "An operator settled a request whose outcome was unknown.")
 )
 
@@ -55,11 +56,12 @@
 	RequestDenied   = declare(309, "denied", "info", "A request was not allowed by the tables, whose number and age are given.")
 	RequestRejected = declare(310, "turnedaway", "warn", "A request was rejected and has not run; why gives the reason.")
 	RequestFailed   = declare(311, "failed", "warn", "A request ended without a complete response from an endpoint; ran says whether it may have run.")
-	ClientClosed    = declare(312, "left", "info", "A client closed the connection before its response was complete; first is when its first event arrived, in milliseconds, or -1.")
-	Attempted       = declare(313, "attempted", "info", "An attempt at an endpoint failed; outcome says how, next what follows.")
+	ClientClosed    = declare(312, "left", "info", "A client closed the connection before its response was complete; first is when its first event arrived, in milliseconds, or -1; print is the request's fingerprint.")
+	Attempted       = declare(313, "attempted", "info", "An attempt at an endpoint failed; outcome says how, next what follows. print is the request's fingerprint if the endpoint may have run it.")
 	Unfit           = declare(314, "unfit", "warn", "An endpoint failed too many requests and was ejected; it gets none for a while.")
 	Fit             = declare(315, "fit", "info", "An ejected endpoint gets requests again.")
 	Placed          = declare(316, "placed", "info", "A request was assigned to an endpoint. The fields give the reasons: prompt tokens queued ahead of it, to compute and to move, and the predicted time to the first event in milliseconds.")
+	CrashReported   = declare(317, "reported", "info", "An endpoint ended while it ran a request and control is told; print is the request's fingerprint.")
 	Fenced          = declare(307, "fenced", "warn", "A command with an old epoch was rejected.")
 )
 
--- a/limit/attribute.go
+++ b/limit/attribute.go
@@ -59,6 +59,9 @@
 	return r.refusedUntil > now
 }
 
+// Crashes returns how many crashes count against the request with this fingerprint.
+func (t *CrashTracker) Crashes(fingerprint string) int { return t.records[fingerprint].crashes }
+
 // Refused returns the fingerprints of the requests that are refused at now.
 func (t *CrashTracker) Refused(now time.Duration) []string {
 	var fingerprints []string
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -117,6 +117,7 @@
 func (e *Entry) retry(j *job, to *member.Endpoint, out *relay, outcome, reason string, status int) (bool, *failure) {
 	if outcome == outcomeLost {
 		e.config.View.Broke(j.fingerprint())
+		e.config.Events.Emit(event.CrashReported, "id", j.call.ID, "endpoint", to.ID, "born", to.Born, "print", j.fingerprint())
 	}
 	if j.route.Repeatable() && j.possibleRuns < j.route.Attempts && e.allowRetry(j.pool) {
 		e.recordAttempt(j, to, outcome, "again", status)
@@ -248,13 +249,17 @@
 		first = j.firstByteAt.Sub(j.call.Arrived).Milliseconds()
 	}
 	e.config.Events.Emit(event.ClientClosed, "id", j.call.ID, "route", j.route.Name, "endpoint", to.ID, "took", time.Since(j.call.Arrived).Milliseconds(),
-		"first", first, "last", out.lastEventID, "bytes", out.sentBytes, "expected", j.predictedFirstToken.Milliseconds(), "urgency", j.urgency)
+		"first", first, "last", out.lastEventID, "bytes", out.sentBytes, "expected", j.predictedFirstToken.Milliseconds(), "urgency", j.urgency, "print", j.fingerprint())
 	e.meters.outcome(j.route.Name, "left")
 }
 
 func (e *Entry) recordAttempt(j *job, to *member.Endpoint, outcome, next string, status int) {
+	fingerprint := ""
+	if outcome == outcomeLost || outcome == outcomeTimeout || outcome == outcomeFailed {
+		fingerprint = j.fingerprint()
+	}
 	e.config.Events.Emit(event.Attempted, "id", j.call.ID, "route", j.route.Name, "pool", to.Pool, "endpoint", to.ID, "outcome", outcome,
-		"status", status, "next", next, "tried", len(j.tried), "left", time.Until(j.deadline).Milliseconds())
+		"status", status, "next", next, "tried", len(j.tried), "left", time.Until(j.deadline).Milliseconds(), "print", fingerprint)
 	e.meters.attempt(to.Pool, outcome)
 }
 
