ctrl: a feed tries every control VM although the reported leader doesn't respond

Cause: the feed counted its attempts at the reported leader in the rotation over the control VMs. With an even number of them, half were never asked while the others reported an address that doesn't respond. Why this works: only attempts from the list advance the rotation.

--- a/ctrl/feed.go
+++ b/ctrl/feed.go
@@ -112,7 +112,7 @@
 
 // run syncs with one control VM after another, with the leader first if it is known.
 func (f *Feed) run(ctx context.Context) {
-	for at := 0; ctx.Err() == nil; at++ {
+	for at := 0; ctx.Err() == nil; {
 		to := f.leader
 		f.leader = netip.AddrPort{}
 		if !to.IsValid() {
@@ -120,6 +120,9 @@
 			if len(all) > 0 {
 				to = all[at%len(all)]
 			}
+			// Attempts at a reported leader don't count: with an even number of control VMs the
+			// others would be the same ones each time.
+			at++
 		}
 		if to.IsValid() {
 			f.syncWith(ctx, to)
