Replicate the crashes attributed to requests

Cause: a leader kept counts and refusals in memory and began each term without them; an entry that started later was told by a leader that knew nothing. Class: state that decides for the whole deployment kept in one process. Ruled out: that entries keep the list and tell each new leader: they have no disk, and counts below the limit are known to the reporter only. Change: limit.CrashTracker is replicated state of ctrl.Machine, with group time; a sync reports crashes, the leader proposes them, and the entry repeats what wasn't counted. Refusals are what the leader tells now; entries need no time of their own. What counts as a crash and for how long is unchanged here.

--- a/ctrl/crash_test.go
+++ b/ctrl/crash_test.go
@@ -2,16 +2,40 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"testing"
 	"time"
 
 	"egretshunt/check"
 	"egretshunt/ctrl"
 	"egretshunt/limit"
-	"egretshunt/wire"
 )
 
+func fingerprint(s string) func() string { return func() string { return s } }
+
+// TestCrashCountsSurviveLeaderChange guards against a count that starts anew with each leader: after two crashes the
+// leader is lost, and the third must quarantine the request, also on an entry that starts afterwards.
+func TestCrashCountsSurviveLeaderChange(t *testing.T) {
+	c := newCluster(t, 3)
+	control, keys := serveHubs(t, c, 0)
+	entry := newFeed(t, keys, "e0", control...)
+	check.Eventually(t, "a fresh feed", entry.Fresh)
+	crash := func() {
+		// Crashes within a second of each other count once.
+		time.Sleep(1200 * time.Millisecond)
+		entry.Broke("bad")
+	}
+	crash()
+	crash()
+	time.Sleep(time.Second)
+	check.Equal(t, "refused after two crashes", entry.RejectedFor(fingerprint("bad")) > 0, false)
+	c.kill(c.leader())
+	c.leader()
+	crash()
+	check.Eventually(t, "refused after the third crash", func() bool { return entry.RejectedFor(fingerprint("bad")) > 0 })
+	late := newFeed(t, keys, "e1", control...)
+	check.Eventually(t, "refused by an entry that started later", func() bool { return late.RejectedFor(fingerprint("bad")) > 0 })
+}
+
 // TestCrashingRequestQuarantinedOnAllEntries guards against a request that crashes endpoints and is
 // sent again through other entries. Two entries report the crashes; a third, which never ran the
 // request, must refuse it, and must keep refusing it after a change of leader.
@@ -19,16 +43,10 @@
 	c := newCluster(t, 1)
 	hub := ctrl.NewHub(c.node(c.leader()))
 	addr, keys := serveControl(t, ctrl.ServerConfig{Node: c.node(c.leader()), Hub: hub})
-	feeds := make([]*ctrl.Feed, 3)
-	for i := range feeds {
-		pool := wire.NewPool(wire.PoolConfig{Keys: keys})
-		t.Cleanup(pool.Close)
-		feeds[i] = ctrl.NewFeed(ctrl.FeedConfig{
-			Node: fmt.Sprint("e", i), Pool: pool, Seeds: func() []netip.AddrPort { return []netip.AddrPort{addr} },
-		})
-		t.Cleanup(feeds[i].Close)
+	var feeds []*ctrl.Feed
+	for i := range 3 {
+		feeds = append(feeds, newFeed(t, keys, fmt.Sprint("e", i), addr))
 	}
-	fingerprint := func(s string) func() string { return func() string { return s } }
 	first, second, observer := feeds[0], feeds[1], feeds[2]
 	check.Eventually(t, "a fresh feed", observer.Fresh)
 	crashes := 0
@@ -50,5 +68,5 @@
 	check.Equal(t, "requests that ran concurrently", observer.RejectedFor(fingerprint("beside-0")), time.Duration(0))
 	hub.BeginTerm()
 	time.Sleep(500 * time.Millisecond)
-	check.Equal(t, "still refused under a leader without crash counts", second.RejectedFor(fingerprint("bad")) > 0, true)
+	check.Equal(t, "still refused in the next term", second.RejectedFor(fingerprint("bad")) > 0, true)
 }
--- a/ctrl/feed.go
+++ b/ctrl/feed.go
@@ -77,9 +77,8 @@
 	// workUnitTokens.
 	otherWork atomic.Pointer[map[string]uint32]
 	stale     atomic.Bool
-	// quarantined is when control first reported that a request crashes endpoints, by the request's
-	// fingerprint.
-	quarantined atomic.Pointer[map[string]time.Duration]
+	// quarantined holds the fingerprints of requests that control has quarantined; nil if there are none.
+	quarantined atomic.Pointer[value.Set[string]]
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -219,6 +218,9 @@
 		f.Broke(crashReports...)
 		return false, nil
 	}
+	if !reply.GetCounted() {
+		f.Broke(crashReports...)
+	}
 	if err := f.install(reply); err != nil {
 		return false, err
 	}
@@ -287,7 +289,10 @@
 	f.entries.Store(int64(reply.GetEntries()))
 	work := decodeWork(reply.GetWork())
 	f.otherWork.Store(&work)
-	f.updateRefused(reply.GetRefused())
+	f.quarantined.Store(nil)
+	if refused := value.SetOf(reply.GetRefused()...); len(refused) > 0 {
+		f.quarantined.Store(&refused)
+	}
 	return nil
 }
 
@@ -323,47 +328,15 @@
 	}
 }
 
-// updateRefused adds the fingerprints that the leader has quarantined. Each is kept for
-// limit.CrashRejectionTime, since a new leader starts without crash counts.
-func (f *Feed) updateRefused(fingerprints []string) {
-	old := f.quarantined.Load()
-	if len(fingerprints) == 0 && old == nil {
-		return
-	}
-	now := clock.Now()
-	next := map[string]time.Duration{}
-	if old != nil {
-		for fingerprint, at := range *old {
-			if now-at < limit.CrashRejectionTime {
-				next[fingerprint] = at
-			}
-		}
-	}
-	for _, fingerprint := range fingerprints {
-		if _, ok := next[fingerprint]; !ok {
-			next[fingerprint] = now
-		}
-	}
-	if len(next) == 0 {
-		f.quarantined.Store(nil)
-		return
-	}
-	f.quarantined.Store(&next)
-}
-
-// RejectedFor returns for how much longer the request with this fingerprint is quarantined because
-// it crashes endpoints; zero means that it may run. The function fingerprint is called only
-// if any request is quarantined.
+// RejectedFor returns after what time a client may send the request with this fingerprint again
+// that is quarantined because it crashes endpoints; zero means that it may run now. The function
+// fingerprint is called only if any request is quarantined.
 func (f *Feed) RejectedFor(fingerprint func() string) time.Duration {
 	quarantined := f.quarantined.Load()
-	if quarantined == nil {
-		return 0
-	}
-	at, ok := (*quarantined)[fingerprint()]
-	if !ok {
+	if quarantined == nil || !quarantined.Has(fingerprint()) {
 		return 0
 	}
-	return max(at+limit.CrashRejectionTime-clock.Now(), 0)
+	return limit.CrashRejectionTime
 }
 
 // reportFreshness emits an event whenever the copy becomes fresh or stale.
--- a/ctrl/hub.go
+++ b/ctrl/hub.go
@@ -13,6 +13,7 @@
 	"egretshunt/event"
 	"egretshunt/limit"
 	"egretshunt/member"
+	"egretshunt/value"
 	"egretshunt/wire"
 )
 
@@ -60,8 +61,6 @@
 	// reachableAt is when an entry last reported that an endpoint responds although control
 	// has marked it down.
 	reachableAt map[string]time.Duration
-	// crashCounts attributes endpoint crashes to request fingerprints, over all entries.
-	crashCounts *limit.CrashTracker
 }
 
 // entryReport is the state that an entry reported in its last sync.
@@ -83,7 +82,6 @@
 	ls := &LeaderState{
 		Life: rand.Uint64() | 1, Catalog: block.NewCatalog(), hub: h,
 		lastUsed: map[string]time.Duration{}, entries: map[string]entryReport{}, reachableAt: map[string]time.Duration{},
-		crashCounts: limit.NewCrashTracker(),
 	}
 	h.state.Store(ls)
 	return ls
@@ -216,14 +214,16 @@
 	began := clock.Now()
 	_, leads := h.node.IsLeader()
 	ls := h.state.Load()
+	counted := false
 	if leads {
 		ls.recordSync(req, began)
+		counted = h.countCrashes(ctx, req)
 		h.awaitNews(ctx, req, ls)
 	}
 	now := clock.Now()
 	ls = h.state.Load()
 	_, leads = h.node.IsLeader()
-	reply := &wire.Synced{Fresh: leads, HeldMs: uint32((now - began).Milliseconds()), AgeMs: 1, Life: ls.Life}
+	reply := &wire.Synced{Fresh: leads, HeldMs: uint32((now - began).Milliseconds()), AgeMs: 1, Life: ls.Life, Counted: counted}
 	status := h.node.Status()
 	if m, ok := status.Members.Find(status.Leader); ok {
 		reply.Leader = m.Addr.String()
@@ -248,15 +248,35 @@
 	for _, id := range req.GetHeard() {
 		ls.reachableAt[id] = now
 	}
-	events := ls.hub.node.config.Events
+	ls.entries[req.GetNode()] = entryReport{at: now, ejected: req.GetBad(), work: decodeWork(req.GetWork())}
+}
+
+// maxCountWait bounds how long a sync that reports crashes waits until they are replicated. The
+// entry repeats what has not been by then: a stalled disk must not cost it its lease.
+const maxCountWait = 200 * time.Millisecond
+
+// countCrashes replicates the crashes that an entry reports and returns whether all are counted.
+func (h *Hub) countCrashes(ctx context.Context, req *wire.Sync) bool {
+	if len(req.GetBroke()) == 0 {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxCountWait)
+	defer cancel()
+	events := h.node.config.Events
+	_, err := h.node.Propose(ctx, Command{Crashes: &limit.CrashCommand{Entry: req.GetNode(), Fingerprints: req.GetBroke()}})
+	if err != nil {
+		events.Emit(event.CrashUncounted, "entry", req.GetNode(), "count", len(req.GetBroke()), "err", err)
+		return false
+	}
+	crashes := h.node.Crashes()
+	refused := value.SetOf(crashes.Refused(h.node.groupNow())...)
 	for _, fingerprint := range req.GetBroke() {
-		refused := ls.crashCounts.Broke(fingerprint, now)
-		events.Emit(event.CrashCounted, "print", fingerprint, "entry", req.GetNode(), "count", ls.crashCounts.Crashes(fingerprint), "term", ls.hub.node.Status().Term)
-		if refused {
+		events.Emit(event.CrashCounted, "print", fingerprint, "entry", req.GetNode(), "count", crashes.Crashes(fingerprint), "term", h.node.Status().Term)
+		if refused.Has(fingerprint) {
 			events.Emit(event.Quarantined, "print", fingerprint)
 		}
 	}
-	ls.entries[req.GetNode()] = entryReport{at: now, ejected: req.GetBad(), work: decodeWork(req.GetWork())}
+	return true
 }
 
 // awaitNews waits until there is an update for the entry or the hold time has passed. Changes of
@@ -318,7 +338,7 @@
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
 	now := clock.Now()
-	reply.Refused = ls.crashCounts.Refused(now)
+	reply.Refused = ls.hub.node.Crashes().Refused(ls.hub.node.groupNow())
 	otherWork := map[string]uint32{}
 	for node, e := range ls.entries {
 		if now-e.at > entryTTL {
--- a/ctrl/machine.go
+++ b/ctrl/machine.go
@@ -51,6 +51,8 @@
 	Leave           *Leave             `json:"leave,omitempty"`
 	TableSet        *TableSetDocument  `json:"adopt,omitempty"`
 	Weights         *Weights           `json:"weights,omitempty"`
+	// Crashes attributes endpoint crashes to requests that were sent to endpoints without an agent.
+	Crashes *limit.CrashCommand `json:"crashes,omitempty"`
 	// JoinGroup is a control VM's request to become a member; it is never an entry of the log.
 	JoinGroup *quorum.Member `json:"meet,omitempty"`
 }
@@ -122,15 +124,18 @@
 	view   *View
 	owner  Epoch
 	nodes  map[string]NodeRegistration
+	// crashes is no part of the view: only the fingerprints refused are sent to entries.
+	crashes *limit.CrashTracker
 }
 
 // NewMachine returns the empty state of a new control group.
 func NewMachine(c ledger.Config) *Machine {
 	return &Machine{
-		tables: table.NewState(),
-		ledger: ledger.NewState(c),
-		view:   &View{Suspects: limit.NewSuspects()},
-		nodes:  map[string]NodeRegistration{},
+		tables:  table.NewState(),
+		ledger:  ledger.NewState(c),
+		view:    &View{Suspects: limit.NewSuspects()},
+		nodes:   map[string]NodeRegistration{},
+		crashes: limit.NewCrashTracker(),
 	}
 }
 
@@ -157,6 +162,8 @@
 		m.applyTableSet(index, c.TableSet)
 	case c.Weights != nil:
 		m.applyWeights(index, *c.Weights)
+	case c.Crashes != nil:
+		m.crashes = m.crashes.Apply(*c.Crashes, m.now)
 	}
 	for _, j := range c.RegisterNodes {
 		m.nodes[j.Node] = j
@@ -235,17 +242,18 @@
 }
 
 type machineSnapshot struct {
-	Now    time.Time                   `json:"now"`
-	Tables *table.State                `json:"tables"`
-	Ledger *ledger.State               `json:"ledger"`
-	View   *View                       `json:"view"`
-	Owner  Epoch                       `json:"owner"`
-	Nodes  map[string]NodeRegistration `json:"nodes"`
+	Now     time.Time                   `json:"now"`
+	Tables  *table.State                `json:"tables"`
+	Ledger  *ledger.State               `json:"ledger"`
+	View    *View                       `json:"view"`
+	Owner   Epoch                       `json:"owner"`
+	Nodes   map[string]NodeRegistration `json:"nodes"`
+	Crashes *limit.CrashTracker         `json:"crashes"`
 }
 
 // Save encodes the complete state.
 func (m *Machine) Save() ([]byte, error) {
-	data, err := json.Marshal(machineSnapshot{m.now, m.tables, m.ledger, m.view, m.owner, m.nodes})
+	data, err := json.Marshal(machineSnapshot{m.now, m.tables, m.ledger, m.view, m.owner, m.nodes, m.crashes})
 	if err != nil {
 		return nil, Malformed.Wrap(err, "write snapshot")
 	}
@@ -254,11 +262,11 @@
 
 // Restore replaces the complete state by one that Save encoded.
 func (m *Machine) Restore(data []byte) error {
-	v := machineSnapshot{Tables: table.NewState(), Ledger: m.ledger, View: &View{Suspects: limit.NewSuspects()}, Nodes: map[string]NodeRegistration{}}
+	v := machineSnapshot{Tables: table.NewState(), Ledger: m.ledger, View: &View{Suspects: limit.NewSuspects()}, Nodes: map[string]NodeRegistration{}, Crashes: limit.NewCrashTracker()}
 	if err := json.Unmarshal(data, &v); err != nil {
 		return Malformed.Wrap(err, "read snapshot")
 	}
-	*m = Machine{now: v.Now, tables: v.Tables, ledger: v.Ledger, view: v.View, owner: v.Owner, nodes: v.Nodes}
+	*m = Machine{now: v.Now, tables: v.Tables, ledger: v.Ledger, view: v.View, owner: v.Owner, nodes: v.Nodes, crashes: v.Crashes}
 	return nil
 }
 
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -13,6 +13,7 @@
 	"egretshunt/disk"
 	"egretshunt/event"
 	"egretshunt/ledger"
+	"egretshunt/limit"
 	"egretshunt/quorum"
 	"egretshunt/ring"
 	"egretshunt/table"
@@ -80,8 +81,11 @@
 	tables  atomic.Pointer[table.Tables]
 	view    atomic.Pointer[View]
 	nodes   atomic.Pointer[map[string]NodeRegistration]
+	crashes atomic.Pointer[limit.CrashTracker]
 	status  atomic.Pointer[quorum.Status]
 	failure atomic.Pointer[error]
+	// leaderClock is the group clock of this member's last leadership.
+	leaderClock atomic.Pointer[groupClock]
 	// electedAt is when this member last became leader; nil while it is not.
 	electedAt atomic.Pointer[time.Time]
 	// leaseEnd is when the current lease ends, in nanoseconds since started; zero without a lease.
@@ -362,6 +366,8 @@
 	case role == quorum.Leader:
 		now := time.Now()
 		n.clock.start(n.machine.now, n.config.WallClock())
+		started := n.clock
+		n.leaderClock.Store(&started)
 		n.electedAt.Store(&now)
 		n.config.Events.Emit(event.Elected, "term", n.core.Term())
 	case n.lastRole == quorum.Leader:
@@ -391,6 +397,10 @@
 		n.view.Store(v)
 		updated = true
 	}
+	if c := n.machine.crashes; n.crashes.Load() != c {
+		n.crashes.Store(c)
+		updated = true
+	}
 	if updated {
 		n.changed.announce()
 	}
--- a/ctrl/read.go
+++ b/ctrl/read.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"egretshunt/ledger"
+	"egretshunt/limit"
 	"egretshunt/quorum"
 	"egretshunt/table"
 )
@@ -62,7 +63,19 @@
 // View returns the view as applied by this member.
 func (n *Node) View() *View { return n.view.Load() }
 
-// Changed returns a channel that is closed at the next change of tables or view.
+// Crashes returns the crashes attributed to requests, as applied by this member.
+func (n *Node) Crashes() *limit.CrashTracker { return n.crashes.Load() }
+
+// groupNow returns the group time while this member leads.
+func (n *Node) groupNow() time.Time {
+	g := n.leaderClock.Load()
+	if g == nil {
+		return time.Time{}
+	}
+	return g.now()
+}
+
+// Changed returns a channel that is closed at the next change of tables, view or crashes.
 func (n *Node) Changed() <-chan struct{} { return n.changed.wait() }
 
 // Registered returns the registered nodes; the map must not be changed.
--- a/limit/attribute_test.go
+++ b/limit/attribute_test.go
@@ -1,6 +1,7 @@
 package limit_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -9,6 +10,11 @@
 	"egretshunt/limit"
 )
 
+// applyCrash reports one crash of one request after a time since start.
+func applyCrash(t *limit.CrashTracker, fingerprint string, at time.Duration) *limit.CrashTracker {
+	return t.Apply(limit.CrashCommand{Entry: "e", Fingerprints: []string{fingerprint}}, start.Add(at))
+}
+
 func TestBlame(t *testing.T) {
 	const s = time.Second
 	for name, tc := range map[string]struct {
@@ -28,18 +34,26 @@
 		t.Run(name, func(t *testing.T) {
 			b := limit.NewCrashTracker()
 			for _, at := range tc.crashes {
-				b.Broke("a", at)
+				b = applyCrash(b, "a", at)
 			}
-			check.Equal(t, "refused", len(b.Refused(tc.at)) == 1, tc.refused)
+			check.Equal(t, "refused", len(b.Refused(start.Add(tc.at))) == 1, tc.refused)
 		})
 	}
 	t.Run("bounded, newest records are kept", func(t *testing.T) {
 		b := limit.NewCrashTracker()
 		for i := range 10_000 {
-			b.Broke(fmt.Sprint("x", i), time.Duration(i)*time.Millisecond)
+			b = applyCrash(b, fmt.Sprint("x", i), time.Duration(i)*time.Millisecond)
 		}
-		b.Broke("a", 10*s)
-		b.Broke("a", 12*s)
-		check.Equal(t, "refused", b.Broke("a", 14*s), true)
+		b = applyCrash(applyCrash(applyCrash(b, "a", 10*s), "a", 12*s), "a", 14*s)
+		check.Equal(t, "refused", b.Refused(start.Add(15*s)), []string{"a"})
+	})
+	t.Run("kept in a snapshot", func(t *testing.T) {
+		b := applyCrash(applyCrash(limit.NewCrashTracker(), "a", 0), "a", 2*s)
+		data, err := json.Marshal(b)
+		check.NoError(t, err)
+		restored := limit.NewCrashTracker()
+		check.NoError(t, json.Unmarshal(data, restored))
+		check.Equal(t, "refused after a third", applyCrash(restored, "a", 4*s).Refused(start.Add(5*s)), []string{"a"})
+		check.Equal(t, "the published tracker is unchanged", b.Crashes("a"), 2)
 	})
 }
--- a/pass/pass_test.go
+++ b/pass/pass_test.go
@@ -42,7 +42,7 @@
 	// limit.CrashTracker counts each.
 	mu           sync.Mutex
 	crashTracker *limit.CrashTracker
-	clock        time.Duration
+	clock        time.Time
 }
 
 func (f *feed) View() *ctrl.View {
@@ -79,10 +79,8 @@
 	if f.crashTracker == nil {
 		f.crashTracker = limit.NewCrashTracker()
 	}
-	f.clock += time.Second
-	for _, fingerprint := range fingerprints {
-		f.crashTracker.Broke(fingerprint, f.clock)
-	}
+	f.clock = f.clock.Add(time.Second)
+	f.crashTracker = f.crashTracker.Apply(limit.CrashCommand{Fingerprints: fingerprints}, f.clock)
 }
 
 func (f *feed) RejectedFor(fingerprint func() string) time.Duration {
