Count each endpoint that ends under a request

What callers saw: an attempt and its retry ended two endpoints and counted as one crash; a request that may be repeated ended six before it was refused. Cause: crashes of one request within a second counted once, whatever the endpoint, and an entry's reports between two syncs were a set of fingerprints. Class: evidence merged before it is counted. An entry keeps its reports until the leader has confirmed them.

--- a/ctrl/feed.go
+++ b/ctrl/feed.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,6 +57,7 @@
 // it: a Follower keeps a node's copy of those.
 type Feed struct {
 	config  FeedConfig
+	started time.Time
 	cancel  context.CancelFunc
 	running sync.WaitGroup
 	changed *notifier
@@ -84,8 +87,10 @@
 	mu sync.Mutex
 	// members holds the addresses of the control VMs, used the parts used since the last sync.
 	members, used value.Set[string]
-	// crashReports holds the fingerprints of requests whose endpoint failed midway since the last sync.
-	crashReports value.Set[string]
+	// crashReports holds the crashes that control hasn't confirmed as counted, crashesSeen the number
+	// of crashes so far.
+	crashReports []limit.CrashReport
+	crashesSeen  uint64
 }
 
 // NewFeed starts a Feed.
@@ -99,7 +104,7 @@
 	if c.Events == nil {
 		c.Events = event.Discard()
 	}
-	f := &Feed{config: c, changed: newNotifier(), catalog: block.NewCatalog(), members: value.SetOf[string](), used: value.SetOf[string](), crashReports: value.SetOf[string]()}
+	f := &Feed{config: c, started: time.Now(), changed: newNotifier(), catalog: block.NewCatalog(), members: value.SetOf[string](), used: value.SetOf[string]()}
 	f.view.Store(&View{Suspects: limit.NewSuspects()})
 	f.stale.Store(true)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -180,10 +185,13 @@
 // response of one that does not only updates the members and the leader's address.
 func (f *Feed) exchange(s *wire.Stream, hold time.Duration) (fresh bool, err error) {
 	began := clock.Now()
-	used, crashReports := f.drain(&f.used), f.drain(&f.crashReports)
+	used, crashes := f.drain(&f.used), f.unconfirmedCrashes()
 	req := &wire.Sync{
 		Node: f.config.Node, Place: f.config.Place, View: f.View().Rev, List: f.listRev, Kept: f.catalogRev, Life: f.incarnation,
-		HoldMs: uint32(hold.Milliseconds()), Used: used, Broke: crashReports,
+		HoldMs: uint32(hold.Milliseconds()), Used: used,
+	}
+	for _, c := range crashes {
+		req.Crashes = append(req.Crashes, &wire.Crash{Id: c.ID, Print: c.Fingerprint, Endpoint: c.Endpoint})
 	}
 	if f.config.Bad != nil {
 		req.Bad = f.config.Bad()
@@ -200,12 +208,10 @@
 	}
 	s.SetDeadline(time.Now().Add(hold + syncTimeout))
 	if err := s.Send(&wire.Frame{Body: &wire.Frame_Sync{Sync: req}}); err != nil {
-		f.Broke(crashReports...)
 		return false, err
 	}
 	frame, err := s.Recv()
 	if err != nil {
-		f.Broke(crashReports...)
 		return false, err
 	}
 	reply := frame.GetSynced()
@@ -214,12 +220,10 @@
 	}
 	f.updateMembers(reply)
 	if !reply.GetFresh() {
-		// This control VM does not lead and has ignored the crash reports.
-		f.Broke(crashReports...)
 		return false, nil
 	}
-	if !reply.GetCounted() {
-		f.Broke(crashReports...)
+	if reply.GetCounted() {
+		f.confirmCrashes(len(crashes))
 	}
 	if err := f.install(reply); err != nil {
 		return false, err
@@ -312,20 +316,35 @@
 	f.used.Add(name)
 }
 
-// maxCrashReports is the largest number of fingerprints in one sync, to bound its size when many
-// endpoints crash.
+// maxCrashReports is the largest number of crashes in one sync, to bound its size when many
+// endpoints crash. Further ones are dropped.
 const maxCrashReports = 256
 
-// Broke records a crash, for the next sync: an endpoint failed while it ran the requests with these
-// fingerprints.
-func (f *Feed) Broke(fingerprints ...string) {
+// Broke records that an endpoint ended while it ran the request with this fingerprint. Syncs report
+// it until control has counted it.
+func (f *Feed) Broke(fingerprint, endpoint string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, fingerprint := range fingerprints {
-		if len(f.crashReports) < maxCrashReports {
-			f.crashReports.Add(fingerprint)
-		}
+	if len(f.crashReports) >= maxCrashReports {
+		return
 	}
+	f.crashesSeen++
+	id := fmt.Sprintf("%s/%x/%d", f.config.Node, f.started.UnixNano(), f.crashesSeen)
+	f.crashReports = append(f.crashReports, limit.CrashReport{ID: id, Fingerprint: fingerprint, Endpoint: endpoint})
+}
+
+// unconfirmedCrashes returns the crashes that control hasn't confirmed as counted.
+func (f *Feed) unconfirmedCrashes() []limit.CrashReport {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.crashReports)
+}
+
+// confirmCrashes drops the first reports, which control has counted.
+func (f *Feed) confirmCrashes(count int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashReports = slices.Delete(f.crashReports, 0, count)
 }
 
 // RejectedFor returns after what time a client may send the request with this fingerprint again
--- a/ctrl/hub.go
+++ b/ctrl/hub.go
@@ -257,23 +257,26 @@
 
 // countCrashes replicates the crashes that an entry reports and returns whether all are counted.
 func (h *Hub) countCrashes(ctx context.Context, req *wire.Sync) bool {
-	if len(req.GetBroke()) == 0 {
+	if len(req.GetCrashes()) == 0 {
 		return true
 	}
+	command := &limit.CrashCommand{Entry: req.GetNode()}
+	for _, c := range req.GetCrashes() {
+		command.Reports = append(command.Reports, limit.CrashReport{ID: c.GetId(), Fingerprint: c.GetPrint(), Endpoint: c.GetEndpoint()})
+	}
 	ctx, cancel := context.WithTimeout(ctx, maxCountWait)
 	defer cancel()
 	events := h.node.config.Events
-	_, err := h.node.Propose(ctx, Command{Crashes: &limit.CrashCommand{Entry: req.GetNode(), Fingerprints: req.GetBroke()}})
-	if err != nil {
-		events.Emit(event.CrashUncounted, "entry", req.GetNode(), "count", len(req.GetBroke()), "err", err)
+	if _, err := h.node.Propose(ctx, Command{Crashes: command}); err != nil {
+		events.Emit(event.CrashUncounted, "entry", req.GetNode(), "count", len(command.Reports), "err", err)
 		return false
 	}
 	crashes := h.node.Crashes()
 	refused := value.SetOf(crashes.Refused(h.node.groupNow())...)
-	for _, fingerprint := range req.GetBroke() {
-		events.Emit(event.CrashCounted, "print", fingerprint, "entry", req.GetNode(), "count", crashes.Crashes(fingerprint), "term", h.node.Status().Term)
-		if refused.Has(fingerprint) {
-			events.Emit(event.Quarantined, "print", fingerprint)
+	for _, r := range command.Reports {
+		events.Emit(event.CrashCounted, "print", r.Fingerprint, "endpoint", r.Endpoint, "entry", req.GetNode(), "count", crashes.Crashes(r.Fingerprint), "term", h.node.Status().Term)
+		if refused.Has(r.Fingerprint) {
+			events.Emit(event.Quarantined, "print", r.Fingerprint)
 		}
 	}
 	return true
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -116,7 +116,7 @@
 // retry decides whether another attempt follows one that may have run.
 func (e *Entry) retry(j *job, to *member.Endpoint, out *relay, outcome, reason string, status int) (bool, *failure) {
 	if outcome == outcomeLost {
-		e.config.View.Broke(j.fingerprint())
+		e.config.View.Broke(j.fingerprint(), to.ID)
 		e.config.Events.Emit(event.CrashReported, "id", j.call.ID, "endpoint", to.ID, "born", to.Born, "print", j.fingerprint())
 	}
 	if j.route.Repeatable() && j.possibleRuns < j.route.Attempts && e.allowRetry(j.pool) {
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -34,8 +34,8 @@
 	OtherEntriesTokens(id string) int
 	EntryCount() int
 	// Broke records that an endpoint closed the connection or crashed while running a request
-	// with one of the fingerprints.
-	Broke(fingerprints ...string)
+	// with the fingerprint.
+	Broke(fingerprint, endpoint string)
 	// RejectedFor returns for how long requests with the fingerprint are still rejected because
 	// they crash endpoints; zero if they aren't.
 	RejectedFor(fingerprint func() string) time.Duration
