Quarantine a crashing request until a run of it completes

What callers saw: a request that had ended three endpoints ended three more each minute, as long as it came. Cause: a crash counted for a minute and a refusal lasted a minute; both ended together and the request was new again. Class: a safety decision that expires by time without evidence that its reason is gone. Ruled out: a longer refusal alone: it ends at all entries at once, and an innocent request would be refused as long. An entry reports the completed run, which clears the record. TestOneTrialOfQuarantinedRequest: one entry, one run, also when it crashes.

--- /dev/null
+++ b/ctrl/crash.go
@@ -0,0 +1,216 @@
+package ctrl
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"egretshunt/clock"
+	"egretshunt/event"
+	"egretshunt/limit"
+	"egretshunt/value"
+	"egretshunt/wire"
+)
+
+const (
+	// maxCountWait bounds how long a sync that reports crashes waits until they are replicated. The
+	// entry repeats what has not been by then: a stalled disk must not cost it its lease.
+	maxCountWait = 200 * time.Millisecond
+	// trialTime is how long one entry may run a quarantined request as a trial before another one
+	// may. Within it the entry starts one run, and longer than any run takes none.
+	trialTime = 30 * time.Second
+	// maxCrashReports is the largest number of crashes in one sync, to bound its size when many
+	// endpoints crash. Further ones are dropped.
+	maxCrashReports = 256
+)
+
+// countCrashes replicates the crashes and completed runs that an entry reports and returns whether
+// all are counted.
+func (h *Hub) countCrashes(ctx context.Context, req *wire.Sync) bool {
+	if len(req.GetCrashes()) == 0 && len(req.GetCompleted()) == 0 {
+		return true
+	}
+	command := &limit.CrashCommand{Entry: req.GetNode(), Completed: req.GetCompleted()}
+	for _, c := range req.GetCrashes() {
+		command.Reports = append(command.Reports, limit.CrashReport{ID: c.GetId(), Fingerprint: c.GetPrint(), Endpoint: c.GetEndpoint()})
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxCountWait)
+	defer cancel()
+	events := h.node.config.Events
+	if _, err := h.node.Propose(ctx, Command{Crashes: command}); err != nil {
+		events.Emit(event.CrashUncounted, "entry", req.GetNode(), "count", len(command.Reports), "err", err)
+		return false
+	}
+	crashes := h.node.Crashes()
+	refused, trial := crashes.Quarantined(h.node.groupNow())
+	quarantined := value.SetOf(append(refused, trial...)...)
+	for _, r := range command.Reports {
+		events.Emit(event.CrashCounted, "print", r.Fingerprint, "endpoint", r.Endpoint, "entry", req.GetNode(), "count", crashes.Crashes(r.Fingerprint), "term", h.node.Status().Term)
+		if quarantined.Has(r.Fingerprint) {
+			events.Emit(event.Quarantined, "print", r.Fingerprint)
+		}
+	}
+	for _, fingerprint := range command.Completed {
+		events.Emit(event.CrashesCleared, "print", fingerprint, "entry", req.GetNode())
+	}
+	return true
+}
+
+// addQuarantine adds the quarantined requests to the reply to an entry. One entry at a time may run
+// a request that is due for a trial; all others refuse it.
+func (ls *LeaderState) addQuarantine(reply *wire.Synced, entry string) {
+	now := ls.hub.node.groupNow()
+	refused, trial := ls.hub.node.Crashes().Quarantined(now)
+	reply.Refused = refused
+	for _, fingerprint := range trial {
+		if ls.trialEntry(fingerprint, now) == entry {
+			reply.Trial = append(reply.Trial, fingerprint)
+		} else {
+			reply.Refused = append(reply.Refused, fingerprint)
+		}
+	}
+}
+
+// trialEntry returns the entry that may run a quarantined request now.
+func (ls *LeaderState) trialEntry(fingerprint string, now time.Time) string {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	entries := slices.Sorted(maps.Keys(ls.entries))
+	if len(entries) == 0 {
+		return ""
+	}
+	h := fnv.New64a()
+	// Writes to a hash don't fail.
+	fmt.Fprint(h, fingerprint, now.UnixNano()/int64(trialTime))
+	return entries[h.Sum64()%uint64(len(entries))]
+}
+
+// crashGuard is an entry's part of the attribution of crashes to requests: what it has to report,
+// and what control has quarantined.
+type crashGuard struct {
+	node    string
+	started time.Time
+	events  *event.Log
+	// verdicts is nil while control has quarantined nothing.
+	verdicts atomic.Pointer[crashVerdicts]
+
+	// mu guards the rest. reports and completed hold what control hasn't confirmed as counted;
+	// seen is the number of crashes so far.
+	mu        sync.Mutex
+	reports   []limit.CrashReport
+	completed value.Set[string]
+	seen      uint64
+	// trials holds when this entry last ran a quarantined request, by fingerprint.
+	trials map[string]time.Duration
+}
+
+// crashVerdicts are the fingerprints of the requests that this entry must refuse, and of those of
+// which it may run one at a time. It is immutable.
+type crashVerdicts struct {
+	refused, trial value.Set[string]
+}
+
+// unconfirmedCrashes is what one sync reports.
+type unconfirmedCrashes struct {
+	reports   []limit.CrashReport
+	completed []string
+}
+
+func newCrashGuard(node string, events *event.Log) *crashGuard {
+	return &crashGuard{node: node, started: time.Now(), events: events, completed: value.SetOf[string](), trials: map[string]time.Duration{}}
+}
+
+func (u unconfirmedCrashes) encode(req *wire.Sync) {
+	for _, c := range u.reports {
+		req.Crashes = append(req.Crashes, &wire.Crash{Id: c.ID, Print: c.Fingerprint, Endpoint: c.Endpoint})
+	}
+	req.Completed = u.completed
+}
+
+func (g *crashGuard) unconfirmed() unconfirmedCrashes {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return unconfirmedCrashes{slices.Clone(g.reports), g.completed.Sorted()}
+}
+
+// confirm drops what control has counted.
+func (g *crashGuard) confirm(u unconfirmedCrashes) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	// New reports are only ever appended.
+	g.reports = slices.Delete(g.reports, 0, len(u.reports))
+	for _, fingerprint := range u.completed {
+		g.completed.Remove(fingerprint)
+	}
+}
+
+// install replaces the verdicts by those of a reply.
+func (g *crashGuard) install(reply *wire.Synced) {
+	if len(reply.GetRefused()) == 0 && len(reply.GetTrial()) == 0 {
+		g.verdicts.Store(nil)
+		return
+	}
+	g.verdicts.Store(&crashVerdicts{value.SetOf(reply.GetRefused()...), value.SetOf(reply.GetTrial()...)})
+}
+
+// Broke records that an endpoint ended while it ran the request with this fingerprint. Syncs report
+// it until control has counted it.
+func (f *Feed) Broke(fingerprint, endpoint string) {
+	g := f.crashes
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.reports) >= maxCrashReports {
+		return
+	}
+	g.seen++
+	id := fmt.Sprintf("%s/%x/%d", g.node, g.started.UnixNano(), g.seen)
+	g.reports = append(g.reports, limit.CrashReport{ID: id, Fingerprint: fingerprint, Endpoint: endpoint})
+}
+
+// Completed records that an endpoint has run the request with this fingerprint to the end. The
+// function fingerprint is called only if any request is quarantined.
+func (f *Feed) Completed(fingerprint func() string) {
+	v := f.crashes.verdicts.Load()
+	if v == nil {
+		return
+	}
+	if name := fingerprint(); v.refused.Has(name) || v.trial.Has(name) {
+		f.crashes.mu.Lock()
+		defer f.crashes.mu.Unlock()
+		f.crashes.completed.Add(name)
+	}
+}
+
+// RejectedFor returns after what time a client may send the request with this fingerprint again
+// that is quarantined because it crashes endpoints; zero means that it may run now. The function
+// fingerprint is called only if any request is quarantined.
+func (f *Feed) RejectedFor(fingerprint func() string) time.Duration {
+	v := f.crashes.verdicts.Load()
+	if v == nil {
+		return 0
+	}
+	name := fingerprint()
+	if v.refused.Has(name) || v.trial.Has(name) && !f.crashes.startTrial(name) {
+		return limit.CrashRetryAfter
+	}
+	return 0
+}
+
+// startTrial reports whether a quarantined request may run here as a trial, and records the run.
+func (g *crashGuard) startTrial(fingerprint string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := clock.Now()
+	maps.DeleteFunc(g.trials, func(_ string, at time.Duration) bool { return now-at >= trialTime })
+	if _, ran := g.trials[fingerprint]; ran {
+		return false
+	}
+	g.trials[fingerprint] = now
+	g.events.Emit(event.CrashTrial, "print", fingerprint)
+	return true
+}
--- a/ctrl/crash_test.go
+++ b/ctrl/crash_test.go
@@ -70,3 +70,56 @@
 	time.Sleep(500 * time.Millisecond)
 	check.Equal(t, "still refused in the next term", second.RejectedFor(fingerprint("bad")) > 0, true)
 }
+
+// TestOneTrialOfQuarantinedRequest guards against a quarantine that ends by time at all entries at once: after a while
+// one run is allowed at one entry, a crash refuses the request again, and a run that completes frees it.
+func TestOneTrialOfQuarantinedRequest(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1)
+	addr, keys := serveControl(t, ctrl.ServerConfig{Node: c.node(c.leader()), Hub: ctrl.NewHub(c.node(c.leader()))})
+	var feeds []*ctrl.Feed
+	for i := range 3 {
+		feeds = append(feeds, newFeed(t, keys, fmt.Sprint("e", i), addr))
+	}
+	for _, name := range []string{"bad", "innocent"} {
+		for i := range limit.MaxAttributedCrashes {
+			feeds[0].Broke(name, fmt.Sprint("w", i))
+		}
+	}
+	refused := func(name string) int {
+		n := 0
+		for _, f := range feeds {
+			if f.RejectedFor(fingerprint(name)) > 0 {
+				n++
+			}
+		}
+		return n
+	}
+	for _, name := range []string{"bad", "innocent"} {
+		check.Eventually(t, "refused by all", func() bool { return refused(name) == len(feeds) })
+	}
+	allowed := 0
+	check.Eventually(t, "a run at one entry", func() bool {
+		for _, f := range feeds {
+			if f.RejectedFor(fingerprint("bad")) == 0 {
+				allowed++
+				f.Broke("bad", "w9")
+			}
+		}
+		return allowed > 0
+	})
+	for range 10 {
+		time.Sleep(100 * time.Millisecond)
+		check.Equal(t, "refused by all after the trial", refused("bad"), len(feeds))
+	}
+	check.Equal(t, "trials", allowed, 1)
+	check.Eventually(t, "free after a run that completes", func() bool {
+		for _, f := range feeds {
+			if f.RejectedFor(fingerprint("innocent")) == 0 {
+				f.Completed(fingerprint("innocent"))
+			}
+		}
+		return refused("innocent") == 0
+	})
+	check.Equal(t, "the other one is still refused", refused("bad"), len(feeds))
+}
--- a/ctrl/feed.go
+++ b/ctrl/feed.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"fmt"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,7 +55,7 @@
 // it: a Follower keeps a node's copy of those.
 type Feed struct {
 	config  FeedConfig
-	started time.Time
+	crashes *crashGuard
 	cancel  context.CancelFunc
 	running sync.WaitGroup
 	changed *notifier
@@ -80,17 +78,11 @@
 	// workUnitTokens.
 	otherWork atomic.Pointer[map[string]uint32]
 	stale     atomic.Bool
-	// quarantined holds the fingerprints of requests that control has quarantined; nil if there are none.
-	quarantined atomic.Pointer[value.Set[string]]
 
 	// mu guards the fields below.
 	mu sync.Mutex
 	// members holds the addresses of the control VMs, used the parts used since the last sync.
 	members, used value.Set[string]
-	// crashReports holds the crashes that control hasn't confirmed as counted, crashesSeen the number
-	// of crashes so far.
-	crashReports []limit.CrashReport
-	crashesSeen  uint64
 }
 
 // NewFeed starts a Feed.
@@ -104,7 +96,7 @@
 	if c.Events == nil {
 		c.Events = event.Discard()
 	}
-	f := &Feed{config: c, started: time.Now(), changed: newNotifier(), catalog: block.NewCatalog(), members: value.SetOf[string](), used: value.SetOf[string]()}
+	f := &Feed{config: c, crashes: newCrashGuard(c.Node, c.Events), changed: newNotifier(), catalog: block.NewCatalog(), members: value.SetOf[string](), used: value.SetOf[string]()}
 	f.view.Store(&View{Suspects: limit.NewSuspects()})
 	f.stale.Store(true)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -185,14 +177,12 @@
 // response of one that does not only updates the members and the leader's address.
 func (f *Feed) exchange(s *wire.Stream, hold time.Duration) (fresh bool, err error) {
 	began := clock.Now()
-	used, crashes := f.drain(&f.used), f.unconfirmedCrashes()
+	used, crashes := f.drain(&f.used), f.crashes.unconfirmed()
 	req := &wire.Sync{
 		Node: f.config.Node, Place: f.config.Place, View: f.View().Rev, List: f.listRev, Kept: f.catalogRev, Life: f.incarnation,
 		HoldMs: uint32(hold.Milliseconds()), Used: used,
 	}
-	for _, c := range crashes {
-		req.Crashes = append(req.Crashes, &wire.Crash{Id: c.ID, Print: c.Fingerprint, Endpoint: c.Endpoint})
-	}
+	crashes.encode(req)
 	if f.config.Bad != nil {
 		req.Bad = f.config.Bad()
 	}
@@ -223,7 +213,7 @@
 		return false, nil
 	}
 	if reply.GetCounted() {
-		f.confirmCrashes(len(crashes))
+		f.crashes.confirm(crashes)
 	}
 	if err := f.install(reply); err != nil {
 		return false, err
@@ -293,10 +283,7 @@
 	f.entries.Store(int64(reply.GetEntries()))
 	work := decodeWork(reply.GetWork())
 	f.otherWork.Store(&work)
-	f.quarantined.Store(nil)
-	if refused := value.SetOf(reply.GetRefused()...); len(refused) > 0 {
-		f.quarantined.Store(&refused)
-	}
+	f.crashes.install(reply)
 	return nil
 }
 
@@ -316,48 +303,6 @@
 	f.used.Add(name)
 }
 
-// maxCrashReports is the largest number of crashes in one sync, to bound its size when many
-// endpoints crash. Further ones are dropped.
-const maxCrashReports = 256
-
-// Broke records that an endpoint ended while it ran the request with this fingerprint. Syncs report
-// it until control has counted it.
-func (f *Feed) Broke(fingerprint, endpoint string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if len(f.crashReports) >= maxCrashReports {
-		return
-	}
-	f.crashesSeen++
-	id := fmt.Sprintf("%s/%x/%d", f.config.Node, f.started.UnixNano(), f.crashesSeen)
-	f.crashReports = append(f.crashReports, limit.CrashReport{ID: id, Fingerprint: fingerprint, Endpoint: endpoint})
-}
-
-// unconfirmedCrashes returns the crashes that control hasn't confirmed as counted.
-func (f *Feed) unconfirmedCrashes() []limit.CrashReport {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return slices.Clone(f.crashReports)
-}
-
-// confirmCrashes drops the first reports, which control has counted.
-func (f *Feed) confirmCrashes(count int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.crashReports = slices.Delete(f.crashReports, 0, count)
-}
-
-// RejectedFor returns after what time a client may send the request with this fingerprint again
-// that is quarantined because it crashes endpoints; zero means that it may run now. The function
-// fingerprint is called only if any request is quarantined.
-func (f *Feed) RejectedFor(fingerprint func() string) time.Duration {
-	quarantined := f.quarantined.Load()
-	if quarantined == nil || !quarantined.Has(fingerprint()) {
-		return 0
-	}
-	return limit.CrashRejectionTime
-}
-
 // reportFreshness emits an event whenever the copy becomes fresh or stale.
 func (f *Feed) reportFreshness(ctx context.Context) {
 	t := time.NewTicker(f.config.Lease / 8)
--- a/ctrl/hub.go
+++ b/ctrl/hub.go
@@ -10,10 +10,7 @@
 
 	"egretshunt/block"
 	"egretshunt/clock"
-	"egretshunt/event"
-	"egretshunt/limit"
 	"egretshunt/member"
-	"egretshunt/value"
 	"egretshunt/wire"
 )
 
@@ -251,37 +248,6 @@
 	ls.entries[req.GetNode()] = entryReport{at: now, ejected: req.GetBad(), work: decodeWork(req.GetWork())}
 }
 
-// maxCountWait bounds how long a sync that reports crashes waits until they are replicated. The
-// entry repeats what has not been by then: a stalled disk must not cost it its lease.
-const maxCountWait = 200 * time.Millisecond
-
-// countCrashes replicates the crashes that an entry reports and returns whether all are counted.
-func (h *Hub) countCrashes(ctx context.Context, req *wire.Sync) bool {
-	if len(req.GetCrashes()) == 0 {
-		return true
-	}
-	command := &limit.CrashCommand{Entry: req.GetNode()}
-	for _, c := range req.GetCrashes() {
-		command.Reports = append(command.Reports, limit.CrashReport{ID: c.GetId(), Fingerprint: c.GetPrint(), Endpoint: c.GetEndpoint()})
-	}
-	ctx, cancel := context.WithTimeout(ctx, maxCountWait)
-	defer cancel()
-	events := h.node.config.Events
-	if _, err := h.node.Propose(ctx, Command{Crashes: command}); err != nil {
-		events.Emit(event.CrashUncounted, "entry", req.GetNode(), "count", len(command.Reports), "err", err)
-		return false
-	}
-	crashes := h.node.Crashes()
-	refused := value.SetOf(crashes.Refused(h.node.groupNow())...)
-	for _, r := range command.Reports {
-		events.Emit(event.CrashCounted, "print", r.Fingerprint, "endpoint", r.Endpoint, "entry", req.GetNode(), "count", crashes.Crashes(r.Fingerprint), "term", h.node.Status().Term)
-		if refused.Has(r.Fingerprint) {
-			events.Emit(event.Quarantined, "print", r.Fingerprint)
-		}
-	}
-	return true
-}
-
 // awaitNews waits until there is an update for the entry or the hold time has passed. Changes of
 // the catalogue alone do not end the wait, so that many of them share one response; only the
 // withdrawal of all parts of a store or engine does.
@@ -338,10 +304,10 @@
 	if ahead := ls.engineClock.Load(); ahead != 0 {
 		reply.ClockMs = ahead + clock.Now().Milliseconds()
 	}
+	ls.addQuarantine(reply, req.GetNode())
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
 	now := clock.Now()
-	reply.Refused = ls.hub.node.Crashes().Refused(ls.hub.node.groupNow())
 	otherWork := map[string]uint32{}
 	for node, e := range ls.entries {
 		if now-e.at > entryTTL {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -41,6 +41,7 @@
 	Silent           = declare(224, "silent", "warn", "The listed engines don't respond to control; entries send them no requests until they respond again to control or an entry.")
 	CrashCounted     = declare(225, "counted", "info", "An entry reported that an endpoint ended while it ran a request; print is the request's fingerprint, count how many such ends count against it.")
 	CrashUncounted   = declare(226, "uncounted", "warn", "Crashes that an entry reported could not be replicated; the entry reports them again.")
+	CrashesCleared   = declare(227, "cleared", "info", "An endpoint ran a request to the end that crashes had been attributed to; it is refused no longer.")
 	Settled          = declare(213, "settled", "info", "An operator settled a request whose outcome was unknown.")
 )
 
@@ -49,7 +50,7 @@
 	ResponseCut     = declare(300, "cut", "warn", "A response was cut off before its end; the client was told.")
 	Unknown         = declare(301, "unknown", "warn", "A non-idempotent request was accepted and its outcome is unknown. See ctl unknown list.")
 	Crash           = declare(302, "crash", "error", "An endpoint crashed while it ran a request.")
-	Quarantined     = declare(303, "quarantined", "warn", "A request that crashed endpoints is rejected for a while; print is the fingerprint of its content. See ctl suspect list where endpoints have agents.")
+	Quarantined     = declare(303, "quarantined", "warn", "A request that crashed endpoints is rejected; where endpoints have no agents, until a trial run completes. print is the fingerprint of its content. See ctl suspect list where endpoints have agents.")
 	Draining        = declare(304, "leaving", "info", "An endpoint is draining and gets no new requests.")
 	Retried         = declare(305, "retried", "info", "A request that had not run was sent to another endpoint.")
 	Resumed         = declare(306, "resumed", "info", "A stream continues over a new connection.")
@@ -63,6 +64,7 @@
 	Fit             = declare(315, "fit", "info", "An ejected endpoint gets requests again.")
 	Placed          = declare(316, "placed", "info", "A request was assigned to an endpoint. The fields give the reasons: prompt tokens queued ahead of it, to compute and to move, and the predicted time to the first event in milliseconds.")
 	CrashReported   = declare(317, "reported", "info", "An endpoint ended while it ran a request and control is told; print is the request's fingerprint.")
+	CrashTrial      = declare(318, "trial", "info", "A quarantined request is run once, to find out whether it still crashes endpoints.")
 	Fenced          = declare(307, "fenced", "warn", "A command with an old epoch was rejected.")
 )
 
--- a/limit/attribute.go
+++ b/limit/attribute.go
@@ -1,9 +1,11 @@
 package limit
 
 import (
+	"cmp"
 	"encoding/json"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -14,11 +16,16 @@
 	// minRestartTime is the least time in which a crashed endpoint runs again: losses at one
 	// endpoint that are closer together are one crash.
 	minRestartTime = time.Second
-	// crashExpiry is how long a crash counts. A crashed endpoint restarts within seconds, and a
-	// client that retries has done so by then.
-	crashExpiry = time.Minute
-	// CrashRejectionTime is how long a request is refused after the last crash attributed to it.
-	CrashRejectionTime = time.Minute
+	// crashMemory is how long a crash counts while no run of the request completes.
+	crashMemory = 24 * time.Hour
+	// firstTrialDelay is how long after its quarantine a request may run once to show that it was
+	// only in flight beside the cause; secondTrialDelay follows a trial that crashed another
+	// endpoint, and furtherTrialDelay each later one.
+	firstTrialDelay   = 10 * time.Second
+	secondTrialDelay  = 10 * time.Minute
+	furtherTrialDelay = 24 * time.Hour
+	// CrashRetryAfter is when a client may send a quarantined request again.
+	CrashRetryAfter = firstTrialDelay
 	// maxTrackedRequests bounds the requests tracked; the oldest are evicted first.
 	maxTrackedRequests = 4096
 	// maxTrackedCrashes bounds the crashes kept of one request, to recognize repeated reports.
@@ -29,7 +36,9 @@
 // that ended while they ran it.
 //
 // It guards against one request that is retried through any entry and crashes one endpoint after
-// another, together with everything else that runs there. It is replicated state: a published
+// another, together with everything else that runs there. However long such a request keeps coming,
+// it is refused: a quarantine ends with a run that completes, not with time. For that, one run is
+// allowed as a trial, with growing delays. It is replicated state: a published
 // tracker is immutable, and Apply returns a modified copy.
 type CrashTracker struct {
 	records map[string]crashRecord
@@ -37,9 +46,12 @@
 
 // crashRecord is the state of one request, identified by its fingerprint.
 type crashRecord struct {
-	Fingerprint  string    `json:"print"`
-	Count        int       `json:"count"`
-	RefusedUntil time.Time `json:"refused,omitzero"`
+	Fingerprint string `json:"print"`
+	Count       int    `json:"count"`
+	// TrialAt is when the request may run as a trial; zero if it isn't quarantined. Trials counts the
+	// trials that crashed an endpoint.
+	TrialAt time.Time `json:"trial,omitzero"`
+	Trials  int       `json:"trials,omitempty"`
 	// Crashes holds the latest crashes, in order of their reports.
 	Crashes []crash `json:"crashes"`
 }
@@ -59,6 +71,8 @@
 	return r.Crashes[len(r.Crashes)-1].At
 }
 
+func (r crashRecord) quarantined() bool { return !r.TrialAt.IsZero() }
+
 // includes reports whether a report is of a crash that has been counted: it is repeated, or another
 // attempt was in flight at the same endpoint.
 func (r crashRecord) includes(report CrashReport, now time.Time) bool {
@@ -79,6 +93,8 @@
 type CrashCommand struct {
 	Entry   string        `json:"entry"`
 	Reports []CrashReport `json:"reports"`
+	// Completed lists the fingerprints of requests that an endpoint has run to the end.
+	Completed []string `json:"completed,omitempty"`
 }
 
 // NewCrashTracker returns an empty tracker.
@@ -90,6 +106,9 @@
 	for _, report := range c.Reports {
 		next.count(report, now)
 	}
+	for _, fingerprint := range c.Completed {
+		delete(next.records, fingerprint)
+	}
 	return next
 }
 
@@ -99,7 +118,7 @@
 	switch {
 	case r.includes(report, now):
 		return
-	case known && now.Sub(r.last()) > crashExpiry:
+	case known && !r.quarantined() && now.Sub(r.last()) > crashMemory:
 		r = crashRecord{}
 	case !known && len(t.records) >= maxTrackedRequests:
 		t.evict(now)
@@ -108,8 +127,18 @@
 	r.Count++
 	kept := r.Crashes[max(len(r.Crashes)-maxTrackedCrashes+1, 0):]
 	r.Crashes = append(slices.Clone(kept), crash{report.ID, report.Endpoint, now})
-	if r.Count >= MaxAttributedCrashes {
-		r.RefusedUntil = now.Add(CrashRejectionTime)
+	switch {
+	case r.Count < MaxAttributedCrashes:
+	case !r.quarantined():
+		r.TrialAt = now.Add(firstTrialDelay)
+	case now.Before(r.TrialAt):
+		// An attempt that began before the quarantine.
+	default:
+		r.Trials++
+		r.TrialAt = now.Add(secondTrialDelay)
+		if r.Trials > 1 {
+			r.TrialAt = now.Add(furtherTrialDelay)
+		}
 	}
 	t.records[report.Fingerprint] = r
 }
@@ -117,27 +146,32 @@
 // Crashes returns how many crashes count against the request with this fingerprint.
 func (t *CrashTracker) Crashes(fingerprint string) int { return t.records[fingerprint].Count }
 
-// Refused returns the fingerprints of the requests that are refused at now, sorted.
-func (t *CrashTracker) Refused(now time.Time) []string {
-	var fingerprints []string
+// Quarantined returns the fingerprints of the requests that are quarantined at now, sorted: those
+// that are refused, and those of which one run is allowed as a trial.
+func (t *CrashTracker) Quarantined(now time.Time) (refused, trial []string) {
 	for fingerprint, r := range t.records {
-		if r.RefusedUntil.After(now) {
-			fingerprints = append(fingerprints, fingerprint)
+		switch {
+		case !r.quarantined():
+		case now.Before(r.TrialAt):
+			refused = append(refused, fingerprint)
+		default:
+			trial = append(trial, fingerprint)
 		}
 	}
-	slices.Sort(fingerprints)
-	return fingerprints
+	slices.Sort(refused)
+	slices.Sort(trial)
+	return refused, trial
 }
 
-// evict removes expired records, or the oldest record if none has expired.
+// evict removes expired records, or the oldest record if none has expired; quarantined ones last.
 func (t *CrashTracker) evict(now time.Time) {
 	oldest := ""
 	for fingerprint, r := range t.records {
-		if now.Sub(r.last()) > crashExpiry && !r.RefusedUntil.After(now) {
+		if now.Sub(r.last()) > crashMemory && !r.quarantined() {
 			delete(t.records, fingerprint)
 			continue
 		}
-		if before := r.last().Compare(t.records[oldest].last()); oldest == "" || before < 0 || before == 0 && fingerprint < oldest {
+		if oldest == "" || r.compareAge(t.records[oldest]) < 0 {
 			oldest = fingerprint
 		}
 	}
@@ -146,6 +180,17 @@
 	}
 }
 
+// compareAge orders records by which is evicted first.
+func (r crashRecord) compareAge(other crashRecord) int {
+	if r.quarantined() != other.quarantined() {
+		if r.quarantined() {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(r.last().Compare(other.last()), strings.Compare(r.Fingerprint, other.Fingerprint))
+}
+
 // MarshalJSON encodes the records as an array.
 func (t *CrashTracker) MarshalJSON() ([]byte, error) {
 	return json.Marshal(slices.Collect(maps.Values(t.records)))
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -97,6 +97,9 @@
 	}
 	switch {
 	case err == nil:
+		if reply.Status < http.StatusInternalServerError {
+			e.config.View.Completed(j.fingerprint)
+		}
 		e.recordServed(j, to, reply)
 		return false, nil
 	case out.clientGone || ctx.Err() == context.Canceled:
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -36,6 +36,8 @@
 	// Broke records that an endpoint closed the connection or crashed while running a request
 	// with the fingerprint.
 	Broke(fingerprint, endpoint string)
+	// Completed records that an endpoint has run the request with the fingerprint to the end.
+	Completed(fingerprint func() string)
 	// RejectedFor returns for how long requests with the fingerprint are still rejected because
 	// they crash endpoints; zero if they aren't.
 	RejectedFor(fingerprint func() string) time.Duration
