A completed run clears the crashes counted against a request

What callers saw: look-ups that many clients send with equal content were refused for a minute: they are in flight at most endpoints, so at each that ends. Cause: only crashes were evidence; a run that completes was none, unless the request was quarantined already. Ruled out: counting only crashes that nothing else ran beside: no entry knows what the others have in flight at an endpoint. Change: the leader names the requests that one more crash would quarantine; entries report completed runs of these. Others' runs aren't reported, so calm traffic costs nothing.

--- a/ctrl/crash.go
+++ b/ctrl/crash.go
@@ -47,8 +47,8 @@
 		return false
 	}
 	crashes := h.node.Crashes()
-	refused, trial := crashes.Quarantined(h.node.groupNow())
-	quarantined := value.SetOf(append(refused, trial...)...)
+	v := crashes.Verdicts(h.node.groupNow())
+	quarantined := value.SetOf(append(v.Refused, v.Trial...)...)
 	for _, r := range command.Reports {
 		events.Emit(event.CrashCounted, "print", r.Fingerprint, "endpoint", r.Endpoint, "entry", req.GetNode(), "count", crashes.Crashes(r.Fingerprint), "term", h.node.Status().Term)
 		if quarantined.Has(r.Fingerprint) {
@@ -61,13 +61,13 @@
 	return true
 }
 
-// addQuarantine adds the quarantined requests to the reply to an entry. One entry at a time may run
-// a request that is due for a trial; all others refuse it.
-func (ls *LeaderState) addQuarantine(reply *wire.Synced, entry string) {
+// addCrashVerdicts adds the crash verdicts to the reply to an entry. One entry at a time may run a
+// request that is due for a trial; all others refuse it.
+func (ls *LeaderState) addCrashVerdicts(reply *wire.Synced, entry string) {
 	now := ls.hub.node.groupNow()
-	refused, trial := ls.hub.node.Crashes().Quarantined(now)
-	reply.Refused = refused
-	for _, fingerprint := range trial {
+	v := ls.hub.node.Crashes().Verdicts(now)
+	reply.Refused, reply.Watched = v.Refused, v.Watched
+	for _, fingerprint := range v.Trial {
 		if ls.trialEntry(fingerprint, now) == entry {
 			reply.Trial = append(reply.Trial, fingerprint)
 		} else {
@@ -96,7 +96,7 @@
 	node    string
 	started time.Time
 	events  *event.Log
-	// verdicts is nil while control has quarantined nothing.
+	// verdicts is nil while control has none.
 	verdicts atomic.Pointer[crashVerdicts]
 
 	// mu guards the rest. reports and completed hold what control hasn't confirmed as counted;
@@ -109,10 +109,10 @@
 	trials map[string]time.Duration
 }
 
-// crashVerdicts are the fingerprints of the requests that this entry must refuse, and of those of
-// which it may run one at a time. It is immutable.
+// crashVerdicts are the fingerprints of the requests that this entry must refuse, of those of which
+// it may run one at a time, and of those whose completed runs it reports. It is immutable.
 type crashVerdicts struct {
-	refused, trial value.Set[string]
+	refused, trial, watched value.Set[string]
 }
 
 // unconfirmedCrashes is what one sync reports.
@@ -151,11 +151,11 @@
 
 // install replaces the verdicts by those of a reply.
 func (g *crashGuard) install(reply *wire.Synced) {
-	if len(reply.GetRefused()) == 0 && len(reply.GetTrial()) == 0 {
+	if len(reply.GetRefused()) == 0 && len(reply.GetTrial()) == 0 && len(reply.GetWatched()) == 0 {
 		g.verdicts.Store(nil)
 		return
 	}
-	g.verdicts.Store(&crashVerdicts{value.SetOf(reply.GetRefused()...), value.SetOf(reply.GetTrial()...)})
+	g.verdicts.Store(&crashVerdicts{value.SetOf(reply.GetRefused()...), value.SetOf(reply.GetTrial()...), value.SetOf(reply.GetWatched()...)})
 }
 
 // Broke records that an endpoint ended while it ran the request with this fingerprint. Syncs report
@@ -173,13 +173,13 @@
 }
 
 // Completed records that an endpoint has run the request with this fingerprint to the end. The
-// function fingerprint is called only if any request is quarantined.
+// function fingerprint is called only if there are verdicts on any request.
 func (f *Feed) Completed(fingerprint func() string) {
 	v := f.crashes.verdicts.Load()
 	if v == nil {
 		return
 	}
-	if name := fingerprint(); v.refused.Has(name) || v.trial.Has(name) {
+	if name := fingerprint(); v.refused.Has(name) || v.trial.Has(name) || v.watched.Has(name) {
 		f.crashes.mu.Lock()
 		defer f.crashes.mu.Unlock()
 		f.crashes.completed.Add(name)
@@ -188,7 +188,7 @@
 
 // RejectedFor returns after what time a client may send the request with this fingerprint again
 // that is quarantined because it crashes endpoints; zero means that it may run now. The function
-// fingerprint is called only if any request is quarantined.
+// fingerprint is called only if there are verdicts on any request.
 func (f *Feed) RejectedFor(fingerprint func() string) time.Duration {
 	v := f.crashes.verdicts.Load()
 	if v == nil {
--- a/ctrl/crash_test.go
+++ b/ctrl/crash_test.go
@@ -123,3 +123,30 @@
 	})
 	check.Equal(t, "the other one is still refused", refused("bad"), len(feeds))
 }
+
+// TestCompletedRunClearsCount guards against refusing content that many clients send: it was in flight at each of three
+// crashes, with completed runs between them.
+func TestCompletedRunClearsCount(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1)
+	addr, keys := serveControl(t, ctrl.ServerConfig{Node: c.node(c.leader()), Hub: ctrl.NewHub(c.node(c.leader()))})
+	first, second := newFeed(t, keys, "e0", addr), newFeed(t, keys, "e1", addr)
+	check.Eventually(t, "fresh feeds", func() bool { return first.Fresh() && second.Fresh() })
+	crashes := c.node(c.leader()).Crashes
+	counted := func(want int) {
+		t.Helper()
+		check.Eventually(t, fmt.Sprint(want, " crashes counted"), func() bool {
+			if want == 0 {
+				second.Completed(fingerprint("hot"))
+			}
+			return crashes().Crashes("hot") == want
+		})
+	}
+	first.Broke("hot", "w0")
+	first.Broke("hot", "w1")
+	counted(2)
+	counted(0)
+	first.Broke("hot", "w2")
+	counted(1)
+	check.Equal(t, "refused", first.RejectedFor(fingerprint("hot")) > 0, false)
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -41,7 +41,7 @@
 	Silent           = declare(224, "silent", "warn", "The listed engines don't respond to control; entries send them no requests until they respond again to control or an entry.")
 	CrashCounted     = declare(225, "counted", "info", "An entry reported that an endpoint ended while it ran a request; print is the request's fingerprint, count how many such ends count against it.")
 	CrashUncounted   = declare(226, "uncounted", "warn", "Crashes that an entry reported could not be replicated; the entry reports them again.")
-	CrashesCleared   = declare(227, "cleared", "info", "An endpoint ran a request to the end that crashes had been attributed to; it is refused no longer.")
+	CrashesCleared   = declare(227, "cleared", "info", "An endpoint ran a request to the end that crashes had been attributed to; they no longer count.")
 	Settled          = declare(213, "settled", "info", "An operator settled a request whose outcome was unknown.")
 )
 
--- a/limit/attribute.go
+++ b/limit/attribute.go
@@ -146,21 +146,34 @@
 // Crashes returns how many crashes count against the request with this fingerprint.
 func (t *CrashTracker) Crashes(fingerprint string) int { return t.records[fingerprint].Count }
 
-// Quarantined returns the fingerprints of the requests that are quarantined at now, sorted: those
-// that are refused, and those of which one run is allowed as a trial.
-func (t *CrashTracker) Quarantined(now time.Time) (refused, trial []string) {
+// CrashVerdicts are the fingerprints of the requests that entries must know of, each list sorted.
+type CrashVerdicts struct {
+	// Refused requests are quarantined; of those in Trial one run is allowed.
+	Refused, Trial []string
+	// Watched requests will be quarantined after one more crash. A run that completes shows that they
+	// were only in flight beside the cause; content that many clients send needs this most.
+	Watched []string
+}
+
+// Verdicts returns the verdicts at now.
+func (t *CrashTracker) Verdicts(now time.Time) CrashVerdicts {
+	var v CrashVerdicts
 	for fingerprint, r := range t.records {
 		switch {
 		case !r.quarantined():
+			if r.Count == MaxAttributedCrashes-1 {
+				v.Watched = append(v.Watched, fingerprint)
+			}
 		case now.Before(r.TrialAt):
-			refused = append(refused, fingerprint)
+			v.Refused = append(v.Refused, fingerprint)
 		default:
-			trial = append(trial, fingerprint)
+			v.Trial = append(v.Trial, fingerprint)
 		}
 	}
-	slices.Sort(refused)
-	slices.Sort(trial)
-	return refused, trial
+	slices.Sort(v.Refused)
+	slices.Sort(v.Trial)
+	slices.Sort(v.Watched)
+	return v
 }
 
 // evict removes expired records, or the oldest record if none has expired; quarantined ones last.
--- a/limit/attribute_test.go
+++ b/limit/attribute_test.go
@@ -68,9 +68,9 @@
 			for i, at := range tc.crashes {
 				b = applyCrash(b, "a", fmt.Sprint("w", i), at)
 			}
-			refused, trial := b.Quarantined(start.Add(tc.at))
-			check.Equal(t, "refused", len(refused) == 1, tc.refused)
-			check.Equal(t, "due for a trial", len(trial) == 1, tc.trial)
+			v := b.Verdicts(start.Add(tc.at))
+			check.Equal(t, "refused", len(v.Refused) == 1, tc.refused)
+			check.Equal(t, "due for a trial", len(v.Trial) == 1, tc.trial)
 		})
 	}
 	t.Run("free after a run that completes", func(t *testing.T) {
@@ -79,8 +79,7 @@
 			b = applyCrash(b, "a", fmt.Sprint("w", i), time.Duration(i)*s)
 		}
 		b = b.Apply(limit.CrashCommand{Completed: []string{"a"}}, start.Add(time.Minute))
-		refused, trial := b.Quarantined(start.Add(time.Minute))
-		check.Equal(t, "quarantined", len(refused)+len(trial), 0)
+		check.Equal(t, "verdicts", b.Verdicts(start.Add(time.Minute)), limit.CrashVerdicts{})
 		check.Equal(t, "crashes", b.Crashes("a"), 0)
 	})
 	t.Run("bounded, newest records are kept", func(t *testing.T) {
@@ -89,8 +88,7 @@
 			b = applyCrash(b, fmt.Sprint("x", i), "w0", time.Duration(i)*time.Millisecond)
 		}
 		b = applyCrash(applyCrash(applyCrash(b, "a", "w1", 10*s), "a", "w2", 12*s), "a", "w3", 14*s)
-		refused, _ := b.Quarantined(start.Add(15 * s))
-		check.Equal(t, "refused", refused, []string{"a"})
+		check.Equal(t, "refused", b.Verdicts(start.Add(15*s)).Refused, []string{"a"})
 	})
 	t.Run("kept in a snapshot", func(t *testing.T) {
 		b := applyCrash(applyCrash(limit.NewCrashTracker(), "a", "w1", 0), "a", "w2", 2*s)
@@ -98,8 +96,8 @@
 		check.NoError(t, err)
 		restored := limit.NewCrashTracker()
 		check.NoError(t, json.Unmarshal(data, restored))
-		refused, _ := applyCrash(restored, "a", "w3", 4*s).Quarantined(start.Add(5 * s))
-		check.Equal(t, "refused after a third", refused, []string{"a"})
+		check.Equal(t, "watched", restored.Verdicts(start.Add(3*s)).Watched, []string{"a"})
+		check.Equal(t, "refused after a third", applyCrash(restored, "a", "w3", 4*s).Verdicts(start.Add(5*s)).Refused, []string{"a"})
 		check.Equal(t, "the published tracker is unchanged", b.Crashes("a"), 2)
 	})
 }
--- a/pass/pass_test.go
+++ b/pass/pass_test.go
@@ -91,7 +91,7 @@
 	if f.crashTracker == nil {
 		return 0
 	}
-	if refused, _ := f.crashTracker.Quarantined(f.clock); slices.Contains(refused, fingerprint()) {
+	if slices.Contains(f.crashTracker.Verdicts(f.clock).Refused, fingerprint()) {
 		return limit.CrashRetryAfter
 	}
 	return 0
