An entry refuses a request by the crashes that it has yet to report

What callers saw: nothing by itself; an attempt that reached the limit was retried at once, and ended one endpoint more, before the entry's next sync. Cause: an entry refused only what control had told it. Class: a decision that waits for a round trip although its evidence is local. Change: unconfirmed reports (distinct endpoints) count at the entry on top of control's verdict; a completed run drops them. Figures: TestEntryRefusesByItsOwnReports fails without the count, passes with it.

--- a/ctrl/crash.go
+++ b/ctrl/crash.go
@@ -96,8 +96,9 @@
 	node    string
 	started time.Time
 	events  *event.Log
-	// verdicts is nil while control has none.
-	verdicts atomic.Pointer[crashVerdicts]
+	// verdicts is nil while control has none. reporting is set while reports are unconfirmed.
+	verdicts  atomic.Pointer[crashVerdicts]
+	reporting atomic.Bool
 
 	// mu guards the rest. reports and completed hold what control hasn't confirmed as counted;
 	// seen is the number of crashes so far.
@@ -115,6 +116,14 @@
 	refused, trial, watched value.Set[string]
 }
 
+func (v *crashVerdicts) refuses(fingerprint string) bool {
+	return v != nil && v.refused.Has(fingerprint)
+}
+func (v *crashVerdicts) tries(fingerprint string) bool { return v != nil && v.trial.Has(fingerprint) }
+func (v *crashVerdicts) watches(fingerprint string) bool {
+	return v != nil && v.watched.Has(fingerprint)
+}
+
 // unconfirmedCrashes is what one sync reports.
 type unconfirmedCrashes struct {
 	reports   []limit.CrashReport
@@ -142,13 +151,22 @@
 func (g *crashGuard) confirm(u unconfirmedCrashes) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	// New reports are only ever appended.
-	g.reports = slices.Delete(g.reports, 0, len(u.reports))
+	counted := value.SetOf[string]()
+	for _, r := range u.reports {
+		counted.Add(r.ID)
+	}
+	g.dropReports(func(r limit.CrashReport) bool { return counted.Has(r.ID) })
 	for _, fingerprint := range u.completed {
 		g.completed.Remove(fingerprint)
 	}
 }
 
+// dropReports removes reports. The caller holds mu.
+func (g *crashGuard) dropReports(drop func(limit.CrashReport) bool) {
+	g.reports = slices.DeleteFunc(g.reports, drop)
+	g.reporting.Store(len(g.reports) > 0)
+}
+
 // install replaces the verdicts by those of a reply.
 func (g *crashGuard) install(reply *wire.Synced) {
 	if len(reply.GetRefused()) == 0 && len(reply.GetTrial()) == 0 && len(reply.GetWatched()) == 0 {
@@ -170,41 +188,66 @@
 	g.seen++
 	id := fmt.Sprintf("%s/%x/%d", g.node, g.started.UnixNano(), g.seen)
 	g.reports = append(g.reports, limit.CrashReport{ID: id, Fingerprint: fingerprint, Endpoint: endpoint})
+	g.reporting.Store(true)
+}
+
+// unconfirmedCount returns how many endpoints have ended under a request by reports that control
+// hasn't confirmed. The caller holds mu.
+func (g *crashGuard) unconfirmedCount(fingerprint string) int {
+	endpoints := value.SetOf[string]()
+	for _, r := range g.reports {
+		if r.Fingerprint == fingerprint {
+			endpoints.Add(r.Endpoint)
+		}
+	}
+	return len(endpoints)
 }
 
 // Completed records that an endpoint has run the request with this fingerprint to the end. The
 // function fingerprint is called only if there are verdicts on any request.
 func (f *Feed) Completed(fingerprint func() string) {
-	v := f.crashes.verdicts.Load()
-	if v == nil {
+	g := f.crashes
+	v := g.verdicts.Load()
+	if v == nil && !g.reporting.Load() {
 		return
 	}
-	if name := fingerprint(); v.refused.Has(name) || v.trial.Has(name) || v.watched.Has(name) {
-		f.crashes.mu.Lock()
-		defer f.crashes.mu.Unlock()
-		f.crashes.completed.Add(name)
+	name := fingerprint()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if v.refuses(name) || v.tries(name) || v.watches(name) || g.unconfirmedCount(name) > 0 {
+		// Control may have counted some of the reports.
+		g.completed.Add(name)
+		g.dropReports(func(r limit.CrashReport) bool { return r.Fingerprint == name })
 	}
 }
 
 // RejectedFor returns after what time a client may send the request with this fingerprint again
-// that is quarantined because it crashes endpoints; zero means that it may run now. The function
-// fingerprint is called only if there are verdicts on any request.
+// that is refused because it crashes endpoints; zero means that it may run now. It is refused if
+// control has quarantined it, or will once it has counted what this entry reports: the retry of an
+// attempt must not wait for that. The function fingerprint is called only if there are verdicts or
+// unconfirmed reports on any request.
 func (f *Feed) RejectedFor(fingerprint func() string) time.Duration {
-	v := f.crashes.verdicts.Load()
-	if v == nil {
+	g := f.crashes
+	v := g.verdicts.Load()
+	if v == nil && !g.reporting.Load() {
 		return 0
 	}
 	name := fingerprint()
-	if v.refused.Has(name) || v.trial.Has(name) && !f.crashes.startTrial(name) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	crashes := g.unconfirmedCount(name)
+	if v.watches(name) {
+		crashes += limit.MaxAttributedCrashes - 1
+	}
+	if v.refuses(name) || crashes >= limit.MaxAttributedCrashes || v.tries(name) && (crashes > 0 || !g.startTrial(name)) {
 		return limit.CrashRetryAfter
 	}
 	return 0
 }
 
-// startTrial reports whether a quarantined request may run here as a trial, and records the run.
+// startTrial reports whether a quarantined request may run here as a trial, and records the run. The
+// caller holds mu.
 func (g *crashGuard) startTrial(fingerprint string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	now := clock.Now()
 	maps.DeleteFunc(g.trials, func(_ string, at time.Duration) bool { return now-at >= trialTime })
 	if _, ran := g.trials[fingerprint]; ran {
--- a/ctrl/crash_test.go
+++ b/ctrl/crash_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
 	"egretshunt/check"
 	"egretshunt/ctrl"
 	"egretshunt/limit"
+	"egretshunt/wire"
 )
 
 func fingerprint(s string) func() string { return func() string { return s } }
@@ -150,3 +152,24 @@
 	counted(1)
 	check.Equal(t, "refused", first.RejectedFor(fingerprint("hot")) > 0, false)
 }
+
+// TestEntryRefusesByItsOwnReports guards against an entry that sends a request on to a fourth endpoint because control
+// has not counted its reports yet; no control VM is reachable here.
+func TestEntryRefusesByItsOwnReports(t *testing.T) {
+	keys, err := wire.NewKeys("a secret of this test, long enough")
+	check.NoError(t, err)
+	f := newFeed(t, keys, "e0", netip.MustParseAddrPort("127.0.0.1:1"))
+	refused := func(name string) bool { return f.RejectedFor(fingerprint(name)) > 0 }
+	for i := range limit.MaxAttributedCrashes {
+		check.Equal(t, "refused too early", refused("bad"), false)
+		f.Broke("bad", fmt.Sprint("w", i))
+		f.Broke("in flight at one crash", "w0")
+		f.Broke("hot", fmt.Sprint("w", i))
+	}
+	check.Equal(t, "refused", refused("bad"), true)
+	check.Equal(t, "refused after one crash", refused("in flight at one crash"), false)
+	f.Completed(fingerprint("hot"))
+	check.Equal(t, "refused after a completed run", refused("hot"), false)
+	f.Broke("hot", "w9")
+	check.Equal(t, "refused after one more crash", refused("hot"), false)
+}
