Crash verdicts end the syncs that are held

What callers saw: an entry that didn't report the crashes itself could send the request on until its held sync returned. Cause: a new refusal was no news to the wait of a held sync. Change: the wait ends when the lists of refused, tried or watched requests change. Figures: TestQuarantineEndsHeldSyncs fails without the check, passes with it.

--- a/ctrl/crash_test.go
+++ b/ctrl/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -173,3 +174,37 @@
 	f.Broke("hot", "w9")
 	check.Equal(t, "refused after one more crash", refused("hot"), false)
 }
+
+// TestQuarantineEndsHeldSyncs guards against entries that learn of a quarantine only once their sync's hold has passed.
+func TestQuarantineEndsHeldSyncs(t *testing.T) {
+	c := newCluster(t, 1)
+	addr, keys := serveControl(t, ctrl.ServerConfig{Node: c.node(c.leader()), Hub: ctrl.NewHub(c.node(c.leader()))})
+	pool := wire.NewPool(wire.PoolConfig{Keys: keys})
+	t.Cleanup(pool.Close)
+	s, err := pool.Open(t.Context(), addr)
+	check.NoError(t, err)
+	defer s.Close()
+	sync := func(req *wire.Sync) *wire.Synced {
+		t.Helper()
+		check.NoError(t, s.Send(&wire.Frame{Body: &wire.Frame_Sync{Sync: req}}))
+		reply, err := s.Recv()
+		check.NoError(t, err)
+		return reply.GetSynced()
+	}
+	life := sync(&wire.Sync{Node: "held"}).GetLife()
+	reporter := newFeed(t, keys, "reporter", addr)
+	check.Eventually(t, "a fresh feed", reporter.Fresh)
+	n := 0
+	check.Eventually(t, "a sync ended by a quarantine before its hold has passed", func() bool {
+		n++
+		name := fmt.Sprint("bad-", n)
+		time.AfterFunc(50*time.Millisecond, func() {
+			for i := range limit.MaxAttributedCrashes {
+				reporter.Broke(name, fmt.Sprint("w", i))
+			}
+		})
+		// The hub holds a sync for a second at most.
+		reply := sync(&wire.Sync{Node: "held", Life: life, HoldMs: 5000})
+		return reply.GetHeldMs() < 1000 && slices.Contains(reply.GetRefused(), name)
+	})
+}
--- a/ctrl/hub.go
+++ b/ctrl/hub.go
@@ -250,12 +250,17 @@
 
 // awaitNews waits until there is an update for the entry or the hold time has passed. Changes of
 // the catalogue alone do not end the wait, so that many of them share one response; only the
-// withdrawal of all parts of a store or engine does.
+// withdrawal of all parts of a store or engine does. Crash verdicts end it, since a request that
+// crashes endpoints may be on its way to this entry.
 func (h *Hub) awaitNews(ctx context.Context, req *wire.Sync, ls *LeaderState) {
 	timer := time.NewTimer(min(time.Duration(req.GetHoldMs())*time.Millisecond, maxSyncHold))
 	defer timer.Stop()
+	crashes := h.node.Crashes()
 	for {
 		lists, views := h.changed.wait(), h.node.Changed()
+		if h.node.Crashes().Changed(crashes, h.node.groupNow()) {
+			return
+		}
 		if h.node.View().Rev > req.GetView() || req.GetLife() != ls.Life || h.state.Load() != ls || req.GetKept() < ls.withdrawn.Load() {
 			return
 		}
--- a/limit/attribute.go
+++ b/limit/attribute.go
@@ -176,6 +176,16 @@
 	return v
 }
 
+// Changed reports whether requests are refused or watched at now that were not in a former tracker,
+// or the reverse.
+func (t *CrashTracker) Changed(former *CrashTracker, now time.Time) bool {
+	if t == former {
+		return false
+	}
+	a, b := t.Verdicts(now), former.Verdicts(now)
+	return !slices.Equal(a.Refused, b.Refused) || !slices.Equal(a.Trial, b.Trial) || !slices.Equal(a.Watched, b.Watched)
+}
+
 // evict removes expired records, or the oldest record if none has expired; quarantined ones last.
 func (t *CrashTracker) evict(now time.Time) {
 	oldest := ""
