Count the endpoints that end silently under a request

What callers saw: a request that ends its endpoints without a reset (power lost) was sent on at each repetition; its callers waited until their deadline each time. Cause: only a broken connection was reported. An attempt that ended at its deadline, by its caller's leaving or with an unsigned response was not, though its endpoint may have ended under it. Class: absence of an answer treated as absence of evidence. Ruled out: counting each unanswered attempt (endpoints that are slow, or callers that are impatient, would quarantine innocent requests); keep-alive probes (whole seconds only, later than most deadlines). Change: limit.UnansweredRuns keeps such runs for 10 s; one counts if the list drops its endpoint without draining it, or shows another incarnation. A request's fingerprint is computed once.

--- /dev/null
+++ b/limit/unanswered.go
@@ -0,0 +1,62 @@
+package limit
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// unansweredTime is how long after an unanswered run the end of its endpoint is attributed to it:
+	// the platform's list shows an end only after some seconds.
+	unansweredTime = 10 * time.Second
+	// maxUnansweredRuns bounds the runs kept; the oldest are evicted first.
+	maxUnansweredRuns = 1024
+)
+
+// UnansweredRuns finds the runs that ended with their endpoint although nothing said so: an endpoint
+// that loses power resets no connection, so its requests end at their deadline or when their caller
+// leaves.
+//
+// The load pattern is a request that silently ends one endpoint after another, beside many that are
+// unanswered because endpoints are slow or callers impatient: those endpoints stay on the list.
+// UnansweredRuns is not safe for concurrent use.
+type UnansweredRuns struct {
+	runs []UnansweredRun
+}
+
+// UnansweredRun is a run of a request whose response did not arrive.
+type UnansweredRun struct {
+	Fingerprint, Endpoint string
+	// Born identifies the endpoint's incarnation.
+	Born int64
+	At   time.Time
+}
+
+// ListedEndpoint is what the platform's list says of an endpoint.
+type ListedEndpoint struct {
+	Listed, Draining bool
+	Born             int64
+}
+
+// Add records a run.
+func (u *UnansweredRuns) Add(r UnansweredRun) {
+	if len(u.runs) >= maxUnansweredRuns {
+		u.runs = slices.Delete(u.runs, 0, 1)
+	}
+	u.runs = append(u.runs, r)
+}
+
+// Ended removes and returns the runs whose endpoint has ended without draining, by what look returns
+// for an endpoint's ID.
+func (u *UnansweredRuns) Ended(now time.Time, look func(id string) ListedEndpoint) []UnansweredRun {
+	var ended []UnansweredRun
+	u.runs = slices.DeleteFunc(u.runs, func(r UnansweredRun) bool {
+		e := look(r.Endpoint)
+		if !e.Listed || e.Born != r.Born {
+			ended = append(ended, r)
+			return true
+		}
+		return e.Draining || now.Sub(r.At) > unansweredTime
+	})
+	return ended
+}
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -59,6 +59,7 @@
 	success := reply.Status >= 200 && reply.Status < 300
 	if success && !reply.Sealed {
 		e.endAttempt(to, true, began)
+		e.recordUnanswered(j, to)
 		return e.retry(j, to, out, outcomeFailed, reasonUnsigned, reply.Status)
 	}
 	if !success && (out.headerSent || j.route.Kind == board.Idempotent && reply.Status >= http.StatusInternalServerError && len(j.tried) < j.route.Attempts) {
@@ -103,10 +104,12 @@
 		e.recordServed(j, to, reply)
 		return false, nil
 	case out.clientGone || ctx.Err() == context.Canceled:
+		e.recordUnanswered(j, to)
 		e.recordClientClosed(j, to, out)
 		out.abort()
 		return false, nil
 	case ctx.Err() != nil:
+		e.recordUnanswered(j, to)
 		e.recordAttempt(j, to, outcomeTimeout, "end", reply.Status)
 		if out.headerSent {
 			return false, e.cutResponse(j, out)
@@ -119,8 +122,7 @@
 // retry decides whether another attempt follows one that may have run.
 func (e *Entry) retry(j *job, to *member.Endpoint, out *relay, outcome, reason string, status int) (bool, *failure) {
 	if outcome == outcomeLost {
-		e.config.View.Broke(j.fingerprint(), to.ID)
-		e.config.Events.Emit(event.CrashReported, "id", j.call.ID, "endpoint", to.ID, "born", to.Born, "print", j.fingerprint())
+		e.reportCrash(j.call.ID, j.fingerprint(), to.ID, to.Born)
 	}
 	if j.route.Repeatable() && j.possibleRuns < j.route.Attempts && e.allowRetry(j.pool) {
 		e.recordAttempt(j, to, outcome, "again", status)
@@ -150,6 +152,9 @@
 	}
 	j.possibleRuns++
 	j.mayHaveReached = true
+	if ctx.Err() != nil {
+		e.recordUnanswered(j, to)
+	}
 	switch ctx.Err() {
 	case context.Canceled:
 		e.endAttemptUnscored(to)
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -91,6 +91,8 @@
 	prefillRates map[string]float64
 	// linkTokens are the tokens that requests in progress have yet to read from each source.
 	linkTokens map[netip.AddrPort]int
+	// unanswered holds the runs whose endpoint may have ended without a sign.
+	unanswered limit.UnansweredRuns
 	// targetVersions holds the target version of each model's weights and when this entry first
 	// observed it.
 	targetVersions map[string]timedVersion
@@ -183,6 +185,7 @@
 			return
 		}
 		e.removeStale(time.Now())
+		e.reportSilentEnds(time.Now())
 		if e.config.Fallback != nil && e.config.View.Age() > fallbackAge {
 			e.refreshFallback(ctx)
 		}
--- a/pass/pass_test.go
+++ b/pass/pass_test.go
@@ -85,6 +85,13 @@
 	f.crashTracker = f.crashTracker.Apply(limit.CrashCommand{Reports: []limit.CrashReport{report}}, f.clock)
 }
 
+// reported returns the number of crashes reported.
+func (f *feed) reported() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return int(f.clock.Sub(time.Time{}) / time.Second)
+}
+
 func (f *feed) RejectedFor(fingerprint func() string) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -317,6 +324,48 @@
 	}
 }
 
+// An endpoint that loses power resets no connection: its request ends at the deadline, when its caller leaves, or with
+// bytes that aren't the endpoint's. Once the list shows that the endpoint has ended, this must count as a crash.
+func TestSilentEndIsReported(t *testing.T) {
+	silent := func(*pass.Send) (*pass.Reply, error) { return nil, pass.Lost.New("cancelled") }
+	for name, c := range map[string]struct {
+		respond func(*pass.Send) (*pass.Reply, error)
+		timeout time.Duration
+		leaves  bool
+	}{
+		"deadline":    {silent, 30 * time.Millisecond, false},
+		"caller left": {silent, 5 * time.Second, true},
+		"unsigned":    {unsigned, 5 * time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ctx, leave := context.WithCancel(context.Background())
+			defer leave()
+			fx := newFixture(t, func(s *pass.Send) (*pass.Reply, error) {
+				if c.leaves {
+					leave()
+				} else {
+					time.Sleep(min(c.timeout, 100*time.Millisecond))
+				}
+				return c.respond(s)
+			})
+			var ended atomic.Bool
+			all := fx.feed.list
+			fx.feed.listFunc = func() *member.List {
+				if ended.Load() {
+					return (&member.List{}).Index()
+				}
+				return all
+			}
+			call := &pass.Call{ID: "x", Host: "h", Method: http.MethodPost, Path: "/once/x", Target: "/once/x", Header: http.Header{}, APIKey: "k", Arrived: time.Now(), ClientTimeout: c.timeout}
+			fx.entry.Serve(ctx, call, httptest.NewRecorder())
+			check.Equal(t, "reported before the end is listed", fx.feed.reported(), 0)
+			ended.Store(true)
+			check.Eventually(t, "one report", func() bool { return fx.feed.reported() == 1 })
+		})
+	}
+}
+
 // The limit on attributed crashes also applies to the retries within one call: the request must be
 // rejected once it is reached, even if attempts are left.
 func TestCrashingRequestIsNotRetried(t *testing.T) {
--- a/pass/report.go
+++ b/pass/report.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"egretshunt/event"
 	"egretshunt/limit"
 	"egretshunt/member"
 )
@@ -37,6 +38,42 @@
 	e.endpointState(to).alive = time.Now()
 }
 
+// recordUnanswered records a run whose response did not arrive although its endpoint said nothing of
+// an end.
+func (e *Entry) recordUnanswered(j *job, to *member.Endpoint) {
+	run := limit.UnansweredRun{Fingerprint: j.fingerprint(), Endpoint: to.ID, Born: to.Born, At: time.Now()}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.unanswered.Add(run)
+}
+
+// reportSilentEnds reports the unanswered runs whose endpoint has ended, by the list.
+func (e *Entry) reportSilentEnds(now time.Time) {
+	list := e.list()
+	if list == nil {
+		return
+	}
+	e.mu.Lock()
+	ended := e.unanswered.Ended(now, func(id string) limit.ListedEndpoint {
+		at := list.Find(id)
+		if at == nil {
+			return limit.ListedEndpoint{}
+		}
+		return limit.ListedEndpoint{Listed: true, Draining: at.Draining, Born: at.Born}
+	})
+	e.mu.Unlock()
+	for _, run := range ended {
+		e.reportCrash("", run.Fingerprint, run.Endpoint, run.Born)
+	}
+}
+
+// reportCrash reports that an endpoint ended while it ran a request; id is empty if the request has
+// ended before.
+func (e *Entry) reportCrash(id, fingerprint, endpoint string, born int64) {
+	e.config.View.Broke(fingerprint, endpoint)
+	e.config.Events.Emit(event.CrashReported, "id", id, "endpoint", endpoint, "born", born, "print", fingerprint)
+}
+
 // downOverrideTime is how long response data counts against control's report that its endpoint
 // is down.
 const downOverrideTime = time.Second
--- a/pass/serve.go
+++ b/pass/serve.go
@@ -63,6 +63,8 @@
 	// first token.
 	urgency             int
 	predictedFirstToken time.Duration
+	// contentHash is the fingerprint once it was needed.
+	contentHash string
 }
 
 // Serve handles one client request and writes the response to w.
@@ -193,6 +195,13 @@
 // fingerprint returns the fingerprint of what is requested. It is the same at each entry and for
 // each repetition.
 func (j *job) fingerprint() string {
+	if j.contentHash == "" {
+		j.contentHash = j.hashContent()
+	}
+	return j.contentHash
+}
+
+func (j *job) hashContent() string {
 	h := sha256.New()
 	for _, part := range []string{j.account, j.call.Method, j.call.Target} {
 		fmt.Fprintf(h, "%d:%s,", len(part), part)
