Send crash verdicts to an entry only when they change

Change: a reply identifies its verdicts by a hash; the lists are left out if the entry says that it holds them. Ruled out: a shorter memory, which would let a slow repetition through. Figures: none measured for traffic; TestQuarantineEndsHeldSyncs asks that a second sync carries no list.

--- a/ctrl/crash.go
+++ b/ctrl/crash.go
@@ -61,19 +61,22 @@
 	return true
 }
 
-// addCrashVerdicts adds the crash verdicts to the reply to an entry. One entry at a time may run a
-// request that is due for a trial; all others refuse it.
-func (ls *LeaderState) addCrashVerdicts(reply *wire.Synced, entry string) {
+// addCrashVerdicts adds the crash verdicts to the reply to an entry, unless it holds them. One entry
+// at a time may run a request that is due for a trial; all others refuse it.
+func (ls *LeaderState) addCrashVerdicts(reply *wire.Synced, req *wire.Sync) {
 	now := ls.hub.node.groupNow()
-	v := ls.hub.node.Crashes().Verdicts(now)
-	reply.Refused, reply.Watched = v.Refused, v.Watched
-	for _, fingerprint := range v.Trial {
-		if ls.trialEntry(fingerprint, now) == entry {
-			reply.Trial = append(reply.Trial, fingerprint)
+	all := ls.hub.node.Crashes().Verdicts(now)
+	v := limit.CrashVerdicts{Refused: all.Refused, Watched: all.Watched}
+	for _, fingerprint := range all.Trial {
+		if ls.trialEntry(fingerprint, now) == req.GetNode() {
+			v.Trial = append(v.Trial, fingerprint)
 		} else {
-			reply.Refused = append(reply.Refused, fingerprint)
+			v.Refused = append(v.Refused, fingerprint)
 		}
 	}
+	if reply.Verdicts = v.Hash(); reply.Verdicts != req.GetVerdicts() {
+		reply.Refused, reply.Trial, reply.Watched = v.Refused, v.Trial, v.Watched
+	}
 }
 
 // trialEntry returns the entry that may run a quarantined request now.
@@ -114,6 +117,7 @@
 // it may run one at a time, and of those whose completed runs it reports. It is immutable.
 type crashVerdicts struct {
 	refused, trial, watched value.Set[string]
+	hash                    uint64
 }
 
 func (v *crashVerdicts) refuses(fingerprint string) bool {
@@ -167,13 +171,23 @@
 	g.reporting.Store(len(g.reports) > 0)
 }
 
+// verdictsHash identifies the verdicts that this entry holds; zero means none.
+func (g *crashGuard) verdictsHash() uint64 {
+	if v := g.verdicts.Load(); v != nil {
+		return v.hash
+	}
+	return 0
+}
+
 // install replaces the verdicts by those of a reply.
 func (g *crashGuard) install(reply *wire.Synced) {
-	if len(reply.GetRefused()) == 0 && len(reply.GetTrial()) == 0 && len(reply.GetWatched()) == 0 {
+	switch hash := reply.GetVerdicts(); hash {
+	case g.verdictsHash():
+	case 0:
 		g.verdicts.Store(nil)
-		return
+	default:
+		g.verdicts.Store(&crashVerdicts{value.SetOf(reply.GetRefused()...), value.SetOf(reply.GetTrial()...), value.SetOf(reply.GetWatched()...), hash})
 	}
-	g.verdicts.Store(&crashVerdicts{value.SetOf(reply.GetRefused()...), value.SetOf(reply.GetTrial()...), value.SetOf(reply.GetWatched()...)})
 }
 
 // Broke records that an endpoint ended while it ran the request with this fingerprint. Syncs report
--- a/ctrl/crash_test.go
+++ b/ctrl/crash_test.go
@@ -207,4 +207,8 @@
 		reply := sync(&wire.Sync{Node: "held", Life: life, HoldMs: 5000})
 		return reply.GetHeldMs() < 1000 && slices.Contains(reply.GetRefused(), name)
 	})
+	known := sync(&wire.Sync{Node: "held", Life: life})
+	again := sync(&wire.Sync{Node: "held", Life: life, Verdicts: known.GetVerdicts()})
+	check.Equal(t, "lists sent to an entry that holds them", len(again.GetRefused()), 0)
+	check.Equal(t, "same verdicts", again.GetVerdicts(), known.GetVerdicts())
 }
--- a/ctrl/feed.go
+++ b/ctrl/feed.go
@@ -180,7 +180,7 @@
 	used, crashes := f.drain(&f.used), f.crashes.unconfirmed()
 	req := &wire.Sync{
 		Node: f.config.Node, Place: f.config.Place, View: f.View().Rev, List: f.listRev, Kept: f.catalogRev, Life: f.incarnation,
-		HoldMs: uint32(hold.Milliseconds()), Used: used,
+		HoldMs: uint32(hold.Milliseconds()), Used: used, Verdicts: f.crashes.verdictsHash(),
 	}
 	crashes.encode(req)
 	if f.config.Bad != nil {
--- a/ctrl/hub.go
+++ b/ctrl/hub.go
@@ -309,7 +309,7 @@
 	if ahead := ls.engineClock.Load(); ahead != 0 {
 		reply.ClockMs = ahead + clock.Now().Milliseconds()
 	}
-	ls.addCrashVerdicts(reply, req.GetNode())
+	ls.addCrashVerdicts(reply, req)
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
 	now := clock.Now()
--- a/limit/attribute.go
+++ b/limit/attribute.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"hash/fnv"
 	"maps"
 	"slices"
 	"strings"
@@ -155,6 +156,21 @@
 	Watched []string
 }
 
+// Hash identifies the verdicts; it is zero if all lists are empty.
+func (v CrashVerdicts) Hash() uint64 {
+	if len(v.Refused)+len(v.Trial)+len(v.Watched) == 0 {
+		return 0
+	}
+	h := fnv.New64a()
+	for _, list := range [][]string{v.Refused, v.Trial, v.Watched} {
+		for _, fingerprint := range list {
+			h.Write([]byte(fingerprint))
+		}
+		h.Write([]byte{0})
+	}
+	return h.Sum64() | 1
+}
+
 // Verdicts returns the verdicts at now.
 func (t *CrashTracker) Verdicts(now time.Time) CrashVerdicts {
 	var v CrashVerdicts
@@ -179,11 +195,7 @@
 // Changed reports whether requests are refused or watched at now that were not in a former tracker,
 // or the reverse.
 func (t *CrashTracker) Changed(former *CrashTracker, now time.Time) bool {
-	if t == former {
-		return false
-	}
-	a, b := t.Verdicts(now), former.Verdicts(now)
-	return !slices.Equal(a.Refused, b.Refused) || !slices.Equal(a.Trial, b.Trial) || !slices.Equal(a.Watched, b.Watched)
+	return t != former && t.Verdicts(now).Hash() != former.Verdicts(now).Hash()
 }
 
 // evict removes expired records, or the oldest record if none has expired; quarantined ones last.
