Count crashes of a request also without its query

Cause: the fingerprint held the query, which isn't part of what identifies such a request to the platform (path, caller and body). Found by reading; suspected, not seen. Ruled out: the path alone: completed runs of requests that differ only in the query would clear the count of one that crashes. Change: crashes count under both fingerprints, either refuses, a completed run clears both. Figures: TestCrashingRequestWithQueryIsRefused fails before (200 for 503), passes after.

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -99,7 +99,9 @@
 	switch {
 	case err == nil:
 		if reply.Status < http.StatusInternalServerError {
-			e.config.View.Completed(j.fingerprint)
+			for _, fingerprint := range j.fingerprints() {
+				e.config.View.Completed(fingerprint)
+			}
 		}
 		e.recordServed(j, to, reply)
 		return false, nil
@@ -122,7 +124,9 @@
 // retry decides whether another attempt follows one that may have run.
 func (e *Entry) retry(j *job, to *member.Endpoint, out *relay, outcome, reason string, status int) (bool, *failure) {
 	if outcome == outcomeLost {
-		e.reportCrash(j.call.ID, j.fingerprint(), to.ID, to.Born)
+		for _, fingerprint := range j.fingerprints() {
+			e.reportCrash(j.call.ID, fingerprint(), to.ID, to.Born)
+		}
 	}
 	if j.route.Repeatable() && j.possibleRuns < j.route.Attempts && e.allowRetry(j.pool) {
 		e.recordAttempt(j, to, outcome, "again", status)
--- a/pass/pass_test.go
+++ b/pass/pass_test.go
@@ -42,8 +42,6 @@
 	mu           sync.Mutex
 	crashTracker *limit.CrashTracker
 	clock        time.Time
-	// completed holds the fingerprints of requests that ran to the end.
-	completed []string
 }
 
 func (f *feed) View() *ctrl.View {
@@ -107,7 +105,9 @@
 func (f *feed) Completed(fingerprint func() string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.completed = append(f.completed, fingerprint())
+	if f.crashTracker != nil {
+		f.crashTracker = f.crashTracker.Apply(limit.CrashCommand{Completed: []string{fingerprint()}}, f.clock)
+	}
 }
 
 func (f *feed) OtherEntriesTokens(id string) int { return f.others[id] }
@@ -314,6 +314,9 @@
 	check.Equal(t, "status after crashes", got.Code, 503)
 	check.Equal(t, "Retry-After", got.Header().Get("Retry-After"), "10.000")
 	check.Equal(t, "sends", len(fx.backend.sends), limit.MaxAttributedCrashes)
+	other, _ := fx.call("/once/x", "k", crashing, func(c *pass.Call) { c.Target += "?n=2" })
+	check.Equal(t, "status with another query", other.Code, 503)
+	check.Equal(t, "endpoints reached", len(fx.backend.sends), limit.MaxAttributedCrashes)
 	for what, call := range map[string]func() (*httptest.ResponseRecorder, bool){
 		"another body":    func() (*httptest.ResponseRecorder, bool) { return fx.call("/once/x", "k") },
 		"another path":    func() (*httptest.ResponseRecorder, bool) { return fx.call("/once/y", "k", crashing) },
@@ -324,6 +327,34 @@
 	}
 }
 
+// A request that crashes endpoints may come with another query each time, or beside others that differ from it only in
+// the query.
+func TestCrashingRequestWithQueryIsRefused(t *testing.T) {
+	target := func(query string) func(*pass.Call) {
+		return func(c *pass.Call) { c.Target += "?" + query }
+	}
+	fx := newFixture(t, func(s *pass.Send) (*pass.Reply, error) {
+		if strings.Contains(s.Call.Target, "bad") {
+			return lost(s)
+		}
+		return respondWith(200, "ok")(s)
+	})
+	for i := range limit.MaxAttributedCrashes {
+		got, _ := fx.call("/once/x", "k", target(fmt.Sprint("bad=", i)))
+		check.Equal(t, "status", got.Code, 502)
+	}
+	got, _ := fx.call("/once/x", "k", target("bad=9"))
+	check.Equal(t, "another query each time", got.Code, 503)
+	for range limit.MaxAttributedCrashes {
+		fx.call("/once/y", "k", target("bad"))
+		fx.call("/once/y", "k", target("good"))
+	}
+	got, _ = fx.call("/once/y", "k", target("bad"))
+	check.Equal(t, "the same query each time", got.Code, 503)
+	got, _ = fx.call("/once/y", "k", target("good"))
+	check.Equal(t, "another request with that path", got.Code, 200)
+}
+
 // An endpoint that loses power resets no connection: its request ends at the deadline, when its caller leaves, or with
 // bytes that aren't the endpoint's. Once the list shows that the endpoint has ended, this must count as a crash.
 func TestSilentEndIsReported(t *testing.T) {
--- a/pass/report.go
+++ b/pass/report.go
@@ -41,10 +41,12 @@
 // recordUnanswered records a run whose response did not arrive although its endpoint said nothing of
 // an end.
 func (e *Entry) recordUnanswered(j *job, to *member.Endpoint) {
-	run := limit.UnansweredRun{Fingerprint: j.fingerprint(), Endpoint: to.ID, Born: to.Born, At: time.Now()}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.unanswered.Add(run)
+	for _, fingerprint := range j.fingerprints() {
+		run := limit.UnansweredRun{Fingerprint: fingerprint(), Endpoint: to.ID, Born: to.Born, At: time.Now()}
+		e.mu.Lock()
+		e.unanswered.Add(run)
+		e.mu.Unlock()
+	}
 }
 
 // reportSilentEnds reports the unanswered runs whose endpoint has ended, by the list.
--- a/pass/serve.go
+++ b/pass/serve.go
@@ -186,24 +186,38 @@
 // next chooses the endpoint of the next attempt, unless the request is rejected because it
 // crashes endpoints.
 func (e *Entry) next(j *job) (*placement, *failure) {
-	if left := e.config.View.RejectedFor(j.fingerprint); left > 0 {
-		return nil, j.finalFailure(reasonCrashes, left)
+	for _, fingerprint := range j.fingerprints() {
+		if left := e.config.View.RejectedFor(fingerprint); left > 0 {
+			return nil, j.finalFailure(reasonCrashes, left)
+		}
 	}
 	return e.place(j)
 }
 
+// fingerprints returns functions for the fingerprints under which crashes of this request count: of
+// what is requested, and the same without its query. A request that crashes endpoints may come again
+// with another query, and may come beside others that differ from it only in the query: their
+// completed runs clear the second count, not the first.
+func (j *job) fingerprints() []func() string {
+	if j.call.Target == j.call.Path {
+		return []func() string{j.fingerprint}
+	}
+	return []func() string{j.fingerprint, func() string { return j.hashContent(j.call.Path) }}
+}
+
 // fingerprint returns the fingerprint of what is requested. It is the same at each entry and for
 // each repetition.
 func (j *job) fingerprint() string {
 	if j.contentHash == "" {
-		j.contentHash = j.hashContent()
+		j.contentHash = j.hashContent(j.call.Target)
 	}
 	return j.contentHash
 }
 
-func (j *job) hashContent() string {
+// hashContent returns the fingerprint of the request with the given target.
+func (j *job) hashContent(target string) string {
 	h := sha256.New()
-	for _, part := range []string{j.account, j.call.Method, j.call.Target} {
+	for _, part := range []string{j.account, j.call.Method, target} {
 		fmt.Fprintf(h, "%d:%s,", len(part), part)
 	}
 	h.Write(j.call.Body)
