Cut a stream whose event doesn't end

Cause: relayEvents collected bytes until an event was complete, without a bound, and searched all of them again at each read. Evidence: TestEndlessEventIsCut: before, the stand-in's bytes are read until the deadline; after, the response counts as lost at 1 MiB. TestEndlessBodyIsCutAtDeadline passes before too: complete events and plain bodies without end are passed on as fast as the client takes them and cut at the deadline, so memory and time are bounded there. Change: an event has 1 MiB at most; only new bytes are searched for its end.

--- a/pass/pass_test.go
+++ b/pass/pass_test.go
@@ -301,6 +301,51 @@
 	}
 }
 
+// endlessBody repeats a text without end until ctx ends, and counts the bytes read.
+type endlessBody struct {
+	ctx  context.Context
+	text string
+	read atomic.Int64
+}
+
+func (b *endlessBody) Read(p []byte) (int, error) {
+	if b.ctx.Err() != nil {
+		return 0, pass.Lost.New("cancelled")
+	}
+	n := copy(p, b.text)
+	b.read.Add(int64(n))
+	return n, nil
+}
+
+func (b *endlessBody) Close() error { return nil }
+
+// An endpoint may send bytes without end that are no events. The entry must not collect them.
+func TestEndlessEventIsCut(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	body := &endlessBody{ctx: ctx, text: "data: no end "}
+	fx := newFixture(t, func(*pass.Send) (*pass.Reply, error) {
+		return &pass.Reply{Status: 200, Sealed: true, Header: http.Header{}, Body: body}, nil
+	})
+	got, _ := fx.call("/stream/x", "k")
+	check.Equal(t, "status", got.Code, 502)
+	check.Equal(t, "bytes read are bounded", body.read.Load() < 4<<20, true)
+}
+
+// A body without end is passed on until the deadline, and then cut so that it doesn't look complete.
+func TestEndlessBodyIsCutAtDeadline(t *testing.T) {
+	for _, path := range []string{"/once/x", "/stream/x"} {
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		body := &endlessBody{ctx: ctx, text: strings.Repeat(eventA, 100)}
+		fx := newFixture(t, func(*pass.Send) (*pass.Reply, error) {
+			return &pass.Reply{Status: 200, Sealed: true, Header: http.Header{}, Body: body}, nil
+		})
+		_, aborted := fx.call(path, "k")
+		check.Equal(t, "aborted", aborted, true)
+	}
+}
+
 // A request that crashes endpoints is repeated by its client. After a few crashes it must be
 // rejected before it reaches another endpoint, while other requests are still served.
 func TestCrashingRequestIsRefused(t *testing.T) {
--- a/pass/relay.go
+++ b/pass/relay.go
@@ -88,6 +88,9 @@
 	}
 }
 
+// maxEventBytes bounds one event; more bytes without a separator are no events.
+const maxEventBytes = 1 << 20
+
 // eventSeparator ends each event.
 var eventSeparator = []byte("\n\n")
 
@@ -98,6 +101,8 @@
 	started := false
 	for {
 		n, err := reply.Body.Read(buf)
+		// The separator may have begun with the last byte before.
+		searched := max(len(pending)-len(eventSeparator)+1, 0)
 		pending = append(pending, buf[:n]...)
 		if n > 0 {
 			r.notifyData()
@@ -106,8 +111,8 @@
 			started = true
 			r.first()
 		}
-		if end := bytes.LastIndex(pending, eventSeparator); end >= 0 {
-			end += len(eventSeparator)
+		if end := bytes.LastIndex(pending[searched:], eventSeparator); end >= 0 {
+			end += searched + len(eventSeparator)
 			if first.IsZero() {
 				*first = time.Now()
 			}
@@ -118,6 +123,9 @@
 			r.updateLastEventID(pending[:end])
 			pending = append(pending[:0], pending[end:]...)
 		}
+		if len(pending) > maxEventBytes {
+			return Lost.New("more than %d bytes without the end of an event", maxEventBytes)
+		}
 		if errors.Is(err, io.EOF) {
 			if first.IsZero() {
 				*first = time.Now()
