Agents' path: a quarantine doesn't end by time alone either

Cause: the same as on the platform's path: the record was dropped when its refusal ended. Found by looking for the same cause elsewhere. Check replaced: TestSuspectsQuarantine asked that the request may run like any other when the quarantine ends; it now asks for an isolated run, a longer refusal after a crash in it, and that a completed one frees the request.

--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -152,10 +152,19 @@
 		s, _ = s.Apply(limit.Command{Op: limit.OpClear, Account: "a", Fingerprints: []string{"x"}, Holder: "h", At: start})
 		check.Equal(t, "cleared", judge(s, "x"), limit.Run)
 	})
-	t.Run("quarantine ends by time or by an operator", func(t *testing.T) {
+	t.Run("quarantine ends by an isolated run or by an operator, not by time", func(t *testing.T) {
 		s := crash(crash(limit.NewSuspects(), "1", "x"), "2", "x")
-		v, _ := s.Check("a", "x", start.Add(limit.QuarantineTime+time.Second))
-		check.Equal(t, "after the quarantine", v, limit.Run)
+		after := start.Add(limit.QuarantineTime + time.Second)
+		// Other crashes meanwhile don't drop the record.
+		s, _ = s.Apply(limit.Command{Op: limit.OpCrash, Account: "a", Fingerprints: []string{"y"}, Crash: "3", At: after})
+		v, _ := s.Check("a", "x", after)
+		check.Equal(t, "after the quarantine", v, limit.RunIsolated)
+		s, _ = s.Apply(limit.Command{Op: limit.OpIsolatedRun, Account: "a", Fingerprints: []string{"x"}, Holder: "h", At: after})
+		again, _ := s.Apply(limit.Command{Op: limit.OpCrash, Account: "a", Fingerprints: []string{"x"}, Crash: "4", At: after})
+		v, _ = again.Check("a", "x", after.Add(limit.QuarantineTime+time.Second))
+		check.Equal(t, "after a crash in the isolated run", v, limit.Refuse)
+		cleared, _ := s.Apply(limit.Command{Op: limit.OpClear, Account: "a", Fingerprints: []string{"x"}, Holder: "h", At: after})
+		check.Equal(t, "after a complete isolated run", judge(cleared, "x"), limit.Run)
 		s, _ = s.Apply(limit.Command{Op: limit.OpOperatorClear, Account: "a", Fingerprints: []string{"x"}, At: start})
 		check.Equal(t, "cleared by an operator", judge(s, "x"), limit.Run)
 	})
--- a/limit/quarantine.go
+++ b/limit/quarantine.go
@@ -1,7 +1,9 @@
 package limit
 
 import (
+	"cmp"
 	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -16,13 +18,18 @@
 const (
 	// QuarantineCrashes is how many crashes a request may cause before it is refused.
 	QuarantineCrashes = 2
-	// QuarantineTime is how long a quarantined request is refused.
-	QuarantineTime = 10 * time.Minute
+	// QuarantineTime is how long a quarantined request is refused; afterwards it may run only in
+	// isolation. repeatedQuarantineTime follows a crash in such a run.
+	QuarantineTime         = 10 * time.Minute
+	repeatedQuarantineTime = 24 * time.Hour
+	// quarantineMemory is how long after its quarantine a request may run only in isolation.
+	quarantineMemory = 24 * time.Hour
 	// IsolationTime is how long a request that was in flight at a crash may run only in isolation.
 	IsolationTime = 10 * time.Minute
 	// IsolatedRunTimeout is how long one isolated run blocks other requests with the same content.
 	IsolatedRunTimeout = 2 * time.Minute
-	// maxSuspects bounds the list; the oldest suspects are evicted first.
+	// maxSuspects bounds the list; the oldest suspects are evicted first, those that were
+	// quarantined last.
 	maxSuspects = 2048
 )
 
@@ -96,6 +103,16 @@
 // NewSuspects returns an empty list.
 func NewSuspects() *Suspects { return &Suspects{byKey: map[string]Suspect{}} }
 
+func (s Suspect) quarantined() bool { return !s.RefusedUntil.IsZero() }
+
+// expired reports whether nothing is held against the request any more at now.
+func (s Suspect) expired(now time.Time) bool {
+	if s.quarantined() {
+		return now.Sub(s.RefusedUntil) > quarantineMemory
+	}
+	return now.Sub(s.At) > IsolationTime
+}
+
 func suspectKey(account, fingerprint string) string { return account + "\x00" + fingerprint }
 
 // Check returns how a request may run at now, and its record in the list.
@@ -105,7 +122,7 @@
 	}
 	suspect, ok := s.byKey[suspectKey(account, fingerprint)]
 	switch {
-	case !ok || (now.Sub(suspect.At) > IsolationTime && now.After(suspect.RefusedUntil)):
+	case !ok || suspect.expired(now):
 		return Run, suspect
 	case now.Before(suspect.RefusedUntil):
 		return Refuse, suspect
@@ -119,7 +136,7 @@
 func (s *Suspects) Apply(c Command) (*Suspects, Verdict) {
 	next := &Suspects{byKey: make(map[string]Suspect, len(s.byKey)+len(c.Fingerprints))}
 	for key, suspect := range s.byKey {
-		if c.At.Sub(suspect.At) <= IsolationTime || c.At.Before(suspect.RefusedUntil) {
+		if !suspect.expired(c.At) {
 			next.byKey[key] = suspect
 		}
 	}
@@ -177,8 +194,12 @@
 	}
 	// Quarantine requires one crash with no other request in flight: otherwise another request may
 	// be the cause.
-	if suspect.Crashes >= QuarantineCrashes && suspect.Crashes > suspect.SharedCrashes {
-		suspect.RefusedUntil = c.At.Add(QuarantineTime)
+	switch {
+	case suspect.Crashes < QuarantineCrashes || suspect.Crashes <= suspect.SharedCrashes:
+	case suspect.quarantined() && c.At.After(suspect.RefusedUntil):
+		suspect.RefusedUntil = c.At.Add(repeatedQuarantineTime)
+	default:
+		suspect.RefusedUntil = later(suspect.RefusedUntil, c.At.Add(QuarantineTime))
 	}
 	return suspect
 }
@@ -187,7 +208,7 @@
 	for len(s.byKey) > maxSuspects {
 		oldest := ""
 		for key, suspect := range s.byKey {
-			if oldest == "" || suspect.At.Before(s.byKey[oldest].At) || (suspect.At.Equal(s.byKey[oldest].At) && key < oldest) {
+			if oldest == "" || suspect.compareAge(s.byKey[oldest]) < 0 {
 				oldest = key
 			}
 		}
@@ -195,6 +216,24 @@
 	}
 }
 
+// compareAge orders suspects by which is evicted first.
+func (s Suspect) compareAge(other Suspect) int {
+	if s.quarantined() != other.quarantined() {
+		if s.quarantined() {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(s.At.Compare(other.At), strings.Compare(suspectKey(s.Account, s.Fingerprint), suspectKey(other.Account, other.Fingerprint)))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // All returns the suspects in unspecified order.
 func (s *Suspects) All() []Suspect {
 	all := make([]Suspect, 0, len(s.byKey))
--- a/prog/ctl_cluster.go
+++ b/prog/ctl_cluster.go
@@ -132,7 +132,7 @@
 	for _, p := range suspects {
 		state := "runs in isolation"
 		if !p.RefusedUntil.IsZero() {
-			state = "quarantined until " + p.RefusedUntil.Format("15:04:05Z07:00")
+			state = "quarantined until " + p.RefusedUntil.Format("15:04:05Z07:00") + ", then runs in isolation"
 		}
 		fmt.Fprintf(out, "%s %s: in flight at %d crashes, at %d of them beside other requests; %s\n", p.Account, p.Fingerprint, p.Crashes, p.SharedCrashes, state)
 	}
