ledger: keep a claim from its end on, not from its beginning

Cause: the age of a claim counted from the claim. One whose outcome was unknown for longer than that and was then settled as done was dropped with the next command, and the caller's next send ran the booking again. Found as a comment that contradicts the code. Change: a claim records when it became done or free; claims of earlier versions, which don't, count as before. Figures: TestSettledClaimIsKept fails before (granted), passes after.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -88,7 +88,9 @@
 	Path        string    `json:"path"`
 	At          time.Time `json:"at"`
 	// Until is the time by which the owner has stopped on its own; later, another entry may take over.
-	Until    time.Time `json:"until"`
+	Until time.Time `json:"until"`
+	// EndedAt is when the claim became Done or Free; zero before, and in claims of earlier versions.
+	EndedAt  time.Time `json:"ended,omitzero"`
 	Response *Response `json:"answer,omitempty"`
 }
 
@@ -133,7 +135,8 @@
 
 // Config limits the stored claims and responses.
 type Config struct {
-	// Age is how long a claim in state Done or Free is kept; a later retry runs the request again.
+	// Age is how long a claim is kept after it became Done or Free; a later retry runs the request
+	// again.
 	Age time.Duration
 	// Count limits the number of claims; the oldest in state Done or Free are removed first.
 	Count int
@@ -217,7 +220,7 @@
 		return Reply{Code: Held, Claim: current}
 	}
 	next := c.Claim
-	next.State, next.Attempt, next.Response = Open, current.Attempt+1, nil
+	next.State, next.Attempt, next.Response, next.EndedAt = Open, current.Attempt+1, nil, time.Time{}
 	return s.set(&next, Granted)
 }
 
@@ -257,7 +260,7 @@
 		return Reply{Code: Stale, Claim: current}
 	}
 	next := *current
-	next.State, next.Response = Done, c.Response
+	next.State, next.Response, next.EndedAt = Done, c.Response, c.At
 	if next.Response == nil {
 		next.Response = &Response{BodyDropped: true}
 	}
@@ -272,7 +275,7 @@
 		return Reply{Code: Held, Claim: current}
 	}
 	next := *current
-	next.State = to
+	next.State, next.EndedAt = to, c.At
 	return s.set(&next, Granted)
 }
 
@@ -282,7 +285,7 @@
 		return Reply{Code: Held, Claim: current}
 	}
 	next := *current
-	next.State = Free
+	next.State, next.EndedAt = Free, c.At
 	if c.Verdict == Done {
 		next.State, next.Response = Done, c.Response
 		if next.Response == nil {
@@ -334,7 +337,7 @@
 			s.expirable = s.expirable[1:]
 			continue
 		}
-		if now.Sub(current.At) <= s.config.Age && len(s.claims) <= s.config.Count {
+		if now.Sub(current.endedAt()) <= s.config.Age && len(s.claims) <= s.config.Count {
 			return
 		}
 		s.expirable = s.expirable[1:]
@@ -345,6 +348,13 @@
 	}
 }
 
+func (c *Claim) endedAt() time.Time {
+	if c.EndedAt.IsZero() {
+		return c.At
+	}
+	return c.EndedAt
+}
+
 // Lookup returns the claim of k, if there is one.
 func (s *State) Lookup(k Key) (*Claim, bool) {
 	c, ok := s.claims[k]
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -84,6 +84,24 @@
 	})
 }
 
+// TestSettledClaimIsKept guards against a booking that runs again: its outcome was unknown for longer than claims are kept,
+// an operator has settled it as done, and its caller sends it once more.
+func TestSettledClaimIsKept(t *testing.T) {
+	s := ledger.NewState(ledger.Config{Age: time.Hour})
+	s.Apply(claimCommand("k", "n"))
+	s.Apply(commandFor(ledger.OpMarkUnknown, "k", "n", 1))
+	settle := commandFor(ledger.OpSettle, "k", "", 0)
+	settle.Verdict, settle.At = ledger.Done, start.Add(48*time.Hour)
+	check.Equal(t, "settled", s.Apply(settle).Claim.State, ledger.Done)
+	resend := func(after time.Duration) string {
+		c := claimCommand("k", "m")
+		c.At = settle.At.Add(after)
+		return s.Apply(c).Code
+	}
+	check.Equal(t, "sent once more", resend(time.Minute), ledger.Held)
+	check.Equal(t, "sent once more after the claim's age", resend(61*time.Minute), ledger.Granted)
+}
+
 // TestFuzz has entries claim, run, crash and take over, with an agent that honors
 // acceptance and revocation, and checks that each key runs at most once.
 func TestFuzz(t *testing.T) {
