table: a dry run knows the change ids that were used before

Cause: DryRun promised the result of Apply and left out its first step. Change: both look up the id in one function. Figures: the new case of TestApply fails before, passes after.

--- a/table/state.go
+++ b/table/state.go
@@ -104,11 +104,8 @@
 // Apply applies one change. For an id that was applied before, it returns the first result.
 func (s *State) Apply(c Change) Result {
 	fingerprint := c.fingerprint()
-	if previous, ok := s.results[c.ID]; ok && c.ID != "" {
-		if previous.Fingerprint == fingerprint {
-			return previous.Result
-		}
-		return Result{Code: CodeReused, Text: "change id " + c.ID + " was used for another change"}
+	if previous, ok := s.previousResult(c.ID, fingerprint); ok {
+		return previous
 	}
 	before := s.row(c.Table, c.Name)
 	next, err := s.tables.withChange(c)
@@ -124,8 +121,23 @@
 	return result
 }
 
+// previousResult returns the result of a change whose id was used before.
+func (s *State) previousResult(id, fingerprint string) (Result, bool) {
+	previous, ok := s.results[id]
+	switch {
+	case !ok || id == "":
+		return Result{}, false
+	case previous.Fingerprint == fingerprint:
+		return previous.Result, true
+	}
+	return Result{Code: CodeReused, Text: "change id " + id + " was used for another change"}, true
+}
+
 // DryRun returns the result that Apply would give, without changing the state.
 func (s *State) DryRun(c Change) Result {
+	if previous, ok := s.previousResult(c.ID, c.fingerprint()); ok {
+		return previous
+	}
 	next, err := s.tables.withChange(c)
 	if err != nil {
 		return Result{Code: errorCode(err), Text: errorText(err), Row: s.row(c.Table, c.Name)}
--- a/table/table_test.go
+++ b/table/table_test.go
@@ -52,6 +52,16 @@
 	t.Run("a change id used for another change", func(t *testing.T) {
 		check.Equal(t, "code", putPool(t, s, "1", 0, newPool("q", "here")).Code, table.CodeReused)
 	})
+	t.Run("a dry run gives the result that applying would give", func(t *testing.T) {
+		for id, p := range map[string]*table.Pool{"1": newPool("p", "here"), "2": newPool("p", "there"), "new": newPool("new", "here")} {
+			for _, name := range []string{p.Name, "q"} {
+				p.Name = name
+				c := table.Change{ID: id, Table: "pools", Name: name, Op: table.Put, Body: encode(t, p)}
+				dry := s.DryRun(c)
+				check.Equal(t, "result of "+id, dry, s.Apply(c))
+			}
+		}
+	})
 	t.Run("rows inconsistent with other rows", func(t *testing.T) {
 		for want, r := range map[string]*table.Route{
 			"there is no pool nowhere": {Name: "r", Account: "a", Target: "m", Pools: []string{"nowhere"}},
