ctrl: unregister a node after an hour of silence, not at the first missed check

Cause: the delay was compared with how long the leader has led, not with how long the node has been silent: after an hour of one leader each check dropped every node that missed it. Found as a comment that contradicts the code. Change: member.Silence records since when each node is silent; a new leader begins anew.

--- a/ctrl/owner.go
+++ b/ctrl/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -11,7 +12,9 @@
 
 	"egretshunt/event"
 	"egretshunt/fence"
+	"egretshunt/member"
 	"egretshunt/table"
+	"egretshunt/value"
 	"egretshunt/wire"
 )
 
@@ -214,6 +217,8 @@
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
 	pruned := time.Now()
+	var leadingSince time.Time
+	var silence *member.Silence
 	for {
 		select {
 		case <-tick.C:
@@ -224,11 +229,15 @@
 		if !ok {
 			continue
 		}
+		if silence == nil || !since.Equal(leadingSince) {
+			// Nodes report to each new leader from its beginning.
+			leadingSince, silence = since, member.NewSilence()
+		}
 		o.syncLeaving(ctx)
 		if now := time.Now(); now.Sub(pruned) > pruneInterval {
 			pruned = now
 			o.config.Server.currentRoster().RemoveStale(now)
-			o.unregisterSilent(ctx, since, now)
+			o.unregisterSilent(ctx, silence, now)
 		}
 	}
 }
@@ -252,27 +261,19 @@
 	_, _ = o.config.Node.Propose(ctx, Command{Leave: &Leave{Endpoints: leaving}})
 }
 
-// unregisterSilent unregisters the nodes of which the roster holds no report. It does nothing
-// before this member has led for unregisterDelay.
-func (o *CommandIssuer) unregisterSilent(ctx context.Context, since, now time.Time) {
-	if now.Sub(since) < unregisterDelay {
-		return
-	}
-	reporting := map[string]bool{}
+// unregisterSilent unregisters the nodes of which the roster has held no report for unregisterDelay.
+func (o *CommandIssuer) unregisterSilent(ctx context.Context, silence *member.Silence, now time.Time) {
+	reporting := value.SetOf[string]()
 	for _, e := range o.config.Server.Nodes(now) {
-		reporting[e.Node] = true
-	}
-	var drop []string
-	for name := range o.config.Node.Registered() {
-		if !reporting[name] {
-			drop = append(drop, name)
-		}
+		reporting.Add(e.Node)
 	}
+	drop := silence.Overdue(slices.Collect(maps.Keys(o.config.Node.Registered())), reporting, unregisterDelay, now)
 	if len(drop) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
+	// The next round retries after a failure.
 	_, _ = o.config.Node.Propose(ctx, Command{UnregisterNodes: drop})
 }
 
