--- a/ctrl/crash_test.go
+++ b/ctrl/crash_test.go
@@ -212,3 +212,26 @@
 	check.Equal(t, "lists sent to an entry that holds them", len(again.GetRefused()), 0)
 	check.Equal(t, "same verdicts", again.GetVerdicts(), known.GetVerdicts())
 }
+
+// TestCrashCountsSurviveRestart guards against counts that are lost with the snapshot that replaces the log.
+func TestCrashCountsSurviveRestart(t *testing.T) {
+	c := newCluster(t, 1)
+	c.compactSize = 1
+	id := c.leader()
+	c.kill(id)
+	c.start(id)
+	propose := func(n int) {
+		t.Helper()
+		report := limit.CrashReport{ID: fmt.Sprint(n), Fingerprint: "bad", Endpoint: fmt.Sprint("w", n)}
+		_, err := c.node(c.leader()).Propose(t.Context(), ctrl.Command{Crashes: &limit.CrashCommand{Entry: "e", Reports: []limit.CrashReport{report}}})
+		check.NoError(t, err)
+	}
+	propose(0)
+	propose(1)
+	c.kill(id)
+	c.start(id)
+	propose(2)
+	crashes := c.node(c.leader()).Crashes()
+	check.Equal(t, "crashes", crashes.Crashes("bad"), 3)
+	check.Equal(t, "refused", crashes.Verdicts(time.Time{}).Refused, []string{"bad"})
+}
