An incarnation of an endpoint ends once

Cause: reports of one end may come seconds apart: entries learn of a silent end when their requests' deadlines pass. Losses a second or more apart at one endpoint counted as two, and content that several clients share is in flight at several entries. Change: a report names the incarnation; two reports of one count once. Where the list doesn't tell the incarnation, the least restart time decides as before. Figures: the new case of TestRetriedCrashCounts fails with the time alone, passes now.

--- a/ctrl/crash.go
+++ b/ctrl/crash.go
@@ -37,7 +37,7 @@
 	}
 	command := &limit.CrashCommand{Entry: req.GetNode(), Completed: req.GetCompleted()}
 	for _, c := range req.GetCrashes() {
-		command.Reports = append(command.Reports, limit.CrashReport{ID: c.GetId(), Fingerprint: c.GetPrint(), Endpoint: c.GetEndpoint()})
+		command.Reports = append(command.Reports, limit.CrashReport{ID: c.GetId(), Fingerprint: c.GetPrint(), Endpoint: c.GetEndpoint(), Born: c.GetBorn()})
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxCountWait)
 	defer cancel()
@@ -140,7 +140,7 @@
 
 func (u unconfirmedCrashes) encode(req *wire.Sync) {
 	for _, c := range u.reports {
-		req.Crashes = append(req.Crashes, &wire.Crash{Id: c.ID, Print: c.Fingerprint, Endpoint: c.Endpoint})
+		req.Crashes = append(req.Crashes, &wire.Crash{Id: c.ID, Print: c.Fingerprint, Endpoint: c.Endpoint, Born: c.Born})
 	}
 	req.Completed = u.completed
 }
@@ -190,9 +190,9 @@
 	}
 }
 
-// Broke records that an endpoint ended while it ran the request with this fingerprint. Syncs report
-// it until control has counted it.
-func (f *Feed) Broke(fingerprint, endpoint string) {
+// Broke records that an incarnation of an endpoint ended while it ran the request with this
+// fingerprint. Syncs report it until control has counted it.
+func (f *Feed) Broke(fingerprint, endpoint string, born int64) {
 	g := f.crashes
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -201,7 +201,7 @@
 	}
 	g.seen++
 	id := fmt.Sprintf("%s/%x/%d", g.node, g.started.UnixNano(), g.seen)
-	g.reports = append(g.reports, limit.CrashReport{ID: id, Fingerprint: fingerprint, Endpoint: endpoint})
+	g.reports = append(g.reports, limit.CrashReport{ID: id, Fingerprint: fingerprint, Endpoint: endpoint, Born: born})
 	g.reporting.Store(true)
 }
 
--- a/ctrl/crash_test.go
+++ b/ctrl/crash_test.go
@@ -25,7 +25,7 @@
 	crashes := 0
 	crash := func() {
 		crashes++
-		entry.Broke("bad", fmt.Sprint("w", crashes))
+		entry.Broke("bad", fmt.Sprint("w", crashes), 0)
 	}
 	crash()
 	crash()
@@ -62,8 +62,8 @@
 		if crashes%2 == 1 {
 			at = second
 		}
-		at.Broke("bad", fmt.Sprint("w", crashes))
-		at.Broke(fmt.Sprint("beside-", crashes), fmt.Sprint("w", crashes))
+		at.Broke("bad", fmt.Sprint("w", crashes), 0)
+		at.Broke(fmt.Sprint("beside-", crashes), fmt.Sprint("w", crashes), 0)
 		crashes++
 		return false
 	})
@@ -86,7 +86,7 @@
 	}
 	for _, name := range []string{"bad", "innocent"} {
 		for i := range limit.MaxAttributedCrashes {
-			feeds[0].Broke(name, fmt.Sprint("w", i))
+			feeds[0].Broke(name, fmt.Sprint("w", i), 0)
 		}
 	}
 	refused := func(name string) int {
@@ -106,7 +106,7 @@
 		for _, f := range feeds {
 			if f.RejectedFor(fingerprint("bad")) == 0 {
 				allowed++
-				f.Broke("bad", "w9")
+				f.Broke("bad", "w9", 0)
 			}
 		}
 		return allowed > 0
@@ -145,11 +145,11 @@
 			return crashes().Crashes("hot") == want
 		})
 	}
-	first.Broke("hot", "w0")
-	first.Broke("hot", "w1")
+	first.Broke("hot", "w0", 0)
+	first.Broke("hot", "w1", 0)
 	counted(2)
 	counted(0)
-	first.Broke("hot", "w2")
+	first.Broke("hot", "w2", 0)
 	counted(1)
 	check.Equal(t, "refused", first.RejectedFor(fingerprint("hot")) > 0, false)
 }
@@ -163,15 +163,15 @@
 	refused := func(name string) bool { return f.RejectedFor(fingerprint(name)) > 0 }
 	for i := range limit.MaxAttributedCrashes {
 		check.Equal(t, "refused too early", refused("bad"), false)
-		f.Broke("bad", fmt.Sprint("w", i))
-		f.Broke("in flight at one crash", "w0")
-		f.Broke("hot", fmt.Sprint("w", i))
+		f.Broke("bad", fmt.Sprint("w", i), 0)
+		f.Broke("in flight at one crash", "w0", 0)
+		f.Broke("hot", fmt.Sprint("w", i), 0)
 	}
 	check.Equal(t, "refused", refused("bad"), true)
 	check.Equal(t, "refused after one crash", refused("in flight at one crash"), false)
 	f.Completed(fingerprint("hot"))
 	check.Equal(t, "refused after a completed run", refused("hot"), false)
-	f.Broke("hot", "w9")
+	f.Broke("hot", "w9", 0)
 	check.Equal(t, "refused after one more crash", refused("hot"), false)
 }
 
@@ -200,7 +200,7 @@
 		name := fmt.Sprint("bad-", n)
 		time.AfterFunc(50*time.Millisecond, func() {
 			for i := range limit.MaxAttributedCrashes {
-				reporter.Broke(name, fmt.Sprint("w", i))
+				reporter.Broke(name, fmt.Sprint("w", i), 0)
 			}
 		})
 		// The hub holds a sync for a second at most.
--- a/limit/attribute.go
+++ b/limit/attribute.go
@@ -61,6 +61,7 @@
 type crash struct {
 	Report   string    `json:"report"`
 	Endpoint string    `json:"endpoint"`
+	Born     int64     `json:"born,omitempty"`
 	At       time.Time `json:"at"`
 }
 
@@ -78,7 +79,8 @@
 // attempt was in flight at the same endpoint.
 func (r crashRecord) includes(report CrashReport, now time.Time) bool {
 	return slices.ContainsFunc(r.Crashes, func(c crash) bool {
-		return c.Report == report.ID || c.Endpoint == report.Endpoint && now.Sub(c.At) < minRestartTime
+		sameIncarnation := c.Born == report.Born && c.Born != 0
+		return c.Report == report.ID || c.Endpoint == report.Endpoint && (sameIncarnation || now.Sub(c.At) < minRestartTime)
 	})
 }
 
@@ -88,6 +90,8 @@
 	ID          string `json:"id"`
 	Fingerprint string `json:"print"`
 	Endpoint    string `json:"endpoint"`
+	// Born identifies the endpoint's incarnation, which ends once; zero if unknown.
+	Born int64 `json:"born,omitempty"`
 }
 
 // CrashCommand is a replicated set of an entry's reports. Applying it again changes nothing.
@@ -127,7 +131,7 @@
 	r.Fingerprint = report.Fingerprint
 	r.Count++
 	kept := r.Crashes[max(len(r.Crashes)-maxTrackedCrashes+1, 0):]
-	r.Crashes = append(slices.Clone(kept), crash{report.ID, report.Endpoint, now})
+	r.Crashes = append(slices.Clone(kept), crash{report.ID, report.Endpoint, report.Born, now})
 	switch {
 	case r.Count < MaxAttributedCrashes:
 	case !r.quarantined():
--- a/limit/attribute_test.go
+++ b/limit/attribute_test.go
@@ -20,19 +20,24 @@
 // that count more than once.
 func TestRetriedCrashCounts(t *testing.T) {
 	const ms = time.Millisecond
-	report := func(id, endpoint string, at time.Duration) func(*limit.CrashTracker) *limit.CrashTracker {
+	reportOf := func(id, endpoint string, born int64, at time.Duration) func(*limit.CrashTracker) *limit.CrashTracker {
 		return func(t *limit.CrashTracker) *limit.CrashTracker {
-			return t.Apply(limit.CrashCommand{Reports: []limit.CrashReport{{ID: id, Fingerprint: "a", Endpoint: endpoint}}}, start.Add(at))
+			return t.Apply(limit.CrashCommand{Reports: []limit.CrashReport{{ID: id, Fingerprint: "a", Endpoint: endpoint, Born: born}}}, start.Add(at))
 		}
 	}
+	report := func(id, endpoint string, at time.Duration) func(*limit.CrashTracker) *limit.CrashTracker {
+		return reportOf(id, endpoint, 0, at)
+	}
 	for name, tc := range map[string]struct {
 		reports []func(*limit.CrashTracker) *limit.CrashTracker
 		crashes int
 	}{
-		"an attempt and its retry":                    {[]func(*limit.CrashTracker) *limit.CrashTracker{report("1", "w0", 0), report("2", "w1", ms)}, 2},
-		"two attempts in flight at one crash":         {[]func(*limit.CrashTracker) *limit.CrashTracker{report("1", "w0", 0), report("2", "w0", 300*ms)}, 1},
-		"an endpoint that keeps its ID crashes again": {[]func(*limit.CrashTracker) *limit.CrashTracker{report("1", "w0", 0), report("2", "w0", 2000*ms)}, 2},
-		"a repeated report":                           {[]func(*limit.CrashTracker) *limit.CrashTracker{report("1", "w0", 0), report("1", "w0", 5000*ms)}, 1},
+		"an attempt and its retry":                             {[]func(*limit.CrashTracker) *limit.CrashTracker{report("1", "w0", 0), report("2", "w1", ms)}, 2},
+		"two attempts in flight at one crash":                  {[]func(*limit.CrashTracker) *limit.CrashTracker{report("1", "w0", 0), report("2", "w0", 300*ms)}, 1},
+		"an endpoint that keeps its ID crashes again":          {[]func(*limit.CrashTracker) *limit.CrashTracker{report("1", "w0", 0), report("2", "w0", 2000*ms)}, 2},
+		"one end that two entries learn of at different times": {[]func(*limit.CrashTracker) *limit.CrashTracker{reportOf("1", "w0", 7, 0), reportOf("2", "w0", 7, 8000*ms)}, 1},
+		"two incarnations under one ID":                        {[]func(*limit.CrashTracker) *limit.CrashTracker{reportOf("1", "w0", 7, 0), reportOf("2", "w0", 8, 8000*ms)}, 2},
+		"a repeated report":                                    {[]func(*limit.CrashTracker) *limit.CrashTracker{report("1", "w0", 0), report("1", "w0", 5000*ms)}, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := limit.NewCrashTracker()
--- a/pass/pass_test.go
+++ b/pass/pass_test.go
@@ -72,7 +72,7 @@
 	return 1000
 }
 
-func (f *feed) Broke(fingerprint, endpoint string) {
+func (f *feed) Broke(fingerprint, endpoint string, _ int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.crashTracker == nil {
