Test that a cut-off entry's crash reports count once

Cause: the soak can't cut one entry off from control alone, since control VMs announce the address that they listen on; there all of control pauses instead. Change: TestCrashesOfCutOffEntryCountOnce cuts one feed off without a reset, twice.

--- a/ctrl/crash_test.go
+++ b/ctrl/crash_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"net"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -235,3 +237,85 @@
 	check.Equal(t, "crashes", crashes.Crashes("bad"), 3)
 	check.Equal(t, "refused", crashes.Verdicts(time.Time{}).Refused, []string{"bad"})
 }
+
+// cutter forwards connections to an address until it is cut; then it passes nothing on, without a reset.
+type cutter struct {
+	listener net.Listener
+	cut      atomic.Bool
+}
+
+func newCutter(t *testing.T, to netip.AddrPort) *cutter {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	check.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	c := &cutter{listener: l}
+	go func() {
+		for {
+			from, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go c.forward(from, to)
+		}
+	}()
+	return c
+}
+
+func (c *cutter) addr() netip.AddrPort {
+	return netip.MustParseAddrPort(c.listener.Addr().String())
+}
+
+func (c *cutter) forward(from net.Conn, addr netip.AddrPort) {
+	defer from.Close()
+	to, err := net.Dial("tcp", addr.String())
+	if err != nil {
+		return
+	}
+	defer to.Close()
+	done := make(chan struct{}, 2)
+	for _, way := range [][2]net.Conn{{from, to}, {to, from}} {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			buf := make([]byte, 4096)
+			for {
+				n, err := way[0].Read(buf)
+				if err != nil {
+					return
+				}
+				if c.cut.Load() {
+					// The rest of the stream would be invalid.
+					continue
+				}
+				if _, err := way[1].Write(buf[:n]); err != nil {
+					return
+				}
+			}
+		}()
+	}
+	<-done
+}
+
+// TestCrashesOfCutOffEntryCountOnce guards against reports that are lost, or counted again, while their entry is cut off
+// from control: it repeats them until one response gets through.
+func TestCrashesOfCutOffEntryCountOnce(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1)
+	addr, keys := serveControl(t, ctrl.ServerConfig{Node: c.node(c.leader()), Hub: ctrl.NewHub(c.node(c.leader()))})
+	cut := newCutter(t, addr)
+	off, other := newFeed(t, keys, "off", cut.addr()), newFeed(t, keys, "other", addr)
+	check.Eventually(t, "fresh feeds", func() bool { return off.Fresh() && other.Fresh() })
+	for i := range 2 {
+		cut.cut.Store(true)
+		off.Broke("bad", fmt.Sprint("w", i), 0)
+		time.Sleep(1500 * time.Millisecond)
+		cut.cut.Store(false)
+		check.Eventually(t, "counted once the cut has healed", func() bool { return c.node(c.leader()).Crashes().Crashes("bad") == i+1 })
+	}
+	time.Sleep(500 * time.Millisecond)
+	check.Equal(t, "crashes", c.node(c.leader()).Crashes().Crashes("bad"), 2)
+	other.Broke("bad", "w9", 0)
+	check.Eventually(t, "refused by both", func() bool {
+		return off.RejectedFor(fingerprint("bad")) > 0 && other.RejectedFor(fingerprint("bad")) > 0
+	})
+}
