ctrl: leave time between the trials of two entries

Cause: the right to a trial passed from entry to entry each 30 s, also right after one had started a run whose end had not shown yet: two endpoints could end in one trial. Change: an entry may start its run in the first half of the interval only. Reports that are dropped because there are too many get a line.

--- a/ctrl/crash.go
+++ b/ctrl/crash.go
@@ -21,11 +21,13 @@
 	// maxCountWait bounds how long a sync that reports crashes waits until they are replicated. The
 	// entry repeats what has not been by then: a stalled disk must not cost it its lease.
 	maxCountWait = 200 * time.Millisecond
-	// trialTime is how long one entry may run a quarantined request as a trial before another one
-	// may. Within it the entry starts one run, and longer than any run takes none.
-	trialTime = 30 * time.Second
+	// trialInterval is how long one entry has the right to run a quarantined request as a trial. It
+	// starts one run at most, and only within trialStartTime: the rest of the interval leaves time for
+	// the end of an endpoint to show, so that the next entry doesn't start a trial too.
+	trialInterval  = 30 * time.Second
+	trialStartTime = 15 * time.Second
 	// maxCrashReports is the largest number of crashes in one sync, to bound its size when many
-	// endpoints crash. Further ones are dropped.
+	// endpoints crash. Further ones are dropped and logged.
 	maxCrashReports = 256
 )
 
@@ -79,8 +81,12 @@
 	}
 }
 
-// trialEntry returns the entry that may run a quarantined request now.
+// trialEntry returns the entry that may start a run of a quarantined request now; "" if none may.
 func (ls *LeaderState) trialEntry(fingerprint string, now time.Time) string {
+	interval := now.UnixNano() / int64(trialInterval)
+	if now.UnixNano()-interval*int64(trialInterval) >= int64(trialStartTime) {
+		return ""
+	}
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
 	entries := slices.Sorted(maps.Keys(ls.entries))
@@ -89,7 +95,7 @@
 	}
 	h := fnv.New64a()
 	// Writes to a hash don't fail.
-	fmt.Fprint(h, fingerprint, now.UnixNano()/int64(trialTime))
+	fmt.Fprint(h, fingerprint, interval)
 	return entries[h.Sum64()%uint64(len(entries))]
 }
 
@@ -104,11 +110,13 @@
 	reporting atomic.Bool
 
 	// mu guards the rest. reports and completed hold what control hasn't confirmed as counted;
-	// seen is the number of crashes so far.
+	// seen is the number of crashes so far, dropped that of reports left out since the last
+	// confirmation.
 	mu        sync.Mutex
 	reports   []limit.CrashReport
 	completed value.Set[string]
 	seen      uint64
+	dropped   int
 	// trials holds when this entry last ran a quarantined request, by fingerprint.
 	trials map[string]time.Duration
 }
@@ -163,6 +171,10 @@
 	for _, fingerprint := range u.completed {
 		g.completed.Remove(fingerprint)
 	}
+	if g.dropped > 0 {
+		g.events.Emit(event.CrashUncounted, "entry", g.node, "count", g.dropped, "why", "too many at once")
+		g.dropped = 0
+	}
 }
 
 // dropReports removes reports. The caller holds mu.
@@ -197,6 +209,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if len(g.reports) >= maxCrashReports {
+		g.dropped++
 		return
 	}
 	g.seen++
@@ -263,7 +276,7 @@
 // caller holds mu.
 func (g *crashGuard) startTrial(fingerprint string) bool {
 	now := clock.Now()
-	maps.DeleteFunc(g.trials, func(_ string, at time.Duration) bool { return now-at >= trialTime })
+	maps.DeleteFunc(g.trials, func(_ string, at time.Duration) bool { return now-at >= trialInterval })
 	if _, ran := g.trials[fingerprint]; ran {
 		return false
 	}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -40,7 +40,7 @@
 	Freed            = declare(223, "freed", "info", "Parts that had not been used for a while were freed in a store.")
 	Silent           = declare(224, "silent", "warn", "The listed engines don't respond to control; entries send them no requests until they respond again to control or an entry.")
 	CrashCounted     = declare(225, "counted", "info", "An entry reported that an endpoint ended while it ran a request; print is the request's fingerprint, count how many such ends count against it.")
-	CrashUncounted   = declare(226, "uncounted", "warn", "Crashes that an entry reported could not be replicated; the entry reports them again.")
+	CrashUncounted   = declare(226, "uncounted", "warn", "Crashes that an entry reported could not be replicated, and the entry reports them again; or it had too many to report, and left some out.")
 	CrashesCleared   = declare(227, "cleared", "info", "An endpoint ran a request to the end that crashes had been attributed to; they no longer count.")
 	Settled          = declare(213, "settled", "info", "An operator settled a request whose outcome was unknown.")
 )
