--- a/fence/fence.go
+++ b/fence/fence.go
@@ -93,7 +93,7 @@
 // PlanLoads returns the commands to send now. epochStart is when the owner's epoch began: an
 // endpoint without a report since then may still execute a command of the previous owner, and
 // counts as loading until it reports or ReportTimeout has passed. No pool loses more than half of
-// its serving endpoints at the same time, and none its last one.
+// its serving endpoints at the same time, and none its last one unless it has no other.
 //
 // The load pattern is new weights loaded while traffic continues: each load takes an endpoint out
 // of service.
