--- a/ctrl/crash.go
+++ b/ctrl/crash.go
@@ -131,13 +131,15 @@
 func (v *crashVerdicts) refuses(fingerprint string) bool {
 	return v != nil && v.refused.Has(fingerprint)
 }
-func (v *crashVerdicts) tries(fingerprint string) bool { return v != nil && v.trial.Has(fingerprint) }
+func (v *crashVerdicts) allowsTrial(fingerprint string) bool {
+	return v != nil && v.trial.Has(fingerprint)
+}
 func (v *crashVerdicts) watches(fingerprint string) bool {
 	return v != nil && v.watched.Has(fingerprint)
 }
 
-// unconfirmedCrashes is what one sync reports.
-type unconfirmedCrashes struct {
+// crashEvidence is what one sync reports: ends of endpoints, and the fingerprints of completed runs.
+type crashEvidence struct {
 	reports   []limit.CrashReport
 	completed []string
 }
@@ -146,29 +148,29 @@
 	return &crashGuard{node: node, started: time.Now(), events: events, completed: value.SetOf[string](), trials: map[string]time.Duration{}}
 }
 
-func (u unconfirmedCrashes) encode(req *wire.Sync) {
-	for _, c := range u.reports {
+func (e crashEvidence) encode(req *wire.Sync) {
+	for _, c := range e.reports {
 		req.Crashes = append(req.Crashes, &wire.Crash{Id: c.ID, Print: c.Fingerprint, Endpoint: c.Endpoint, Born: c.Born})
 	}
-	req.Completed = u.completed
+	req.Completed = e.completed
 }
 
-func (g *crashGuard) unconfirmed() unconfirmedCrashes {
+func (g *crashGuard) unconfirmed() crashEvidence {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return unconfirmedCrashes{slices.Clone(g.reports), g.completed.Sorted()}
+	return crashEvidence{slices.Clone(g.reports), g.completed.Sorted()}
 }
 
 // confirm drops what control has counted.
-func (g *crashGuard) confirm(u unconfirmedCrashes) {
+func (g *crashGuard) confirm(e crashEvidence) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	counted := value.SetOf[string]()
-	for _, r := range u.reports {
+	for _, r := range e.reports {
 		counted.Add(r.ID)
 	}
 	g.dropReports(func(r limit.CrashReport) bool { return counted.Has(r.ID) })
-	for _, fingerprint := range u.completed {
+	for _, fingerprint := range e.completed {
 		g.completed.Remove(fingerprint)
 	}
 	if g.dropped > 0 {
@@ -202,9 +204,9 @@
 	}
 }
 
-// Broke records that an incarnation of an endpoint ended while it ran the request with this
+// RecordCrash records that an incarnation of an endpoint ended while it ran the request with this
 // fingerprint. Syncs report it until control has counted it.
-func (f *Feed) Broke(fingerprint, endpoint string, born int64) {
+func (f *Feed) RecordCrash(fingerprint, endpoint string, born int64) {
 	g := f.crashes
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -230,9 +232,9 @@
 	return len(endpoints)
 }
 
-// Completed records that an endpoint has run the request with this fingerprint to the end. The
+// RecordCompletion records that an endpoint has run the request with this fingerprint to the end. The
 // function fingerprint is called only if there are verdicts on any request.
-func (f *Feed) Completed(fingerprint func() string) {
+func (f *Feed) RecordCompletion(fingerprint func() string) {
 	g := f.crashes
 	v := g.verdicts.Load()
 	if v == nil && !g.reporting.Load() {
@@ -241,7 +243,7 @@
 	name := fingerprint()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if v.refuses(name) || v.tries(name) || v.watches(name) || g.unconfirmedCount(name) > 0 {
+	if v.refuses(name) || v.allowsTrial(name) || v.watches(name) || g.unconfirmedCount(name) > 0 {
 		// Control may have counted some of the reports.
 		g.completed.Add(name)
 		g.dropReports(func(r limit.CrashReport) bool { return r.Fingerprint == name })
@@ -266,7 +268,7 @@
 	if v.watches(name) {
 		crashes += limit.MaxAttributedCrashes - 1
 	}
-	if v.refuses(name) || crashes >= limit.MaxAttributedCrashes || v.tries(name) && (crashes > 0 || !g.startTrial(name)) {
+	if v.refuses(name) || crashes >= limit.MaxAttributedCrashes || v.allowsTrial(name) && (crashes > 0 || !g.startTrial(name)) {
 		return limit.CrashRetryAfter
 	}
 	return 0
--- a/ctrl/crash_test.go
+++ b/ctrl/crash_test.go
@@ -27,7 +27,7 @@
 	crashes := 0
 	crash := func() {
 		crashes++
-		entry.Broke("bad", fmt.Sprint("w", crashes), 0)
+		entry.RecordCrash("bad", fmt.Sprint("w", crashes), 0)
 	}
 	crash()
 	crash()
@@ -64,8 +64,8 @@
 		if crashes%2 == 1 {
 			at = second
 		}
-		at.Broke("bad", fmt.Sprint("w", crashes), 0)
-		at.Broke(fmt.Sprint("beside-", crashes), fmt.Sprint("w", crashes), 0)
+		at.RecordCrash("bad", fmt.Sprint("w", crashes), 0)
+		at.RecordCrash(fmt.Sprint("beside-", crashes), fmt.Sprint("w", crashes), 0)
 		crashes++
 		return false
 	})
@@ -88,7 +88,7 @@
 	}
 	for _, name := range []string{"bad", "innocent"} {
 		for i := range limit.MaxAttributedCrashes {
-			feeds[0].Broke(name, fmt.Sprint("w", i), 0)
+			feeds[0].RecordCrash(name, fmt.Sprint("w", i), 0)
 		}
 	}
 	refused := func(name string) int {
@@ -108,7 +108,7 @@
 		for _, f := range feeds {
 			if f.RejectedFor(fingerprint("bad")) == 0 {
 				allowed++
-				f.Broke("bad", "w9", 0)
+				f.RecordCrash("bad", "w9", 0)
 			}
 		}
 		return allowed > 0
@@ -121,7 +121,7 @@
 	check.Eventually(t, "free after a run that completes", func() bool {
 		for _, f := range feeds {
 			if f.RejectedFor(fingerprint("innocent")) == 0 {
-				f.Completed(fingerprint("innocent"))
+				f.RecordCompletion(fingerprint("innocent"))
 			}
 		}
 		return refused("innocent") == 0
@@ -142,16 +142,16 @@
 		t.Helper()
 		check.Eventually(t, fmt.Sprint(want, " crashes counted"), func() bool {
 			if want == 0 {
-				second.Completed(fingerprint("hot"))
+				second.RecordCompletion(fingerprint("hot"))
 			}
 			return crashes().Crashes("hot") == want
 		})
 	}
-	first.Broke("hot", "w0", 0)
-	first.Broke("hot", "w1", 0)
+	first.RecordCrash("hot", "w0", 0)
+	first.RecordCrash("hot", "w1", 0)
 	counted(2)
 	counted(0)
-	first.Broke("hot", "w2", 0)
+	first.RecordCrash("hot", "w2", 0)
 	counted(1)
 	check.Equal(t, "refused", first.RejectedFor(fingerprint("hot")) > 0, false)
 }
@@ -165,15 +165,15 @@
 	refused := func(name string) bool { return f.RejectedFor(fingerprint(name)) > 0 }
 	for i := range limit.MaxAttributedCrashes {
 		check.Equal(t, "refused too early", refused("bad"), false)
-		f.Broke("bad", fmt.Sprint("w", i), 0)
-		f.Broke("in flight at one crash", "w0", 0)
-		f.Broke("hot", fmt.Sprint("w", i), 0)
+		f.RecordCrash("bad", fmt.Sprint("w", i), 0)
+		f.RecordCrash("in flight at one crash", "w0", 0)
+		f.RecordCrash("hot", fmt.Sprint("w", i), 0)
 	}
 	check.Equal(t, "refused", refused("bad"), true)
 	check.Equal(t, "refused after one crash", refused("in flight at one crash"), false)
-	f.Completed(fingerprint("hot"))
+	f.RecordCompletion(fingerprint("hot"))
 	check.Equal(t, "refused after a completed run", refused("hot"), false)
-	f.Broke("hot", "w9", 0)
+	f.RecordCrash("hot", "w9", 0)
 	check.Equal(t, "refused after one more crash", refused("hot"), false)
 }
 
@@ -202,7 +202,7 @@
 		name := fmt.Sprint("bad-", n)
 		time.AfterFunc(50*time.Millisecond, func() {
 			for i := range limit.MaxAttributedCrashes {
-				reporter.Broke(name, fmt.Sprint("w", i), 0)
+				reporter.RecordCrash(name, fmt.Sprint("w", i), 0)
 			}
 		})
 		// The hub holds a sync for a second at most.
@@ -307,14 +307,14 @@
 	check.Eventually(t, "fresh feeds", func() bool { return off.Fresh() && other.Fresh() })
 	for i := range 2 {
 		cut.cut.Store(true)
-		off.Broke("bad", fmt.Sprint("w", i), 0)
+		off.RecordCrash("bad", fmt.Sprint("w", i), 0)
 		time.Sleep(1500 * time.Millisecond)
 		cut.cut.Store(false)
 		check.Eventually(t, "counted once the cut has healed", func() bool { return c.node(c.leader()).Crashes().Crashes("bad") == i+1 })
 	}
 	time.Sleep(500 * time.Millisecond)
 	check.Equal(t, "crashes", c.node(c.leader()).Crashes().Crashes("bad"), 2)
-	other.Broke("bad", "w9", 0)
+	other.RecordCrash("bad", "w9", 0)
 	check.Eventually(t, "refused by both", func() bool {
 		return off.RejectedFor(fingerprint("bad")) > 0 && other.RejectedFor(fingerprint("bad")) > 0
 	})
--- a/ctrl/feed.go
+++ b/ctrl/feed.go
@@ -177,12 +177,12 @@
 // response of one that does not only updates the members and the leader's address.
 func (f *Feed) exchange(s *wire.Stream, hold time.Duration) (fresh bool, err error) {
 	began := clock.Now()
-	used, crashes := f.drain(&f.used), f.crashes.unconfirmed()
+	used, evidence := f.drain(&f.used), f.crashes.unconfirmed()
 	req := &wire.Sync{
 		Node: f.config.Node, Place: f.config.Place, View: f.View().Rev, List: f.listRev, Kept: f.catalogRev, Life: f.incarnation,
 		HoldMs: uint32(hold.Milliseconds()), Used: used, Verdicts: f.crashes.verdictsHash(),
 	}
-	crashes.encode(req)
+	evidence.encode(req)
 	if f.config.Bad != nil {
 		req.Bad = f.config.Bad()
 	}
@@ -213,7 +213,7 @@
 		return false, nil
 	}
 	if reply.GetCounted() {
-		f.crashes.confirm(crashes)
+		f.crashes.confirm(evidence)
 	}
 	if err := f.install(reply); err != nil {
 		return false, err
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -100,7 +100,7 @@
 	case err == nil:
 		if reply.Status < http.StatusInternalServerError {
 			for _, fingerprint := range j.fingerprints() {
-				e.config.View.Completed(fingerprint)
+				e.config.View.RecordCompletion(fingerprint)
 			}
 		}
 		e.recordServed(j, to, reply)
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -33,11 +33,11 @@
 	// endpoint.
 	OtherEntriesTokens(id string) int
 	EntryCount() int
-	// Broke records that an incarnation of an endpoint closed the connection or crashed while running
+	// RecordCrash records that an incarnation of an endpoint closed the connection or crashed while running
 	// a request with the fingerprint.
-	Broke(fingerprint, endpoint string, born int64)
-	// Completed records that an endpoint has run the request with the fingerprint to the end.
-	Completed(fingerprint func() string)
+	RecordCrash(fingerprint, endpoint string, born int64)
+	// RecordCompletion records that an endpoint has run the request with the fingerprint to the end.
+	RecordCompletion(fingerprint func() string)
 	// RejectedFor returns for how long requests with the fingerprint are still rejected because
 	// they crash endpoints; zero if they aren't.
 	RejectedFor(fingerprint func() string) time.Duration
--- a/pass/pass_test.go
+++ b/pass/pass_test.go
@@ -72,7 +72,7 @@
 	return 1000
 }
 
-func (f *feed) Broke(fingerprint, endpoint string, _ int64) {
+func (f *feed) RecordCrash(fingerprint, endpoint string, _ int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.crashTracker == nil {
@@ -102,7 +102,7 @@
 	return 0
 }
 
-func (f *feed) Completed(fingerprint func() string) {
+func (f *feed) RecordCompletion(fingerprint func() string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.crashTracker != nil {
--- a/pass/report.go
+++ b/pass/report.go
@@ -72,7 +72,7 @@
 // reportCrash reports that an endpoint ended while it ran a request; id is empty if the request has
 // ended before.
 func (e *Entry) reportCrash(id, fingerprint, endpoint string, born int64) {
-	e.config.View.Broke(fingerprint, endpoint, born)
+	e.config.View.RecordCrash(fingerprint, endpoint, born)
 	e.config.Events.Emit(event.CrashReported, "id", id, "endpoint", endpoint, "born", born, "print", fingerprint)
 }
 
