--- /dev/null
+++ b/pass/crash_test.go
@@ -0,0 +1,123 @@
+package pass_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"egretshunt/check"
+	"egretshunt/limit"
+	"egretshunt/member"
+	"egretshunt/pass"
+)
+
+// A request that crashes endpoints is repeated by its client. After a few crashes it must be
+// rejected before it reaches another endpoint, while other requests are still served.
+func TestCrashingRequestIsRefused(t *testing.T) {
+	crashing := func(c *pass.Call) { c.Body = []byte("bad") }
+	fx := newFixture(t, lost, respondTruncated("half"), lost, respondWith(200, "ok"))
+	for range limit.MaxAttributedCrashes {
+		got, _ := fx.call("/once/x", "k", crashing)
+		check.Equal(t, "status", got.Code, 502)
+	}
+	got, _ := fx.call("/once/x", "k", crashing)
+	check.Equal(t, "status after crashes", got.Code, 503)
+	check.Equal(t, "Retry-After", got.Header().Get("Retry-After"), "10.000")
+	check.Equal(t, "sends", len(fx.backend.sends), limit.MaxAttributedCrashes)
+	other, _ := fx.call("/once/x", "k", crashing, func(c *pass.Call) { c.Target += "?n=2" })
+	check.Equal(t, "status with another query", other.Code, 503)
+	check.Equal(t, "endpoints reached", len(fx.backend.sends), limit.MaxAttributedCrashes)
+	for what, call := range map[string]func() (*httptest.ResponseRecorder, bool){
+		"another body":    func() (*httptest.ResponseRecorder, bool) { return fx.call("/once/x", "k") },
+		"another path":    func() (*httptest.ResponseRecorder, bool) { return fx.call("/once/y", "k", crashing) },
+		"another account": func() (*httptest.ResponseRecorder, bool) { return fx.call("/once/x", "i", crashing) },
+	} {
+		got, _ := call()
+		check.Equal(t, what, got.Code, 200)
+	}
+}
+
+// A request that crashes endpoints may come with another query each time, or beside others that differ from it only in
+// the query.
+func TestCrashingRequestWithQueryIsRefused(t *testing.T) {
+	target := func(query string) func(*pass.Call) {
+		return func(c *pass.Call) { c.Target += "?" + query }
+	}
+	fx := newFixture(t, func(s *pass.Send) (*pass.Reply, error) {
+		if strings.Contains(s.Call.Target, "bad") {
+			return lost(s)
+		}
+		return respondWith(200, "ok")(s)
+	})
+	for i := range limit.MaxAttributedCrashes {
+		got, _ := fx.call("/once/x", "k", target(fmt.Sprint("bad=", i)))
+		check.Equal(t, "status", got.Code, 502)
+	}
+	got, _ := fx.call("/once/x", "k", target("bad=9"))
+	check.Equal(t, "another query each time", got.Code, 503)
+	for range limit.MaxAttributedCrashes {
+		fx.call("/once/y", "k", target("bad"))
+		fx.call("/once/y", "k", target("good"))
+	}
+	got, _ = fx.call("/once/y", "k", target("bad"))
+	check.Equal(t, "the same query each time", got.Code, 503)
+	got, _ = fx.call("/once/y", "k", target("good"))
+	check.Equal(t, "another request with that path", got.Code, 200)
+}
+
+// An endpoint that loses power resets no connection: its request ends at the deadline, when its caller leaves, or with
+// bytes that aren't the endpoint's. Once the list shows that the endpoint has ended, this must count as a crash.
+func TestSilentEndIsReported(t *testing.T) {
+	silent := func(*pass.Send) (*pass.Reply, error) { return nil, pass.Lost.New("cancelled") }
+	for name, c := range map[string]struct {
+		respond func(*pass.Send) (*pass.Reply, error)
+		timeout time.Duration
+		leaves  bool
+	}{
+		"deadline":    {silent, 30 * time.Millisecond, false},
+		"caller left": {silent, 5 * time.Second, true},
+		"unsigned":    {unsigned, 5 * time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ctx, leave := context.WithCancel(context.Background())
+			defer leave()
+			fx := newFixture(t, func(s *pass.Send) (*pass.Reply, error) {
+				if c.leaves {
+					leave()
+				} else {
+					time.Sleep(min(c.timeout, 100*time.Millisecond))
+				}
+				return c.respond(s)
+			})
+			var ended atomic.Bool
+			all := fx.feed.list
+			fx.feed.listFunc = func() *member.List {
+				if ended.Load() {
+					return (&member.List{}).Index()
+				}
+				return all
+			}
+			call := &pass.Call{ID: "x", Host: "h", Method: http.MethodPost, Path: "/once/x", Target: "/once/x", Header: http.Header{}, APIKey: "k", Arrived: time.Now(), ClientTimeout: c.timeout}
+			fx.entry.Serve(ctx, call, httptest.NewRecorder())
+			check.Equal(t, "reported before the end is listed", fx.feed.reported(), 0)
+			ended.Store(true)
+			check.Eventually(t, "one report", func() bool { return fx.feed.reported() == 1 })
+		})
+	}
+}
+
+// The limit on attributed crashes also applies to the retries within one call: the request must be
+// rejected once it is reached, even if attempts are left.
+func TestCrashingRequestIsNotRetried(t *testing.T) {
+	fx := newFixture(t, lost)
+	for range limit.MaxAttributedCrashes {
+		fx.call("/safe/x", "k")
+	}
+	check.Equal(t, "sends", len(fx.backend.sends), limit.MaxAttributedCrashes)
+}
