--- a/ctrl/upstream_test.go
+++ b/ctrl/upstream_test.go
@@ -56,9 +56,14 @@
 			var control []netip.AddrPort
 			for i := range 3 {
 				s, err := wire.Serve(wire.ServerConfig{Addr: netip.MustParseAddrPort("127.0.0.1:0"), Keys: keys, Handle: func(_ context.Context, s *wire.Stream) {
-					for _, err := s.Recv(); err == nil; _, err = s.Recv() {
+					for {
+						if _, err := s.Recv(); err != nil {
+							return
+						}
 						reply := &wire.Synced{Fresh: i == leader && elected.Load(), Leader: unreachable, Members: []string{unreachable}}
-						err = s.Send(&wire.Frame{Body: &wire.Frame_Synced{Synced: reply}})
+						if err := s.Send(&wire.Frame{Body: &wire.Frame_Synced{Synced: reply}}); err != nil {
+							return
+						}
 					}
 				}})
 				check.NoError(t, err)
