--- a/ctrl/crash.go
+++ b/ctrl/crash.go
@@ -122,7 +122,7 @@
 }
 
 // crashVerdicts are the fingerprints of the requests that this entry must refuse, of those of which
-// it may run one at a time, and of those whose completed runs it reports. It is immutable.
+// it may start one run, and of those that one more crash would quarantine. It is immutable.
 type crashVerdicts struct {
 	refused, trial, watched value.Set[string]
 	hash                    uint64
