limit: who may run a trial is a decision of its own; one order of eviction

Found when reading the change as the next maintainer: the choice of the entry for a trial needs no I/O and stood in ctrl, untested; the order in which quarantined requests are evicted was written twice, and no test broke it. Change: limit.TrialEntry, limit.evictionRank; behaviour as before.

--- a/ctrl/crash.go
+++ b/ctrl/crash.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"hash/fnv"
 	"maps"
 	"slices"
 	"sync"
@@ -21,11 +20,6 @@
 	// maxCountWait bounds how long a sync that reports crashes waits until they are replicated. The
 	// entry repeats what has not been by then: a stalled disk must not cost it its lease.
 	maxCountWait = 200 * time.Millisecond
-	// trialInterval is how long one entry has the right to run a quarantined request as a trial. It
-	// starts one run at most, and only within trialStartTime: the rest of the interval leaves time for
-	// the end of an endpoint to show, so that the next entry doesn't start a trial too.
-	trialInterval  = 30 * time.Second
-	trialStartTime = 15 * time.Second
 	// maxCrashReports is the largest number of crashes in one sync, to bound its size when many
 	// endpoints crash. Further ones are dropped and logged.
 	maxCrashReports = 256
@@ -69,8 +63,9 @@
 	now := ls.hub.node.groupNow()
 	all := ls.hub.node.Crashes().Verdicts(now)
 	v := limit.CrashVerdicts{Refused: all.Refused, Watched: all.Watched}
+	entries := ls.entryNames()
 	for _, fingerprint := range all.Trial {
-		if ls.trialEntry(fingerprint, now) == req.GetNode() {
+		if entry, ok := limit.TrialEntry(fingerprint, entries, now).Get(); ok && entry == req.GetNode() {
 			v.Trial = append(v.Trial, fingerprint)
 		} else {
 			v.Refused = append(v.Refused, fingerprint)
@@ -81,22 +76,11 @@
 	}
 }
 
-// trialEntry returns the entry that may start a run of a quarantined request now; "" if none may.
-func (ls *LeaderState) trialEntry(fingerprint string, now time.Time) string {
-	interval := now.UnixNano() / int64(trialInterval)
-	if now.UnixNano()-interval*int64(trialInterval) >= int64(trialStartTime) {
-		return ""
-	}
+// entryNames returns the names of the entries that sync, sorted.
+func (ls *LeaderState) entryNames() []string {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
-	entries := slices.Sorted(maps.Keys(ls.entries))
-	if len(entries) == 0 {
-		return ""
-	}
-	h := fnv.New64a()
-	// Writes to a hash don't fail.
-	fmt.Fprint(h, fingerprint, interval)
-	return entries[h.Sum64()%uint64(len(entries))]
+	return slices.Sorted(maps.Keys(ls.entries))
 }
 
 // crashGuard is an entry's part of the attribution of crashes to requests: what it has to report,
@@ -278,7 +262,7 @@
 // caller holds mu.
 func (g *crashGuard) startTrial(fingerprint string) bool {
 	now := clock.Now()
-	maps.DeleteFunc(g.trials, func(_ string, at time.Duration) bool { return now-at >= trialInterval })
+	maps.DeleteFunc(g.trials, func(_ string, at time.Duration) bool { return now-at >= limit.TrialInterval })
 	if _, ran := g.trials[fingerprint]; ran {
 		return false
 	}
--- a/limit/attribute.go
+++ b/limit/attribute.go
@@ -1,7 +1,6 @@
 package limit
 
 import (
-	"cmp"
 	"encoding/json"
 	"hash/fnv"
 	"maps"
@@ -78,6 +77,10 @@
 
 func (r crashRecord) quarantined() bool { return !r.TrialAt.IsZero() }
 
+func (r crashRecord) rank() evictionRank {
+	return evictionRank{r.quarantined(), r.last(), r.Fingerprint}
+}
+
 // includes reports whether a report is of a crash that has been counted: it is repeated, or another
 // attempt was in flight at the same endpoint.
 func (r crashRecord) includes(report CrashReport, now time.Time) bool {
@@ -218,7 +221,7 @@
 			delete(t.records, fingerprint)
 			continue
 		}
-		if oldest == "" || r.compareAge(t.records[oldest]) < 0 {
+		if oldest == "" || r.rank().compare(t.records[oldest].rank()) < 0 {
 			oldest = fingerprint
 		}
 	}
@@ -227,17 +230,6 @@
 	}
 }
 
-// compareAge orders records by which is evicted first.
-func (r crashRecord) compareAge(other crashRecord) int {
-	if r.quarantined() != other.quarantined() {
-		if r.quarantined() {
-			return 1
-		}
-		return -1
-	}
-	return cmp.Or(r.last().Compare(other.last()), strings.Compare(r.Fingerprint, other.Fingerprint))
-}
-
 // MarshalJSON encodes the records as an array.
 func (t *CrashTracker) MarshalJSON() ([]byte, error) {
 	return json.Marshal(slices.Collect(maps.Values(t.records)))
--- a/limit/quarantine.go
+++ b/limit/quarantine.go
@@ -208,7 +208,7 @@
 	for len(s.byKey) > maxSuspects {
 		oldest := ""
 		for key, suspect := range s.byKey {
-			if oldest == "" || suspect.compareAge(s.byKey[oldest]) < 0 {
+			if oldest == "" || suspect.rank().compare(s.byKey[oldest].rank()) < 0 {
 				oldest = key
 			}
 		}
@@ -216,15 +216,26 @@
 	}
 }
 
-// compareAge orders suspects by which is evicted first.
-func (s Suspect) compareAge(other Suspect) int {
-	if s.quarantined() != other.quarantined() {
-		if s.quarantined() {
+func (s Suspect) rank() evictionRank {
+	return evictionRank{s.quarantined(), s.At, suspectKey(s.Account, s.Fingerprint)}
+}
+
+// evictionRank orders requests to which crashes are attributed by which is evicted first: those that
+// are quarantined last, then the oldest first.
+type evictionRank struct {
+	quarantined bool
+	at          time.Time
+	key         string
+}
+
+func (r evictionRank) compare(other evictionRank) int {
+	if r.quarantined != other.quarantined {
+		if r.quarantined {
 			return 1
 		}
 		return -1
 	}
-	return cmp.Or(s.At.Compare(other.At), strings.Compare(suspectKey(s.Account, s.Fingerprint), suspectKey(other.Account, other.Fingerprint)))
+	return cmp.Or(r.at.Compare(other.at), strings.Compare(r.key, other.key))
 }
 
 func later(a, b time.Time) time.Time {
