Log how an endpoint delimited a response, and what followed its last event

Cause of the change: in the record of the incident, entries log 'served' for short responses and whole ones alike; the three hypotheses (end of the connection, an open event, a wrong count) can't be told apart. Ruled out: nothing yet. Change: pass.Reply.UntilClose says that a body has neither length nor chunks; 'served' has unsized and rest. No decision changes. Conclusion: reproduce next.

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -103,7 +103,7 @@
 				e.config.View.RecordCompletion(fingerprint)
 			}
 		}
-		e.recordServed(j, to, reply)
+		e.recordServed(j, to, reply, out)
 		return false, nil
 	case out.clientGone || ctx.Err() == context.Canceled:
 		e.recordUnanswered(j, to)
@@ -275,10 +275,11 @@
 	e.meters.attempt(to.Pool, outcome)
 }
 
-func (e *Entry) recordServed(j *job, to *member.Endpoint, reply *Reply) {
+func (e *Entry) recordServed(j *job, to *member.Endpoint, reply *Reply, out *relay) {
 	first := j.firstByteAt.Sub(j.call.Arrived)
 	e.config.Events.Emit(event.Served, "id", j.call.ID, "route", j.route.Name, "endpoint", to.ID, "status", reply.Status, "tried", len(j.tried),
-		"first", first.Milliseconds(), "took", time.Since(j.call.Arrived).Milliseconds(), "fetched", j.fetched, "saved", j.saved, "weights", j.version, "urgency", j.urgency, "expected", j.predictedFirstToken.Milliseconds())
+		"first", first.Milliseconds(), "took", time.Since(j.call.Arrived).Milliseconds(), "fetched", j.fetched, "saved", j.saved, "weights", j.version, "urgency", j.urgency, "expected", j.predictedFirstToken.Milliseconds(),
+		"unsized", reply.UntilClose, "rest", out.openBytes)
 	e.meters.outcome(j.route.Name, "served")
 	e.meters.first(j.route.Kind.String(), first)
 	e.meters.predicted(j.route.Kind.String(), first, j.predictedFirstToken)
--- a/pass/call.go
+++ b/pass/call.go
@@ -110,8 +110,10 @@
 	Version uint64
 	// RetryAfter is the Retry-After time that the endpoint sent; zero if none.
 	RetryAfter time.Duration
-	// Body ends with io.EOF only if the response is complete. Closing it earlier cancels the
-	// request.
+	// UntilClose reports that the body has neither a length nor chunks and ends with its connection.
+	UntilClose bool
+	// Body ends with io.EOF only if the response is complete, or, with UntilClose, may be. Closing
+	// it earlier cancels the request.
 	Body io.ReadCloser
 }
 
--- a/pass/relay.go
+++ b/pass/relay.go
@@ -19,6 +19,8 @@
 	// lastEventID is the ID of the last event sent.
 	lastEventID string
 	sentBytes   int
+	// openBytes is how much of an incomplete event followed the last complete one.
+	openBytes int
 	// clientGone is set once a write to the client has failed.
 	clientGone bool
 	// first is called at the first event of each response, onData whenever response data
@@ -130,6 +132,7 @@
 			if first.IsZero() {
 				*first = time.Now()
 			}
+			r.openBytes = len(pending)
 			r.head(reply)
 			return r.write(pending)
 		}
