--- a/pass/call.go
+++ b/pass/call.go
@@ -27,6 +27,9 @@
 	// Lost is the type of errors of attempts that may have run and whose response did not
 	// arrive completely.
 	Lost = namespace.NewType("lost")
+	// BrokenOff is the subtype of Lost for bodies whose content or endpoint shows that the endpoint broke
+	// them off, though their connection ended as after a complete one.
+	BrokenOff = Lost.NewSubtype("brokenoff")
 )
 
 // Part is one part of a prompt. Requests that share parts share their cached KV blocks.
