--- /dev/null
+++ b/body/serve.go
@@ -0,0 +1,61 @@
+package body
+
+import (
+	"errors"
+	"net"
+	"net/http"
+)
+
+// untilClose is the value of Transfer-Encoding by which net/http sends a body without chunks and closes its
+// connection afterwards.
+const untilClose = "identity"
+
+// SetUntilClose makes a response that hasn't begun end with its connection alone, so that its end shows no
+// more than that of the response that it passes on.
+func SetUntilClose(h http.Header) {
+	h.Del("Content-Length")
+	h.Set("Transfer-Encoding", untilClose)
+}
+
+// ShowsEnd reports whether the end of a response with these headers shows to an HTTP/1.1 client that it is
+// complete.
+func ShowsEnd(h http.Header) bool { return h.Get("Transfer-Encoding") != untilClose }
+
+// ResetAborted returns a handler that resets the connection of each response that next aborts with
+// http.ErrAbortHandler and whose end would otherwise be that of its connection: closed as usual, it would look
+// complete.
+func ResetAborted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			failure := recover()
+			if failure == nil {
+				return
+			}
+			err, ok := failure.(error)
+			counted := w.Header().Get("Content-Length") != "" || r.ProtoAtLeast(1, 1) && ShowsEnd(w.Header())
+			if ok && errors.Is(err, http.ErrAbortHandler) && !counted {
+				reset(w)
+			}
+			panic(failure)
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
+
+// reset resets the connection of a response.
+func reset(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		// net/http closes the connection.
+		return
+	}
+	if l, ok := c.(interface{ SetLinger(seconds int) error }); ok {
+		// Closing with a linger time of zero sends a reset; should it fail, the connection is closed all the same.
+		_ = l.SetLinger(0)
+	}
+	if tls, ok := c.(interface{ NetConn() net.Conn }); ok {
+		// Without a TLS alert, the client sees the connection as truncated.
+		c = tls.NetConn()
+	}
+	c.Close()
+}
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"egretshunt/board"
 	"egretshunt/event"
 	"egretshunt/member"
@@ -18,6 +20,7 @@
 	outcomeOtherEndpoint = "another endpoint answers there"
 	outcomeOtherWeights  = "other weights"
 	outcomeLost          = "lost"
+	outcomeBrokenOff     = "broken off"
 	outcomeFailed        = "failed"
 	outcomeTimeout       = "no answer in time"
 	outcomeClientClosed  = "caller left"
@@ -98,7 +101,7 @@
 	}
 	switch {
 	case err == nil:
-		if reply.Status < http.StatusInternalServerError {
+		if reply.Status < http.StatusInternalServerError && !reply.UntilClose {
 			for _, fingerprint := range j.fingerprints() {
 				e.config.View.RecordCompletion(fingerprint)
 			}
@@ -118,12 +121,16 @@
 		}
 		return false, j.finalFailure(reasonTimeout, 0)
 	}
-	return e.retry(j, to, out, outcomeLost, reasonLost, reply.Status)
+	outcome := outcomeLost
+	if errorx.IsOfType(err, BrokenOff) {
+		outcome = outcomeBrokenOff
+	}
+	return e.retry(j, to, out, outcome, reasonLost, reply.Status)
 }
 
 // retry decides whether another attempt follows one that may have run.
 func (e *Entry) retry(j *job, to *member.Endpoint, out *relay, outcome, reason string, status int) (bool, *failure) {
-	if outcome == outcomeLost {
+	if outcome == outcomeLost || outcome == outcomeBrokenOff {
 		for _, fingerprint := range j.fingerprints() {
 			e.reportCrash(j.call.ID, fingerprint(), to.ID, to.Born)
 		}
@@ -267,7 +274,8 @@
 
 func (e *Entry) recordAttempt(j *job, to *member.Endpoint, outcome, next string, status int) {
 	fingerprint := ""
-	if outcome == outcomeLost || outcome == outcomeTimeout || outcome == outcomeFailed {
+	switch outcome {
+	case outcomeLost, outcomeBrokenOff, outcomeTimeout, outcomeFailed:
 		fingerprint = j.fingerprint()
 	}
 	e.config.Events.Emit(event.Attempted, "id", j.call.ID, "route", j.route.Name, "pool", to.Pool, "endpoint", to.ID, "outcome", outcome,
--- a/pass/conns.go
+++ b/pass/conns.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"egretshunt/board"
+	"egretshunt/body"
 )
 
 const (
@@ -41,7 +42,7 @@
 	c := &conns{limits: limits}
 	s.ReadHeaderTimeout, s.IdleTimeout, s.MaxHeaderBytes = maxHeaderTime, maxIdleTime, maxHeaderBytes
 	s.ConnState = c.trackState
-	s.Handler = c.limitHeaderSize(s.Handler)
+	s.Handler = body.ResetAborted(c.limitHeaderSize(s.Handler))
 }
 
 // trackState sets or clears a connection's timeout as its state changes. A connection is active
--- a/pass/relay.go
+++ b/pass/relay.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"egretshunt/body"
 )
 
 // relay writes an endpoint's response to the client: non-streaming responses once they are
@@ -40,6 +42,9 @@
 	for name, values := range reply.Header {
 		h[name] = values
 	}
+	if reply.UntilClose {
+		body.SetUntilClose(h)
+	}
 	if reply.Header.Get("Content-Type") == "" {
 		// A nil value keeps net/http from guessing the type from the body.
 		h["Content-Type"] = nil
@@ -47,25 +52,42 @@
 	r.w.WriteHeader(reply.Status)
 }
 
-// copy relays one response and sets *first when its first bytes arrive.
+// copy relays one response and sets *first when its first bytes arrive. Its errors are of type Lost; those of
+// the client are recorded in clientGone.
 func (r *relay) copy(reply *Reply, first *time.Time) error {
-	if r.stream && reply.Status < 300 {
-		return r.relayEvents(reply, first)
+	kind := reply.Header.Get("Content-Type")
+	var err error
+	if r.stream && reply.Status < 300 && (kind == "" || body.IsEvents(kind)) {
+		err = r.relayEvents(reply, first)
+	} else {
+		err = r.relayBuffered(reply, first)
+	}
+	if err == nil && reply.UntilClose && body.ShowsEnd(r.w.Header()) {
+		// The response began as one with chunks, and another endpoint's without continued it: the last chunk
+		// would say that it is complete.
+		return Lost.New("a response without length continued one with chunks")
 	}
-	return r.relayBuffered(reply, first)
+	return err
 }
 
 // relayBuffered relays a non-streaming response once it is complete. A response of at least
 // maxBufferedBytes is relayed as it arrives from there on.
 func (r *relay) relayBuffered(reply *Reply, first *time.Time) error {
-	head, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBytes))
+	tracker := body.NewTracker(reply.Header.Get("Content-Type"), reply.UntilClose)
+	source := io.TeeReader(reply.Body, tracker)
+	head, err := io.ReadAll(io.LimitReader(source, maxBufferedBytes))
 	if err != nil {
 		return err
 	}
 	*first = time.Now()
 	r.notifyData()
 	if len(head) < maxBufferedBytes {
-		r.w.Header().Set("Content-Length", strconv.Itoa(len(head)))
+		if tracker.Open() {
+			return BrokenOff.New("the body ends after %d bytes, which aren't all of it", len(head))
+		}
+		if !reply.UntilClose {
+			r.w.Header().Set("Content-Length", strconv.Itoa(len(head)))
+		}
 		r.head(reply)
 		return r.write(head)
 	}
@@ -75,13 +97,16 @@
 	}
 	buf := make([]byte, 32<<10)
 	for {
-		n, err := reply.Body.Read(buf)
+		n, err := source.Read(buf)
 		if n > 0 {
 			if failed := r.write(buf[:n]); failed != nil {
 				return failed
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			if tracker.Open() {
+				return BrokenOff.New("the body ends after %d bytes, which aren't all of it", r.sentBytes)
+			}
 			return nil
 		}
 		if err != nil {
@@ -93,18 +118,18 @@
 // maxEventBytes bounds one event; more bytes without a separator are no events.
 const maxEventBytes = 1 << 20
 
-// eventSeparator ends each event.
-var eventSeparator = []byte("\n\n")
-
 // relayEvents relays complete events as they arrive.
 func (r *relay) relayEvents(reply *Reply, first *time.Time) error {
 	var pending []byte
 	buf := make([]byte, 4<<10)
 	started := false
+	events := body.NewEvents()
 	for {
 		n, err := reply.Body.Read(buf)
-		// The separator may have begun with the last byte before.
-		searched := max(len(pending)-len(eventSeparator)+1, 0)
+		end := events.Scan(buf[:n])
+		if end > 0 {
+			end += len(pending)
+		}
 		pending = append(pending, buf[:n]...)
 		if n > 0 {
 			r.notifyData()
@@ -113,8 +138,7 @@
 			started = true
 			r.first()
 		}
-		if end := bytes.LastIndex(pending[searched:], eventSeparator); end >= 0 {
-			end += searched + len(eventSeparator)
+		if end > 0 {
 			if first.IsZero() {
 				*first = time.Now()
 			}
@@ -129,10 +153,13 @@
 			return Lost.New("more than %d bytes without the end of an event", maxEventBytes)
 		}
 		if errors.Is(err, io.EOF) {
+			r.openBytes = len(pending)
+			if events.Open() {
+				return BrokenOff.New("the stream ends inside an event, after %d bytes of it", len(pending))
+			}
 			if first.IsZero() {
 				*first = time.Now()
 			}
-			r.openBytes = len(pending)
 			r.head(reply)
 			return r.write(pending)
 		}
