--- a/agent/backend.go
+++ b/agent/backend.go
@@ -52,7 +52,9 @@
 	Headers http.Header
 	// Length is the length of the body in bytes, or -1 if unknown.
 	Length int64
-	Body   io.ReadCloser
+	// UntilClose reports that the body has neither a length nor chunks and ends with its connection.
+	UntilClose bool
+	Body       io.ReadCloser
 }
 
 // Health identifies an endpoint's incarnation and its loaded weight version.
--- a/agent/exchange.go
+++ b/agent/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"hash/crc32"
-	"net/http"
 	"sync"
 	"time"
 
@@ -58,9 +57,9 @@
 
 // begin records the response's status and headers. They are sent with the first bytes,
 // or with the end of an empty response.
-func (x *exchange) begin(status int, h http.Header) {
-	head := &wire.Head{Status: uint32(status)}
-	for name, values := range h {
+func (x *exchange) begin(r *Response) {
+	head := &wire.Head{Status: uint32(r.Status), Unsized: r.UntilClose}
+	for name, values := range r.Headers {
 		for _, v := range values {
 			head.Headers = append(head.Headers, &wire.Header{Name: name, Value: v})
 		}
--- a/agent/http.go
+++ b/agent/http.go
@@ -17,6 +17,7 @@
 	"github.com/joomcode/errorx"
 
 	"egretshunt/block"
+	"egretshunt/body"
 )
 
 const (
@@ -84,7 +85,7 @@
 	if err != nil {
 		return nil, classifyCallError(err)
 	}
-	return &Response{Status: resp.StatusCode, Headers: resp.Header, Length: resp.ContentLength, Body: resp.Body}, nil
+	return &Response{Status: resp.StatusCode, Headers: resp.Header, Length: resp.ContentLength, UntilClose: body.IsUntilClose(resp), Body: resp.Body}, nil
 }
 
 func setCacheHeaders(h http.Header, c Call) {
@@ -134,34 +135,38 @@
 }
 
 func (s *Service) get(ctx context.Context, path string) ([]byte, error) {
-	return s.roundTrip(ctx, http.MethodGet, path, nil, nil)
+	_, data, err := s.roundTrip(ctx, http.MethodGet, path, nil, nil)
+	return data, err
 }
 
-// roundTrip makes one short call and returns the body of a successful response.
-func (s *Service) roundTrip(ctx context.Context, method, path string, header http.Header, body []byte) ([]byte, error) {
-	req, err := http.NewRequestWithContext(ctx, method, s.base+path, bytes.NewReader(body))
+// roundTrip makes one short call and returns a successful response and its body.
+func (s *Service) roundTrip(ctx context.Context, method, path string, header http.Header, request []byte) (*Response, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, s.base+path, bytes.NewReader(request))
 	if err != nil {
-		return nil, Unreachable.Wrap(err, "create request")
+		return nil, nil, Unreachable.Wrap(err, "create request")
 	}
 	for k, v := range header {
 		req.Header[k] = v
 	}
 	resp, err := s.client.Do(req)
 	if err != nil {
-		return nil, classifyCallError(err)
+		return nil, nil, classifyCallError(err)
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
+	tracker := body.NewTracker(resp.Header.Get("Content-Type"), body.IsUntilClose(resp))
+	data, err := io.ReadAll(io.LimitReader(io.TeeReader(resp.Body, tracker), maxBodyBytes))
 	if err != nil {
-		return nil, Interrupted.Wrap(err, "read response body")
+		return nil, nil, Interrupted.Wrap(err, "read response body")
 	}
 	switch {
+	case tracker.Open():
+		return nil, nil, Interrupted.New("%s %s: the body ends after %d bytes, which aren't all of it", method, path, len(data))
 	case resp.StatusCode == http.StatusNotFound:
-		return nil, NotFound.New("%s %s: not found", method, path)
+		return nil, nil, NotFound.New("%s %s: not found", method, path)
 	case resp.StatusCode >= 300:
-		return nil, Rejected.New("%s %s: status %d: %.200s", method, path, resp.StatusCode, data)
+		return nil, nil, Rejected.New("%s %s: status %d: %.200s", method, path, resp.StatusCode, data)
 	}
-	return data, nil
+	return &Response{Status: resp.StatusCode, UntilClose: body.IsUntilClose(resp), Body: io.NopCloser(bytes.NewReader(data))}, data, nil
 }
 
 // Warm implements Engine.
@@ -172,7 +177,7 @@
 	}
 	header := http.Header{"X-Prefill-Only": {"1"}, "Content-Type": {"application/json"}}
 	setCacheHeaders(header, c)
-	_, err = m.roundTrip(ctx, http.MethodPost, "/v1/completions", header, body)
+	_, _, err = m.roundTrip(ctx, http.MethodPost, "/v1/completions", header, body)
 	return err
 }
 
@@ -189,14 +194,18 @@
 	return ev, nil
 }
 
-// Export implements Engine.
+// Export implements Engine. A block without length and chunks may have been broken off and is rejected.
 func (m *ModelEngine) Export(ctx context.Context, name block.Name) ([]byte, error) {
-	return m.get(ctx, "/kv/"+name.String())
+	r, data, err := m.roundTrip(ctx, http.MethodGet, "/kv/"+name.String(), nil, nil)
+	if err == nil && r.UntilClose {
+		return nil, Interrupted.New("block %s came with neither a length nor chunks", name)
+	}
+	return data, err
 }
 
 // Import implements Engine.
 func (m *ModelEngine) Import(ctx context.Context, name block.Name, data []byte) error {
-	_, err := m.roundTrip(ctx, http.MethodPut, "/kv/"+name.String(), nil, data)
+	_, _, err := m.roundTrip(ctx, http.MethodPut, "/kv/"+name.String(), nil, data)
 	return err
 }
 
@@ -206,15 +215,15 @@
 	if err != nil {
 		return Rejected.Wrap(err, "encode load command")
 	}
-	_, err = m.roundTrip(ctx, http.MethodPost, "/orders", nil, body)
+	_, _, err = m.roundTrip(ctx, http.MethodPost, "/orders", nil, body)
 	return err
 }
 
 // Outcome implements OutcomeFinder.
 func (s *Service) Outcome(ctx context.Context, path string) (bool, *Response, error) {
-	body, err := s.get(ctx, path)
+	r, _, err := s.roundTrip(ctx, http.MethodGet, path, nil, nil)
 	if err == nil {
-		return true, &Response{Status: http.StatusOK, Body: io.NopCloser(bytes.NewReader(body))}, nil
+		return true, r, nil
 	}
 	if isNotFound(err) {
 		return false, nil, nil
--- a/agent/offer.go
+++ b/agent/offer.go
@@ -12,6 +12,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"egretshunt/body"
 	"egretshunt/ctrl"
 	"egretshunt/event"
 	"egretshunt/ledger"
@@ -327,8 +328,8 @@
 	answered = true
 	a.slots.answered(x.tokens)
 	a.updatePrefillRate(use.computed, time.Since(began))
-	x.begin(reply.Status, reply.Headers)
-	if err := copyBody(ctx, x, reply); err != nil {
+	x.begin(reply)
+	if err := a.copyBody(ctx, x, reply); err != nil {
 		x.fail(a.classifyFailure(ctx, o, x, err))
 		return
 	}
@@ -337,7 +338,7 @@
 		Reused: uint32(use.reused), Fetched: uint32(use.fetched), Computed: uint32(use.computed),
 		Queue: uint64(tokens), Version: use.version,
 	})
-	if o.GetAlone() {
+	if o.GetAlone() && (!reply.UntilClose || a.lifeOf(ctx) == running) {
 		a.clear(o)
 	}
 	a.queueSave(o, use)
@@ -354,26 +355,63 @@
 	return c
 }
 
-func copyBody(ctx context.Context, x *exchange, reply *Response) error {
+func (a *Agent) copyBody(ctx context.Context, x *exchange, reply *Response) error {
 	buf := make([]byte, maxPieceBytes)
 	total := int64(0)
+	tracker := body.NewTracker(reply.Headers.Get("Content-Type"), reply.UntilClose)
+	source := io.TeeReader(reply.Body, tracker)
 	for {
-		n, err := reply.Body.Read(buf)
+		n, err := source.Read(buf)
 		total += int64(n)
 		if n > 0 {
 			if werr := x.write(ctx, buf[:n], total == reply.Length); werr != nil {
 				return werr
 			}
 		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
+		switch {
+		case err == nil:
+		case !errors.Is(err, io.EOF):
 			return Interrupted.Wrap(err, "read response body")
+		case tracker.Open():
+			return Interrupted.New("the body ends after %d bytes, which aren't all of it", total)
+		case reply.UntilClose && a.lifeOf(ctx) == ended:
+			return Interrupted.New("the endpoint ended when its response did, after %d bytes", total)
+		default:
+			return nil
 		}
 	}
 }
 
+// life is what is known of an endpoint's process.
+type life int
+
+const (
+	unknown life = iota
+	// running means that the process responds, ended that it doesn't exist any more.
+	running
+	ended
+)
+
+// endCheckTime bounds the check whether an endpoint has ended; the end of a response waits for it.
+const endCheckTime = 200 * time.Millisecond
+
+// lifeOf asks the endpoint whether its process still runs.
+func (a *Agent) lifeOf(ctx context.Context) life {
+	ctx, cancel := context.WithTimeout(ctx, endCheckTime)
+	defer cancel()
+	a.engine.Lock()
+	before := a.health.Incarnation
+	a.engine.Unlock()
+	now, err := a.config.Backend.Health(ctx)
+	switch {
+	case errorx.IsOfType(err, Unreachable) || err == nil && before != "" && now.Incarnation != before:
+		return ended
+	case err == nil:
+		return running
+	}
+	return unknown
+}
+
 // classifyFailure turns a failed run into a rejection for the entry, and reports a crash to
 // control.
 func (a *Agent) classifyFailure(ctx context.Context, o *wire.Offer, x *exchange, err error) *wire.Refuse {
@@ -490,11 +528,11 @@
 		return &wire.Verdict{State: verdictNever}
 	}
 	defer reply.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(reply.Body, readAheadBytes))
+	data, err := io.ReadAll(io.LimitReader(reply.Body, readAheadBytes))
 	if err != nil {
 		return lost
 	}
-	return &wire.Verdict{State: verdictDone, Head: &wire.Head{Status: uint32(reply.Status)}, Body: body}
+	return &wire.Verdict{State: verdictDone, Head: &wire.Head{Status: uint32(reply.Status), Unsized: reply.UntilClose}, Body: data}
 }
 
 func isNotFound(err error) bool { return errorx.IsOfType(err, NotFound) }
--- a/body/serve.go
+++ b/body/serve.go
@@ -49,13 +49,12 @@
 		// net/http closes the connection.
 		return
 	}
+	if tls, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = tls.NetConn()
+	}
 	if l, ok := c.(interface{ SetLinger(seconds int) error }); ok {
 		// Closing with a linger time of zero sends a reset; should it fail, the connection is closed all the same.
 		_ = l.SetLinger(0)
 	}
-	if tls, ok := c.(interface{ NetConn() net.Conn }); ok {
-		// Without a TLS alert, the client sees the connection as truncated.
-		c = tls.NetConn()
-	}
 	c.Close()
 }
--- a/entry/response.go
+++ b/entry/response.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"egretshunt/body"
 	"egretshunt/wire"
 )
 
@@ -67,7 +68,10 @@
 			s.w.Header().Add(h.GetName(), h.GetValue())
 		}
 	}
-	if length >= 0 {
+	switch {
+	case s.head.GetUnsized():
+		body.SetUntilClose(s.w.Header())
+	case length >= 0:
 		s.w.Header().Set("Content-Length", strconv.Itoa(length))
 	}
 	s.w.WriteHeader(int(s.head.GetStatus()))
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -47,6 +47,7 @@
 // Engine simulates a model engine with an HTTP API. Its output is a function of the
 // prompt, so that a client can check that a response is complete and belongs to its prompt.
 type Engine struct {
+	framing
 	config EngineConfig
 	addr   netip.AddrPort
 
@@ -115,7 +116,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.addr = l.Addr().(*net.TCPAddr).AddrPort()
-	e.server = &http.Server{Handler: mux}
+	e.server = &http.Server{Handler: e.wrap(mux)}
 	server := e.server
 	go func() { _ = server.Serve(l) }()
 	return nil
--- a/fake/service.go
+++ b/fake/service.go
@@ -19,6 +19,7 @@
 // Service is a small booking application. Each POST /jobs takes effect and is counted by
 // idempotency key. The service doesn't deduplicate, so a count above one reveals a repeated effect.
 type Service struct {
+	framing
 	config ServiceConfig
 	addr   netip.AddrPort
 	server *http.Server
@@ -46,7 +47,7 @@
 	mux.HandleFunc("GET /outcome/{key}", s.serveOutcome)
 	mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/", s.serveStatus)
-	s.server = &http.Server{Handler: mux}
+	s.server = &http.Server{Handler: s.wrap(mux)}
 	go func() { _ = s.server.Serve(l) }()
 	return s, nil
 }
@@ -124,6 +125,7 @@
 	if cut {
 		panic(http.ErrAbortHandler)
 	}
+	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("X-Job", key)
 	w.WriteHeader(http.StatusCreated)
 	writeJSON(w, map[string]any{"key": key, "run": n, "order": string(body)})
--- a/node/process.go
+++ b/node/process.go
@@ -21,6 +21,7 @@
 
 	"egretshunt/admin"
 	"egretshunt/agent"
+	"egretshunt/body"
 	"egretshunt/conf"
 	"egretshunt/ctrl"
 	"egretshunt/disk"
@@ -343,7 +344,7 @@
 		MaxBody: s.Body, MaxOpenRequests: s.Open, MaxOpenPerAccount: s.Share, WriteTimeout: s.Write.Duration, Seed: uint64(time.Now().UnixNano()),
 	})
 	p.callerServer = &http.Server{
-		Handler: p.entry.Handler(), ReadHeaderTimeout: s.Header.Duration, ReadTimeout: s.Read.Duration,
+		Handler: body.ResetAborted(p.entry.Handler()), ReadHeaderTimeout: s.Header.Duration, ReadTimeout: s.Read.Duration,
 		IdleTimeout: time.Minute, MaxHeaderBytes: 64 << 10,
 	}
 	if s.CertFile != "" {
