Log the shared parts of a prompt and whether its response had begun when an attempt fails

Ruled out: nothing yet. Change: 'attempted' has begun and parts (IDs, eight at most). No decision changes. Figures: none. Conclusion: reproduce next.

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -273,16 +274,29 @@
 }
 
 func (e *Entry) recordAttempt(j *job, to *member.Endpoint, outcome, next string, status int) {
-	fingerprint := ""
+	fingerprint, parts := "", ""
 	switch outcome {
 	case outcomeLost, outcomeBrokenOff, outcomeTimeout, outcomeFailed:
-		fingerprint = j.fingerprint()
+		fingerprint, parts = j.fingerprint(), partIDs(j.call.Shared())
 	}
 	e.config.Events.Emit(event.Attempted, "id", j.call.ID, "route", j.route.Name, "pool", to.Pool, "endpoint", to.ID, "outcome", outcome,
-		"status", status, "next", next, "tried", len(j.tried), "left", time.Until(j.deadline).Milliseconds(), "print", fingerprint)
+		"status", status, "next", next, "tried", len(j.tried), "left", time.Until(j.deadline).Milliseconds(), "print", fingerprint,
+		"begun", !j.firstByteAt.IsZero(), "parts", parts)
 	e.meters.attempt(to.Pool, outcome)
 }
 
+// maxLoggedParts bounds the parts of a prompt in one log line.
+const maxLoggedParts = 8
+
+// partIDs returns the IDs of parts, separated by commas.
+func partIDs(parts []Part) string {
+	ids := make([]string, 0, maxLoggedParts)
+	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
+		ids = append(ids, p.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 func (e *Entry) recordServed(j *job, to *member.Endpoint, reply *Reply, out *relay) {
 	first := j.firstByteAt.Sub(j.call.Arrived)
 	e.config.Events.Emit(event.Served, "id", j.call.ID, "route", j.route.Name, "endpoint", to.ID, "status", reply.Status, "tried", len(j.tried),
