A response broken off by an endpoint that goes on is no crash of its request (BUDGET)

What callers saw: sound requests with equal content refused because they crash endpoints. Cause: any broken connection counted as the end of the endpoint; three broken responses at three endpoints are no rarity where endpoints cut some and live. Ruled out: the counting itself (each was counted once). Where the probe is refused or not answered it counts, as before.

--- a/agent/offer.go
+++ b/agent/offer.go
@@ -17,6 +17,7 @@
 	"egretshunt/event"
 	"egretshunt/ledger"
 	"egretshunt/limit"
+	"egretshunt/member"
 	"egretshunt/table"
 	"egretshunt/wire"
 )
@@ -338,7 +339,7 @@
 		Reused: uint32(use.reused), Fetched: uint32(use.fetched), Computed: uint32(use.computed),
 		Queue: uint64(tokens), Version: use.version,
 	})
-	if o.GetAlone() && (!reply.UntilClose || a.lifeOf(ctx) == running) {
+	if o.GetAlone() && (!reply.UntilClose || a.lifeOf(ctx) == member.Running) {
 		a.clear(o)
 	}
 	a.queueSave(o, use)
@@ -374,7 +375,7 @@
 			return Interrupted.Wrap(err, "read response body")
 		case tracker.Open():
 			return Interrupted.New("the body ends after %d bytes, which aren't all of it", total)
-		case reply.UntilClose && a.lifeOf(ctx) == ended:
+		case reply.UntilClose && a.lifeOf(ctx) == member.Ended:
 			return Interrupted.New("the endpoint ended when its response did, after %d bytes", total)
 		default:
 			return nil
@@ -382,21 +383,11 @@
 	}
 }
 
-// life is what is known of an endpoint's process.
-type life int
-
-const (
-	unknown life = iota
-	// running means that the process responds, ended that it doesn't exist any more.
-	running
-	ended
-)
-
 // endCheckTime bounds the check whether an endpoint has ended; the end of a response waits for it.
 const endCheckTime = 200 * time.Millisecond
 
 // lifeOf asks the endpoint whether its process still runs.
-func (a *Agent) lifeOf(ctx context.Context) life {
+func (a *Agent) lifeOf(ctx context.Context) member.Life {
 	ctx, cancel := context.WithTimeout(ctx, endCheckTime)
 	defer cancel()
 	a.engine.Lock()
@@ -405,11 +396,11 @@
 	now, err := a.config.Backend.Health(ctx)
 	switch {
 	case errorx.IsOfType(err, Unreachable) || err == nil && before != "" && now.Incarnation != before:
-		return ended
+		return member.Ended
 	case err == nil:
-		return running
+		return member.Running
 	}
-	return unknown
+	return member.Unknown
 }
 
 // classifyFailure turns a failed run into a rejection for the entry, and reports a crash to
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -64,7 +64,7 @@
 	if success && !reply.Sealed {
 		e.endAttempt(to, true, began)
 		e.recordUnanswered(j, to)
-		return e.retry(j, to, out, outcomeFailed, reasonUnsigned, reply.Status)
+		return e.retry(ctx, j, to, out, outcomeFailed, reasonUnsigned, reply.Status)
 	}
 	if !success && (out.headerSent || j.route.Kind == board.Idempotent && reply.Status >= http.StatusInternalServerError && len(j.tried) < j.route.Attempts) {
 		e.endAttempt(to, true, began)
@@ -126,15 +126,13 @@
 	if errorx.IsOfType(err, BrokenOff) {
 		outcome = outcomeBrokenOff
 	}
-	return e.retry(j, to, out, outcome, reasonLost, reply.Status)
+	return e.retry(ctx, j, to, out, outcome, reasonLost, reply.Status)
 }
 
 // retry decides whether another attempt follows one that may have run.
-func (e *Entry) retry(j *job, to *member.Endpoint, out *relay, outcome, reason string, status int) (bool, *failure) {
+func (e *Entry) retry(ctx context.Context, j *job, to *member.Endpoint, out *relay, outcome, reason string, status int) (bool, *failure) {
 	if outcome == outcomeLost || outcome == outcomeBrokenOff {
-		for _, fingerprint := range j.fingerprints() {
-			e.reportCrash(j.call.ID, fingerprint(), to.ID, to.Born)
-		}
+		e.recordBrokenRun(ctx, j, to)
 	}
 	if j.route.Repeatable() && j.possibleRuns < j.route.Attempts && e.allowRetry(j.pool) {
 		e.recordAttempt(j, to, outcome, "again", status)
@@ -184,7 +182,7 @@
 		return false, &failure{status: http.StatusGatewayTimeout, reason: reasonTimeout}
 	}
 	e.endAttempt(to, true, began)
-	return e.retry(j, to, out, outcomeLost, reasonLost, 0)
+	return e.retry(ctx, j, to, out, outcomeLost, reasonLost, 0)
 }
 
 // handleNotRun handles a response by which the endpoint reports that it has not run the request.
--- a/pass/call.go
+++ b/pass/call.go
@@ -125,4 +125,7 @@
 	// Send makes one attempt and returns once the status and headers of the response have
 	// arrived. Its errors are of type NotSent or Lost. When ctx ends, the request is cancelled.
 	Send(ctx context.Context, s *Send) (*Reply, error)
+	// Probe reports whether the endpoint's process runs, as far as can be learned at once. It is used after a
+	// response has been lost.
+	Probe(ctx context.Context, to *member.Endpoint) member.Life
 }
--- a/pass/crash_test.go
+++ b/pass/crash_test.go
@@ -121,3 +121,17 @@
 	}
 	check.Equal(t, "sends", len(fx.backend.sends), limit.MaxAttributedCrashes)
 }
+
+// TestBreakOfRunningEndpointIsNoCrash guards against requests that are refused because endpoints which go on running
+// break their responses off.
+func TestBreakOfRunningEndpointIsNoCrash(t *testing.T) {
+	for _, respond := range []func(*pass.Send) (*pass.Reply, error){lost, respondTruncated("half"), respondUnsized(eventStream, "id: 1")} {
+		fx := newFixture(t, respond)
+		fx.backend.life = member.Running
+		for range limit.MaxAttributedCrashes + 1 {
+			got, _ := fx.call("/once/x", "k")
+			check.Equal(t, "status", got.Code, 502)
+		}
+		check.Equal(t, "reported", fx.feed.reported(), 0)
+	}
+}
--- a/pass/pass_test.go
+++ b/pass/pass_test.go
@@ -118,8 +118,13 @@
 	mu        sync.Mutex
 	responses []func(s *pass.Send) (*pass.Reply, error)
 	sends     []*pass.Send
+	// life is what endpoints show after a lost response; Unknown counts as Ended.
+	life member.Life
 }
 
+// Probe implements pass.Backend.
+func (b *scriptedBackend) Probe(context.Context, *member.Endpoint) member.Life { return b.life }
+
 // Send implements pass.Backend.
 func (b *scriptedBackend) Send(_ context.Context, s *pass.Send) (*pass.Reply, error) {
 	b.mu.Lock()
--- a/pass/report.go
+++ b/pass/report.go
@@ -1,6 +1,7 @@
 package pass
 
 import (
+	"context"
 	"strconv"
 	"time"
 
@@ -49,6 +50,18 @@
 	}
 }
 
+// recordBrokenRun records a run whose connection broke. Endpoints also break off responses and go on: then
+// only the list can show that this one has ended.
+func (e *Entry) recordBrokenRun(ctx context.Context, j *job, to *member.Endpoint) {
+	if e.config.Backend.Probe(ctx, to) == member.Running {
+		e.recordUnanswered(j, to)
+		return
+	}
+	for _, fingerprint := range j.fingerprints() {
+		e.reportCrash(j.call.ID, fingerprint(), to.ID, to.Born)
+	}
+}
+
 // reportSilentEnds reports the unanswered runs whose endpoint has ended, by the list.
 func (e *Entry) reportSilentEnds(now time.Time) {
 	list := e.list()
