--- a/ctrl/crash.go
+++ b/ctrl/crash.go
@@ -33,7 +33,9 @@
 	}
 	command := &limit.CrashCommand{Entry: req.GetNode(), Completed: req.GetCompleted()}
 	for _, c := range req.GetCrashes() {
-		command.Reports = append(command.Reports, limit.CrashReport{ID: c.GetId(), Fingerprint: c.GetPrint(), Endpoint: c.GetEndpoint(), Born: c.GetBorn()})
+		command.Reports = append(command.Reports, limit.CrashReport{
+			ID: c.GetId(), Fingerprint: c.GetPrint(), Endpoint: c.GetEndpoint(), Born: c.GetBorn(), Part: c.GetPart(), Age: time.Duration(c.GetAgeMs()) * time.Millisecond,
+		})
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxCountWait)
 	defer cancel()
@@ -46,7 +48,7 @@
 	v := crashes.Verdicts(h.node.groupNow())
 	quarantined := value.SetOf(append(v.Refused, v.Trial...)...)
 	for _, r := range command.Reports {
-		events.Emit(event.CrashCounted, "print", r.Fingerprint, "endpoint", r.Endpoint, "entry", req.GetNode(), "count", crashes.Crashes(r.Fingerprint), "term", h.node.Status().Term)
+		events.Emit(event.CrashCounted, "print", r.Fingerprint, "endpoint", r.Endpoint, "entry", req.GetNode(), "part", r.Part, "count", crashes.Crashes(r.Fingerprint), "term", h.node.Status().Term)
 		if quarantined.Has(r.Fingerprint) {
 			events.Emit(event.Quarantined, "print", r.Fingerprint)
 		}
@@ -62,7 +64,7 @@
 func (ls *LeaderState) addCrashVerdicts(reply *wire.Synced, req *wire.Sync) {
 	now := ls.hub.node.groupNow()
 	all := ls.hub.node.Crashes().Verdicts(now)
-	v := limit.CrashVerdicts{Refused: all.Refused, Watched: all.Watched}
+	v := limit.CrashVerdicts{Refused: all.Refused, Watched: all.Watched, Parts: all.Parts}
 	entries := ls.entryNames()
 	for _, fingerprint := range all.Trial {
 		if entry, ok := limit.TrialEntry(fingerprint, entries, now).Get(); ok && entry == req.GetNode() {
@@ -72,7 +74,7 @@
 		}
 	}
 	if reply.Verdicts = v.Hash(); reply.Verdicts != req.GetVerdicts() {
-		reply.Refused, reply.Trial, reply.Watched = v.Refused, v.Trial, v.Watched
+		reply.Refused, reply.Trial, reply.Watched, reply.Parts = v.Refused, v.Trial, v.Watched, v.Parts
 	}
 }
 
@@ -106,10 +108,11 @@
 }
 
 // crashVerdicts are the fingerprints of the requests that this entry must refuse, of those of which
-// it may start one run, and of those that one more crash would quarantine. It is immutable.
+// it may start one run, of those that one more crash would quarantine, and of the parts of prompts that were
+// present at crashes. It is immutable.
 type crashVerdicts struct {
-	refused, trial, watched value.Set[string]
-	hash                    uint64
+	refused, trial, watched, parts value.Set[string]
+	hash                           uint64
 }
 
 func (v *crashVerdicts) refuses(fingerprint string) bool {
@@ -121,6 +124,9 @@
 func (v *crashVerdicts) watches(fingerprint string) bool {
 	return v != nil && v.watched.Has(fingerprint)
 }
+func (v *crashVerdicts) watchesPart(fingerprint string) bool {
+	return v != nil && v.parts.Has(fingerprint)
+}
 
 // crashEvidence is what one sync reports: ends of endpoints, and the fingerprints of completed runs.
 type crashEvidence struct {
@@ -134,7 +140,9 @@
 
 func (e crashEvidence) encode(req *wire.Sync) {
 	for _, c := range e.reports {
-		req.Crashes = append(req.Crashes, &wire.Crash{Id: c.ID, Print: c.Fingerprint, Endpoint: c.Endpoint, Born: c.Born})
+		req.Crashes = append(req.Crashes, &wire.Crash{
+			Id: c.ID, Print: c.Fingerprint, Endpoint: c.Endpoint, Born: c.Born, Part: c.Part, AgeMs: uint32(c.Age.Milliseconds()),
+		})
 	}
 	req.Completed = e.completed
 }
@@ -184,40 +192,56 @@
 	case 0:
 		g.verdicts.Store(nil)
 	default:
-		g.verdicts.Store(&crashVerdicts{value.SetOf(reply.GetRefused()...), value.SetOf(reply.GetTrial()...), value.SetOf(reply.GetWatched()...), hash})
+		g.verdicts.Store(&crashVerdicts{value.SetOf(reply.GetRefused()...), value.SetOf(reply.GetTrial()...), value.SetOf(reply.GetWatched()...), value.SetOf(reply.GetParts()...), hash})
 	}
 }
 
-// RecordCrash records that an incarnation of an endpoint ended while it ran the request with this
-// fingerprint. Syncs report it until control has counted it.
-func (f *Feed) RecordCrash(fingerprint, endpoint string, born int64) {
+// RecordCrash records that an incarnation of an endpoint ended while it ran a request. Syncs report it until
+// control has counted it. The report needs no ID.
+func (f *Feed) RecordCrash(r limit.CrashReport) {
 	g := f.crashes
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if r.Part {
+		same := func(old limit.CrashReport) bool {
+			return old.Fingerprint == r.Fingerprint && old.Endpoint == r.Endpoint && old.Born == r.Born
+		}
+		if i := slices.IndexFunc(g.reports, same); i >= 0 {
+			// Many prompts in flight at one endpoint share a part; the latest of them tells most.
+			g.reports[i].Age = min(g.reports[i].Age, r.Age)
+			return
+		}
+	}
 	if len(g.reports) >= maxCrashReports {
 		g.dropped++
 		return
 	}
 	g.seen++
-	id := fmt.Sprintf("%s/%x/%d", g.node, g.started.UnixNano(), g.seen)
-	g.reports = append(g.reports, limit.CrashReport{ID: id, Fingerprint: fingerprint, Endpoint: endpoint, Born: born})
+	r.ID = fmt.Sprintf("%s/%x/%d", g.node, g.started.UnixNano(), g.seen)
+	g.reports = append(g.reports, r)
 	g.reporting.Store(true)
 }
 
+// isReported reports whether control hasn't confirmed a report on a request or part. The caller holds mu.
+func (g *crashGuard) isReported(fingerprint string) bool {
+	return slices.ContainsFunc(g.reports, func(r limit.CrashReport) bool { return r.Fingerprint == fingerprint })
+}
+
 // unconfirmedCount returns how many endpoints have ended under a request by reports that control
-// hasn't confirmed. The caller holds mu.
+// hasn't confirmed. Those on parts don't count: only control knows which part explains the ends. The caller
+// holds mu.
 func (g *crashGuard) unconfirmedCount(fingerprint string) int {
 	endpoints := value.SetOf[string]()
 	for _, r := range g.reports {
-		if r.Fingerprint == fingerprint {
+		if r.Fingerprint == fingerprint && !r.Part {
 			endpoints.Add(r.Endpoint)
 		}
 	}
 	return len(endpoints)
 }
 
-// RecordCompletion records that an endpoint has run the request with this fingerprint to the end. The
-// function fingerprint is called only if there are verdicts on any request.
+// RecordCompletion records that an endpoint has run the request with this fingerprint to the end, or has
+// begun to respond to a prompt with this part. The function fingerprint is called only if there are verdicts on any request.
 func (f *Feed) RecordCompletion(fingerprint func() string) {
 	g := f.crashes
 	v := g.verdicts.Load()
@@ -227,7 +251,7 @@
 	name := fingerprint()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if v.refuses(name) || v.allowsTrial(name) || v.watches(name) || g.unconfirmedCount(name) > 0 {
+	if v.refuses(name) || v.allowsTrial(name) || v.watches(name) || v.watchesPart(name) || g.isReported(name) {
 		// Control may have counted some of the reports.
 		g.completed.Add(name)
 		g.dropReports(func(r limit.CrashReport) bool { return r.Fingerprint == name })
--- a/ctrl/crash_test.go
+++ b/ctrl/crash_test.go
@@ -27,7 +27,7 @@
 	crashes := 0
 	crash := func() {
 		crashes++
-		entry.RecordCrash("bad", fmt.Sprint("w", crashes), 0)
+		entry.RecordCrash(limit.CrashReport{Fingerprint: "bad", Endpoint: fmt.Sprint("w", crashes)})
 	}
 	crash()
 	crash()
@@ -64,8 +64,8 @@
 		if crashes%2 == 1 {
 			at = second
 		}
-		at.RecordCrash("bad", fmt.Sprint("w", crashes), 0)
-		at.RecordCrash(fmt.Sprint("beside-", crashes), fmt.Sprint("w", crashes), 0)
+		at.RecordCrash(limit.CrashReport{Fingerprint: "bad", Endpoint: fmt.Sprint("w", crashes)})
+		at.RecordCrash(limit.CrashReport{Fingerprint: fmt.Sprint("beside-", crashes), Endpoint: fmt.Sprint("w", crashes)})
 		crashes++
 		return false
 	})
@@ -88,7 +88,7 @@
 	}
 	for _, name := range []string{"bad", "innocent"} {
 		for i := range limit.MaxAttributedCrashes {
-			feeds[0].RecordCrash(name, fmt.Sprint("w", i), 0)
+			feeds[0].RecordCrash(limit.CrashReport{Fingerprint: name, Endpoint: fmt.Sprint("w", i)})
 		}
 	}
 	refused := func(name string) int {
@@ -108,7 +108,7 @@
 		for _, f := range feeds {
 			if f.RejectedFor(fingerprint("bad")) == 0 {
 				allowed++
-				f.RecordCrash("bad", "w9", 0)
+				f.RecordCrash(limit.CrashReport{Fingerprint: "bad", Endpoint: "w9"})
 			}
 		}
 		return allowed > 0
@@ -147,15 +147,57 @@
 			return crashes().Crashes("hot") == want
 		})
 	}
-	first.RecordCrash("hot", "w0", 0)
-	first.RecordCrash("hot", "w1", 0)
+	first.RecordCrash(limit.CrashReport{Fingerprint: "hot", Endpoint: "w0"})
+	first.RecordCrash(limit.CrashReport{Fingerprint: "hot", Endpoint: "w1"})
 	counted(2)
 	counted(0)
-	first.RecordCrash("hot", "w2", 0)
+	first.RecordCrash(limit.CrashReport{Fingerprint: "hot", Endpoint: "w2"})
 	counted(1)
 	check.Equal(t, "refused", first.RejectedFor(fingerprint("hot")) > 0, false)
 }
 
+// TestPartRefusedByAllEntries guards against prompts that share a part which crashes endpoints: two entries report the
+// ends, also over a change of leader, and an entry that never ran such a prompt must refuse it. A part that was present at each
+// of them must not be refused, since responses to other prompts with it begin.
+func TestPartRefusedByAllEntries(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3)
+	control, keys := serveHubs(t, c, 0)
+	first, second, observer := newFeed(t, keys, "e0", control...), newFeed(t, keys, "e1", control...), newFeed(t, keys, "e2", control...)
+	check.Eventually(t, "fresh feeds", func() bool { return first.Fresh() && second.Fresh() && observer.Fresh() })
+	crashes := 0
+	crash := func() {
+		crashes++
+		at := []*ctrl.Feed{first, second}[crashes%2]
+		for _, part := range []string{"sys", "bad"} {
+			// Prompts that share a part end at one endpoint, too.
+			for range 2 {
+				at.RecordCrash(limit.CrashReport{Fingerprint: part, Endpoint: fmt.Sprint("w", crashes), Part: true, Age: 50 * time.Millisecond})
+			}
+		}
+	}
+	crash()
+	time.Sleep(200 * time.Millisecond)
+	crash()
+	c.kill(c.leader())
+	c.leader()
+	check.Eventually(t, "fresh feeds under another leader", func() bool { return first.Fresh() && second.Fresh() && observer.Fresh() })
+	check.Eventually(t, "refused by an entry that never ran such a prompt", func() bool {
+		for range 5 {
+			time.Sleep(100 * time.Millisecond)
+			observer.RecordCompletion(fingerprint("sys"))
+		}
+		if observer.RejectedFor(fingerprint("bad")) > 0 {
+			return true
+		}
+		crash()
+		return false
+	})
+	check.Equal(t, "crashes needed", crashes <= 5, true)
+	check.Equal(t, "the part of sound prompts is refused", observer.RejectedFor(fingerprint("sys")) > 0, false)
+	check.Equal(t, "an entry doesn't refuse a part by its own reports", first.RejectedFor(fingerprint("sys")) > 0, false)
+}
+
 // TestEntryRefusesByItsOwnReports guards against an entry that sends a request on to a fourth endpoint because control
 // has not counted its reports yet; no control VM is reachable here.
 func TestEntryRefusesByItsOwnReports(t *testing.T) {
@@ -165,15 +207,15 @@
 	refused := func(name string) bool { return f.RejectedFor(fingerprint(name)) > 0 }
 	for i := range limit.MaxAttributedCrashes {
 		check.Equal(t, "refused too early", refused("bad"), false)
-		f.RecordCrash("bad", fmt.Sprint("w", i), 0)
-		f.RecordCrash("in flight at one crash", "w0", 0)
-		f.RecordCrash("hot", fmt.Sprint("w", i), 0)
+		f.RecordCrash(limit.CrashReport{Fingerprint: "bad", Endpoint: fmt.Sprint("w", i)})
+		f.RecordCrash(limit.CrashReport{Fingerprint: "in flight at one crash", Endpoint: "w0"})
+		f.RecordCrash(limit.CrashReport{Fingerprint: "hot", Endpoint: fmt.Sprint("w", i)})
 	}
 	check.Equal(t, "refused", refused("bad"), true)
 	check.Equal(t, "refused after one crash", refused("in flight at one crash"), false)
 	f.RecordCompletion(fingerprint("hot"))
 	check.Equal(t, "refused after a completed run", refused("hot"), false)
-	f.RecordCrash("hot", "w9", 0)
+	f.RecordCrash(limit.CrashReport{Fingerprint: "hot", Endpoint: "w9"})
 	check.Equal(t, "refused after one more crash", refused("hot"), false)
 }
 
@@ -202,7 +244,7 @@
 		name := fmt.Sprint("bad-", n)
 		time.AfterFunc(50*time.Millisecond, func() {
 			for i := range limit.MaxAttributedCrashes {
-				reporter.RecordCrash(name, fmt.Sprint("w", i), 0)
+				reporter.RecordCrash(limit.CrashReport{Fingerprint: name, Endpoint: fmt.Sprint("w", i)})
 			}
 		})
 		// The hub holds a sync for a second at most.
@@ -307,14 +349,14 @@
 	check.Eventually(t, "fresh feeds", func() bool { return off.Fresh() && other.Fresh() })
 	for i := range 2 {
 		cut.cut.Store(true)
-		off.RecordCrash("bad", fmt.Sprint("w", i), 0)
+		off.RecordCrash(limit.CrashReport{Fingerprint: "bad", Endpoint: fmt.Sprint("w", i)})
 		time.Sleep(1500 * time.Millisecond)
 		cut.cut.Store(false)
 		check.Eventually(t, "counted once the cut has healed", func() bool { return c.node(c.leader()).Crashes().Crashes("bad") == i+1 })
 	}
 	time.Sleep(500 * time.Millisecond)
 	check.Equal(t, "crashes", c.node(c.leader()).Crashes().Crashes("bad"), 2)
-	other.RecordCrash("bad", "w9", 0)
+	other.RecordCrash(limit.CrashReport{Fingerprint: "bad", Endpoint: "w9"})
 	check.Eventually(t, "refused by both", func() bool {
 		return off.RejectedFor(fingerprint("bad")) > 0 && other.RejectedFor(fingerprint("bad")) > 0
 	})
--- a/limit/attribute.go
+++ b/limit/attribute.go
@@ -10,9 +10,15 @@
 )
 
 const (
-	// MaxAttributedCrashes is how many endpoint crashes are attributed to a request before it is
-	// refused.
+	// MaxAttributedCrashes is how many endpoint crashes are attributed to a request, or to a part of
+	// prompts, before it is refused.
 	MaxAttributedCrashes = 3
+	// maxAmbiguousCrashes is how many are attributed to a part while another one was present at each of
+	// them too, before one of them is refused.
+	maxAmbiguousCrashes = 5
+	// soundnessTime is how long after the first repeated crash entries have to report that responses to
+	// prompts with a part begin: a sync and a first token.
+	soundnessTime = 300 * time.Millisecond
 	// minRestartTime is the least time in which a crashed endpoint runs again: losses at one
 	// endpoint that are closer together are one crash.
 	minRestartTime = time.Second
@@ -26,37 +32,55 @@
 	furtherTrialDelay = 24 * time.Hour
 	// CrashRetryAfter is when a client may send a quarantined request again.
 	CrashRetryAfter = firstTrialDelay
-	// maxTrackedRequests bounds the requests tracked; the oldest are evicted first.
+	// maxTrackedRequests bounds the requests and parts tracked.
 	maxTrackedRequests = 4096
-	// maxTrackedCrashes bounds the crashes kept of one request, to recognize repeated reports.
+	// maxTrackedCrashes bounds the crashes kept of one request, to recognize repeated reports;
+	// maxPartCrashes those of one part, to recognize the crashes that it explains.
 	maxTrackedCrashes = 8
+	maxPartCrashes    = 32
+	// maxWatchedParts bounds the parts on which entries report; those with most crashes come first.
+	maxWatchedParts = 128
 )
 
-// CrashTracker attributes endpoint crashes to requests. It counts, for each request, the endpoints
-// that ended while they ran it.
+// CrashTracker attributes endpoint crashes to requests and to parts of prompts. It counts, for each,
+// the endpoints that ended while they ran it.
 //
 // It guards against one request that is retried through any entry and crashes one endpoint after
-// another, together with everything else that runs there. However long such a request keeps coming,
-// it is refused: a quarantine ends with a run that completes, not with time. For that, one run is
+// another, together with everything else that runs there, and against one part of prompts that does
+// so in requests of which no two are alike. However long such requests keep coming,
+// they are refused: a quarantine ends with a run that completes, not with time. For that, one run is
 // allowed as a trial, with growing delays. It is replicated state: a published
 // tracker is immutable, and Apply returns a modified copy.
+//
+// A part is shared with sound requests, so what it has in common with the cause must not be blamed: only
+// attempts without output count; a response that begins clears all parts of its prompt; of the parts left,
+// the one that was present at most crashes is quarantined, and what it explains no longer counts against
+// others.
 type CrashTracker struct {
 	records map[string]crashRecord
 	// suspects are the records that verdicts depend on, sorted by fingerprint: each sync of each entry
 	// asks for verdicts, and most records are of requests that were in flight at one crash.
 	suspects []crashRecord
+	// causes are the fingerprints of the quarantined parts.
+	causes []string
 }
 
-// crashRecord is the state of one request, identified by its fingerprint.
+// crashRecord is the state of one request or part, identified by its fingerprint.
 type crashRecord struct {
 	Fingerprint string `json:"print"`
-	Count       int    `json:"count"`
+	// Part is set if the fingerprint is of a part of prompts.
+	Part  bool `json:"part,omitempty"`
+	Count int  `json:"count"`
 	// TrialAt is when the request may run as a trial; zero if it isn't quarantined. Trials counts the
 	// trials that crashed an endpoint.
 	TrialAt time.Time `json:"trial,omitzero"`
 	Trials  int       `json:"trials,omitempty"`
 	// Crashes holds the latest crashes, in order of their reports.
 	Crashes []crash `json:"crashes"`
+	// WatchedAt is when a second crash counted against a part, SoundAt when a response to a prompt with it
+	// last began.
+	WatchedAt time.Time `json:"watched,omitzero"`
+	SoundAt   time.Time `json:"sound,omitzero"`
 }
 
 // crash is the end of one endpoint under a request.
@@ -65,29 +89,48 @@
 	Endpoint string    `json:"endpoint"`
 	Born     int64     `json:"born,omitempty"`
 	At       time.Time `json:"at"`
+	// Concurrent is set if the attempt began before the last crash that counted against the part: endpoints
+	// that end together show no more than one that ends.
+	Concurrent bool `json:"beside,omitempty"`
+}
+
+// isSame reports whether two crashes are of one incarnation of an endpoint.
+func (c crash) isSame(other crash) bool {
+	if c.Endpoint != other.Endpoint {
+		return false
+	}
+	sameIncarnation := c.Born == other.Born && c.Born != 0
+	return sameIncarnation || other.At.Sub(c.At).Abs() < minRestartTime
 }
 
 // last returns when the latest crash was reported.
 func (r crashRecord) last() time.Time {
 	if len(r.Crashes) == 0 {
-		return time.Time{}
+		return r.SoundAt
 	}
 	return r.Crashes[len(r.Crashes)-1].At
 }
 
+// lastCounted returns when the latest crash that counts was reported.
+func (r crashRecord) lastCounted() time.Time {
+	for _, c := range slices.Backward(r.Crashes) {
+		if !c.Concurrent {
+			return c.At
+		}
+	}
+	return time.Time{}
+}
+
 func (r crashRecord) quarantined() bool { return !r.TrialAt.IsZero() }
 
 func (r crashRecord) rank() evictionRank {
-	return evictionRank{r.quarantined(), r.last(), r.Fingerprint}
+	return evictionRank{r.quarantined(), r.Count, r.last(), r.Fingerprint}
 }
 
-// includes reports whether a report is of a crash that has been counted: it is repeated, or another
-// attempt was in flight at the same endpoint.
-func (r crashRecord) includes(report CrashReport, now time.Time) bool {
-	return slices.ContainsFunc(r.Crashes, func(c crash) bool {
-		sameIncarnation := c.Born == report.Born && c.Born != 0
-		return c.Report == report.ID || c.Endpoint == report.Endpoint && (sameIncarnation || now.Sub(c.At) < minRestartTime)
-	})
+// includes reports whether a crash has been counted: its report is repeated, or another attempt was in
+// flight at the same endpoint.
+func (r crashRecord) includes(reported crash) bool {
+	return slices.ContainsFunc(r.Crashes, func(c crash) bool { return c.Report == reported.Report || c.isSame(reported) })
 }
 
 // CrashReport is an entry's report that an endpoint ended while it ran a request.
@@ -98,6 +141,10 @@
 	Endpoint    string `json:"endpoint"`
 	// Born identifies the endpoint's incarnation, which ends once; zero if unknown.
 	Born int64 `json:"born,omitempty"`
+	// Part is set if the fingerprint is of a part of the prompt, and the attempt had no output. Age is then how
+	// long before the report the attempt began.
+	Part bool          `json:"part,omitempty"`
+	Age  time.Duration `json:"age,omitempty"`
 }
 
 // CrashCommand is a replicated set of an entry's reports. Applying it again changes nothing.
@@ -113,55 +160,92 @@
 
 // Apply returns the tracker after the command, which is applied at now.
 func (t *CrashTracker) Apply(c CrashCommand, now time.Time) *CrashTracker {
-	next := &CrashTracker{records: maps.Clone(t.records)}
+	next := &CrashTracker{records: maps.Clone(t.records), causes: slices.Clone(t.causes)}
 	for _, report := range c.Reports {
 		next.count(report, now)
 	}
 	for _, fingerprint := range c.Completed {
-		delete(next.records, fingerprint)
+		next.clear(fingerprint, now)
+	}
+	if len(c.Reports) > 0 {
+		next.blameParts(now)
 	}
 	next.listSuspects()
 	return next
 }
 
+// clear drops all crashes of a request or part, which doesn't cause them.
+func (t *CrashTracker) clear(fingerprint string, now time.Time) {
+	r, known := t.records[fingerprint]
+	if !known {
+		return
+	}
+	delete(t.records, fingerprint)
+	if r.Part {
+		t.records[fingerprint] = crashRecord{Fingerprint: fingerprint, Part: true, SoundAt: now}
+	}
+}
+
+// listSuspects derives the lists from the records.
 func (t *CrashTracker) listSuspects() {
+	t.causes = nil
 	for _, r := range t.records {
 		if r.Count >= MaxAttributedCrashes-1 {
 			t.suspects = append(t.suspects, r)
 		}
+		if r.Part && r.quarantined() {
+			t.causes = append(t.causes, r.Fingerprint)
+		}
 	}
 	slices.SortFunc(t.suspects, func(a, b crashRecord) int { return strings.Compare(a.Fingerprint, b.Fingerprint) })
+	slices.Sort(t.causes)
 }
 
-// count attributes a crash to the request that a report names.
+// count attributes a crash to the request or part that a report names.
 func (t *CrashTracker) count(report CrashReport, now time.Time) {
 	r, known := t.records[report.Fingerprint]
+	c := crash{Report: report.ID, Endpoint: report.Endpoint, Born: report.Born, At: now}
 	switch {
-	case r.includes(report, now):
+	case r.includes(c) || !r.quarantined() && t.isExplained(c):
 		return
 	case known && !r.quarantined() && now.Sub(r.last()) > crashMemory:
 		r = crashRecord{}
 	case !known && len(t.records) >= maxTrackedRequests:
 		t.evict(now)
 	}
-	r.Fingerprint = report.Fingerprint
-	r.Count++
-	kept := r.Crashes[max(len(r.Crashes)-maxTrackedCrashes+1, 0):]
-	r.Crashes = append(slices.Clone(kept), crash{report.ID, report.Endpoint, report.Born, now})
+	r.Fingerprint, r.Part = report.Fingerprint, report.Part
+	limit := maxTrackedCrashes
+	if r.Part {
+		limit = maxPartCrashes
+		c.Concurrent = r.Count > 0 && !r.quarantined() && now.Add(-report.Age).Before(r.lastCounted())
+	}
+	r.Crashes = append(slices.Clone(r.Crashes[max(len(r.Crashes)-limit+1, 0):]), c)
+	if !c.Concurrent {
+		r.Count++
+	}
 	switch {
-	case r.Count < MaxAttributedCrashes:
-	case !r.quarantined():
-		r.TrialAt = now.Add(firstTrialDelay)
-	case now.Before(r.TrialAt):
+	case r.quarantined() && now.Before(r.TrialAt):
 		// An attempt that began before the quarantine.
-	default:
+	case r.quarantined():
 		r.Trials++
 		r.TrialAt = now.Add(secondTrialDelay)
 		if r.Trials > 1 {
 			r.TrialAt = now.Add(furtherTrialDelay)
 		}
+	case r.Part && r.Count > 1 && r.WatchedAt.IsZero():
+		r.WatchedAt = now
+	case !r.Part && r.Count >= MaxAttributedCrashes:
+		r.TrialAt = now.Add(firstTrialDelay)
 	}
 	t.records[report.Fingerprint] = r
+	if r.Part && r.quarantined() {
+		t.dropExplained(r)
+	}
+}
+
+// isExplained reports whether a quarantined part caused a crash.
+func (t *CrashTracker) isExplained(c crash) bool {
+	return slices.ContainsFunc(t.causes, func(name string) bool { return slices.ContainsFunc(t.records[name].Crashes, c.isSame) })
 }
 
 // Crashes returns how many crashes count against the request with this fingerprint.
@@ -174,15 +258,18 @@
 	// Watched requests will be quarantined after one more crash. A run that completes shows that they
 	// were only in flight beside the cause; content that many clients send needs this most.
 	Watched []string
+	// Parts may be quarantined after one more crash. A response to a prompt with one that begins shows that
+	// it was only present beside the cause.
+	Parts []string
 }
 
 // Hash identifies the verdicts; it is zero if all lists are empty.
 func (v CrashVerdicts) Hash() uint64 {
-	if len(v.Refused)+len(v.Trial)+len(v.Watched) == 0 {
+	if len(v.Refused)+len(v.Trial)+len(v.Watched)+len(v.Parts) == 0 {
 		return 0
 	}
 	h := fnv.New64a()
-	for _, list := range [][]string{v.Refused, v.Trial, v.Watched} {
+	for _, list := range [][]string{v.Refused, v.Trial, v.Watched, v.Parts} {
 		for _, fingerprint := range list {
 			h.Write([]byte(fingerprint))
 		}
@@ -196,6 +283,8 @@
 	var v CrashVerdicts
 	for _, r := range t.suspects {
 		switch {
+		case !r.quarantined() && r.Part:
+			v.Parts = append(v.Parts, r.Fingerprint)
 		case !r.quarantined():
 			v.Watched = append(v.Watched, r.Fingerprint)
 		case now.Before(r.TrialAt):
@@ -204,6 +293,11 @@
 			v.Trial = append(v.Trial, r.Fingerprint)
 		}
 	}
+	if len(v.Parts) > maxWatchedParts {
+		slices.SortStableFunc(v.Parts, func(a, b string) int { return -t.records[a].compareBlame(t.records[b]) })
+		v.Parts = v.Parts[:maxWatchedParts]
+		slices.Sort(v.Parts)
+	}
 	return v
 }
 
--- a/limit/quarantine.go
+++ b/limit/quarantine.go
@@ -217,13 +217,14 @@
 }
 
 func (s Suspect) rank() evictionRank {
-	return evictionRank{s.quarantined(), s.At, suspectKey(s.Account, s.Fingerprint)}
+	return evictionRank{s.quarantined(), 0, s.At, suspectKey(s.Account, s.Fingerprint)}
 }
 
 // evictionRank orders requests to which crashes are attributed by which is evicted first: those that
-// are quarantined last, then the oldest first.
+// are quarantined last, then those with fewest crashes, then the oldest first.
 type evictionRank struct {
 	quarantined bool
+	crashes     int
 	at          time.Time
 	key         string
 }
@@ -235,7 +236,7 @@
 		}
 		return -1
 	}
-	return cmp.Or(r.at.Compare(other.at), strings.Compare(r.key, other.key))
+	return cmp.Or(cmp.Compare(r.crashes, other.crashes), r.at.Compare(other.at), strings.Compare(r.key, other.key))
 }
 
 func later(a, b time.Time) time.Time {
--- a/limit/unanswered.go
+++ b/limit/unanswered.go
@@ -10,7 +10,7 @@
 	// the platform's list shows an end only after some seconds.
 	unansweredTime = 10 * time.Second
 	// maxUnansweredRuns bounds the runs kept; the oldest are evicted first.
-	maxUnansweredRuns = 1024
+	maxUnansweredRuns = 4096
 )
 
 // UnansweredRuns finds the runs that ended with their endpoint although nothing said so: an endpoint
@@ -26,10 +26,9 @@
 
 // UnansweredRun is a run of a request whose response did not arrive.
 type UnansweredRun struct {
-	Fingerprint, Endpoint string
-	// Born identifies the endpoint's incarnation.
-	Born int64
-	At   time.Time
+	// Report is what the end of the endpoint would mean; its Age is that at At.
+	Report CrashReport
+	At     time.Time
 }
 
 // ListedEndpoint is what the platform's list says of an endpoint.
@@ -51,8 +50,8 @@
 func (u *UnansweredRuns) Ended(now time.Time, look func(id string) ListedEndpoint) []UnansweredRun {
 	var ended []UnansweredRun
 	u.runs = slices.DeleteFunc(u.runs, func(r UnansweredRun) bool {
-		e := look(r.Endpoint)
-		if !e.Listed || e.Born != r.Born {
+		e := look(r.Report.Endpoint)
+		if !e.Listed || e.Born != r.Report.Born {
 			ended = append(ended, r)
 			return true
 		}
--- a/limit/unanswered_test.go
+++ b/limit/unanswered_test.go
@@ -25,7 +25,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var u limit.UnansweredRuns
-			u.Add(limit.UnansweredRun{Fingerprint: "a", Endpoint: "w", Born: 1, At: start})
+			u.Add(limit.UnansweredRun{Report: limit.CrashReport{Fingerprint: "a", Endpoint: "w", Born: 1}, At: start})
 			ended := 0
 			for at := range 20 {
 				if e, ok := tc.later[time.Duration(at)*s]; ok {
@@ -38,10 +38,10 @@
 	t.Run("bounded, newest runs are kept", func(t *testing.T) {
 		var u limit.UnansweredRuns
 		for i := range 5000 {
-			u.Add(limit.UnansweredRun{Endpoint: "w", Born: int64(i), At: start})
+			u.Add(limit.UnansweredRun{Report: limit.CrashReport{Endpoint: "w", Born: int64(i)}, At: start})
 		}
 		ended := u.Ended(start, func(string) limit.ListedEndpoint { return limit.ListedEndpoint{} })
-		check.Equal(t, "newest", ended[len(ended)-1].Born, int64(4999))
+		check.Equal(t, "newest", ended[len(ended)-1].Report.Born, int64(4999))
 		check.Equal(t, "bounded", len(ended) < 5000, true)
 	})
 }
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -45,6 +45,8 @@
 	began := time.Now()
 	out.first = func() { e.settleFirstToken(j, c, time.Since(began), true) }
 	out.onData = func() { e.recordResponse(to) }
+	j.attemptAt, j.attemptBegun = began, false
+	out.begun = func() { e.recordBegun(j) }
 	defer e.settleFirstToken(j, c, 0, false)
 	defer e.releaseMemory(j, c)
 	reply, err := e.config.Backend.Send(ctx, send)
--- a/pass/crash_test.go
+++ b/pass/crash_test.go
@@ -135,3 +135,42 @@
 		check.Equal(t, "reported", fx.feed.reported(), 0)
 	}
 }
+
+// TestPartThatCrashesIsRefused guards against prompts of which no two are alike and that end each endpoint that begins to
+// respond, by a part that they share; sound prompts with their caller and their other parts must be served meanwhile.
+func TestPartThatCrashesIsRefused(t *testing.T) {
+	n := 0
+	prompt := func(parts ...string) func(*pass.Call) {
+		n++
+		return func(c *pass.Call) {
+			c.ID, c.Body, c.Parts = fmt.Sprint(n), []byte(fmt.Sprint(n)), nil
+			for _, p := range append(parts, fmt.Sprint("own-", n)) {
+				c.Parts = append(c.Parts, pass.Part{ID: p, Tokens: 10})
+			}
+		}
+	}
+	fx := newFixture(t, func(s *pass.Send) (*pass.Reply, error) {
+		for _, p := range s.Call.Parts {
+			if p.ID == "bad" {
+				return respondTruncated("id: 1")(s)
+			}
+		}
+		return respondWith(200, eventA)(s)
+	})
+	for range limit.MaxAttributedCrashes {
+		got, _ := fx.call("/stream/x", "k", prompt("sys", "subject", "bad"))
+		check.Equal(t, "status", got.Code, 502)
+		got, _ = fx.call("/stream/x", "k", prompt("sys", "subject"))
+		check.Equal(t, "status of a sound prompt", got.Code, 200)
+	}
+	sends := len(fx.backend.sends)
+	got, _ := fx.call("/stream/x", "k", prompt("sys", "other", "bad"))
+	check.Equal(t, "status after the crashes", got.Code, 503)
+	got, _ = fx.call("/resume/x", "i", prompt("bad"))
+	check.Equal(t, "status for another caller on another route", got.Code, 503)
+	check.Equal(t, "sends", len(fx.backend.sends), sends)
+	got, _ = fx.call("/stream/x", "k", prompt("sys", "subject"))
+	check.Equal(t, "status of a sound prompt later", got.Code, 200)
+	got, _ = fx.call("/stream/x", "k", prompt("sys"), func(c *pass.Call) { c.Parts[len(c.Parts)-1].ID = "bad" })
+	check.Equal(t, "the last part is a prompt's own", got.Code, 502)
+}
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -33,13 +33,14 @@
 	// endpoint.
 	OtherEntriesTokens(id string) int
 	EntryCount() int
-	// RecordCrash records that an incarnation of an endpoint closed the connection or crashed while running
-	// a request with the fingerprint.
-	RecordCrash(fingerprint, endpoint string, born int64)
-	// RecordCompletion records that an endpoint has run the request with the fingerprint to the end.
+	// RecordCrash records that an incarnation of an endpoint ended while it ran a request. The report
+	// needs no ID.
+	RecordCrash(r limit.CrashReport)
+	// RecordCompletion records that an endpoint has run the request with the fingerprint to the end, or has
+	// begun to respond to a prompt with the part that the fingerprint is of.
 	RecordCompletion(fingerprint func() string)
-	// RejectedFor returns for how long requests with the fingerprint are still rejected because
-	// they crash endpoints; zero if they aren't.
+	// RejectedFor returns for how long requests with the fingerprint, or prompts with a part, are still
+	// rejected because they crash endpoints; zero if they aren't.
 	RejectedFor(fingerprint func() string) time.Duration
 }
 
--- a/pass/pass_test.go
+++ b/pass/pass_test.go
@@ -72,15 +72,15 @@
 	return 1000
 }
 
-func (f *feed) RecordCrash(fingerprint, endpoint string, _ int64) {
+func (f *feed) RecordCrash(r limit.CrashReport) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.crashTracker == nil {
 		f.crashTracker = limit.NewCrashTracker()
 	}
 	f.clock = f.clock.Add(time.Second)
-	report := limit.CrashReport{ID: f.clock.String(), Fingerprint: fingerprint, Endpoint: endpoint}
-	f.crashTracker = f.crashTracker.Apply(limit.CrashCommand{Reports: []limit.CrashReport{report}}, f.clock)
+	r.ID = f.clock.String()
+	f.crashTracker = f.crashTracker.Apply(limit.CrashCommand{Reports: []limit.CrashReport{r}}, f.clock)
 }
 
 // reported returns the number of crashes reported.
--- a/pass/relay.go
+++ b/pass/relay.go
@@ -25,9 +25,9 @@
 	openBytes int
 	// clientGone is set once a write to the client has failed.
 	clientGone bool
-	// first is called at the first event of each response, onData whenever response data
-	// arrives.
-	first, onData func()
+	// first is called at the first data of each response, begun before its first complete output is sent,
+	// onData whenever response data arrives.
+	first, begun, onData func()
 }
 
 func newRelay(w http.ResponseWriter, stream bool) *relay { return &relay{w: w, stream: stream} }
@@ -81,10 +81,11 @@
 	}
 	*first = time.Now()
 	r.notifyData()
+	if len(head) < maxBufferedBytes && tracker.Open() {
+		return BrokenOff.New("the body ends after %d bytes, which aren't all of it", len(head))
+	}
+	r.notifyBegun()
 	if len(head) < maxBufferedBytes {
-		if tracker.Open() {
-			return BrokenOff.New("the body ends after %d bytes, which aren't all of it", len(head))
-		}
 		if !reply.UntilClose {
 			r.w.Header().Set("Content-Length", strconv.Itoa(len(head)))
 		}
@@ -142,6 +143,7 @@
 			if first.IsZero() {
 				*first = time.Now()
 			}
+			r.notifyBegun()
 			r.head(reply)
 			if failed := r.write(pending[:end]); failed != nil {
 				return failed
@@ -169,6 +171,14 @@
 	}
 }
 
+// notifyBegun reports the first complete output of a response, once.
+func (r *relay) notifyBegun() {
+	if r.begun != nil {
+		r.begun()
+		r.begun = nil
+	}
+}
+
 // notifyData reports that response data has arrived.
 func (r *relay) notifyData() {
 	if r.onData != nil {
--- a/pass/report.go
+++ b/pass/report.go
@@ -42,14 +42,22 @@
 // recordUnanswered records a run whose response did not arrive although its endpoint said nothing of
 // an end.
 func (e *Entry) recordUnanswered(j *job, to *member.Endpoint) {
-	for _, fingerprint := range j.fingerprints() {
-		run := limit.UnansweredRun{Fingerprint: fingerprint(), Endpoint: to.ID, Born: to.Born, At: time.Now()}
+	now := time.Now()
+	for _, report := range j.crashReports(to, now) {
 		e.mu.Lock()
-		e.unanswered.Add(run)
+		e.unanswered.Add(limit.UnansweredRun{Report: report, At: now})
 		e.mu.Unlock()
 	}
 }
 
+// recordBegun records that an endpoint has begun to respond to a prompt, so that none of its parts crashes it.
+func (e *Entry) recordBegun(j *job) {
+	j.attemptBegun = true
+	for _, fingerprint := range j.partFingerprints() {
+		e.config.View.RecordCompletion(fingerprint)
+	}
+}
+
 // recordBrokenRun records a run whose connection broke. Endpoints also break off responses and go on: then
 // only the list can show that this one has ended.
 func (e *Entry) recordBrokenRun(ctx context.Context, j *job, to *member.Endpoint) {
@@ -57,8 +65,8 @@
 		e.recordUnanswered(j, to)
 		return
 	}
-	for _, fingerprint := range j.fingerprints() {
-		e.reportCrash(j.call.ID, fingerprint(), to.ID, to.Born)
+	for _, report := range j.crashReports(to, time.Now()) {
+		e.reportCrash(j.call.ID, report)
 	}
 }
 
@@ -78,15 +86,17 @@
 	})
 	e.mu.Unlock()
 	for _, run := range ended {
-		e.reportCrash("", run.Fingerprint, run.Endpoint, run.Born)
+		report := run.Report
+		report.Age += now.Sub(run.At)
+		e.reportCrash("", report)
 	}
 }
 
 // reportCrash reports that an endpoint ended while it ran a request; id is empty if the request has
 // ended before.
-func (e *Entry) reportCrash(id, fingerprint, endpoint string, born int64) {
-	e.config.View.RecordCrash(fingerprint, endpoint, born)
-	e.config.Events.Emit(event.CrashReported, "id", id, "endpoint", endpoint, "born", born, "print", fingerprint)
+func (e *Entry) reportCrash(id string, r limit.CrashReport) {
+	e.config.View.RecordCrash(r)
+	e.config.Events.Emit(event.CrashReported, "id", id, "endpoint", r.Endpoint, "born", r.Born, "print", r.Fingerprint, "part", r.Part)
 }
 
 // downOverrideTime is how long response data counts against control's report that its endpoint
--- a/pass/serve.go
+++ b/pass/serve.go
@@ -13,6 +13,8 @@
 	"egretshunt/board"
 	"egretshunt/clock"
 	"egretshunt/event"
+	"egretshunt/limit"
+	"egretshunt/member"
 	"egretshunt/route"
 )
 
@@ -54,6 +56,9 @@
 	refusals int
 	// mayHaveReached is set once an attempt has reached an endpoint, or may have.
 	mayHaveReached bool
+	// attemptAt is when the current attempt was sent; attemptBegun is set once it has had output.
+	attemptAt    time.Time
+	attemptBegun bool
 	// firstByteAt is when the first byte of the response arrived; zero before.
 	firstByteAt time.Time
 	// fetched and saved are the prompt tokens that the last attempt was to fetch and to save.
@@ -186,7 +191,7 @@
 // next chooses the endpoint of the next attempt, unless the request is rejected because it
 // crashes endpoints.
 func (e *Entry) next(j *job) (*placement, *failure) {
-	for _, fingerprint := range j.fingerprints() {
+	for _, fingerprint := range append(j.fingerprints(), j.partFingerprints()...) {
 		if left := e.config.View.RejectedFor(fingerprint); left > 0 {
 			return nil, j.finalFailure(reasonCrashes, left)
 		}
@@ -214,13 +219,48 @@
 	return j.contentHash
 }
 
+// partFingerprints returns functions for the fingerprints of the prompt's parts that other requests may share,
+// under which crashes count that requests of which no two are alike cause by one part.
+func (j *job) partFingerprints() []func() string {
+	shared := j.call.Shared()
+	prints := make([]func() string, 0, len(shared))
+	for _, p := range shared[:min(len(shared), maxTrackedParts)] {
+		prints = append(prints, func() string { return hashFields([]string{"part", j.call.Model, p.ID}, nil) })
+	}
+	return prints
+}
+
+// maxTrackedParts bounds the parts of one prompt to which crashes are attributed.
+const maxTrackedParts = 32
+
+// crashReports returns the reports that an endpoint ended under the current attempt. Prompts whose response
+// had begun tell nothing of their parts: a part that crashes endpoints does so before.
+func (j *job) crashReports(to *member.Endpoint, now time.Time) []limit.CrashReport {
+	var reports []limit.CrashReport
+	for _, fingerprint := range j.fingerprints() {
+		reports = append(reports, limit.CrashReport{Fingerprint: fingerprint(), Endpoint: to.ID, Born: to.Born})
+	}
+	if j.attemptBegun {
+		return reports
+	}
+	for _, fingerprint := range j.partFingerprints() {
+		reports = append(reports, limit.CrashReport{Fingerprint: fingerprint(), Endpoint: to.ID, Born: to.Born, Part: true, Age: now.Sub(j.attemptAt)})
+	}
+	return reports
+}
+
 // hashContent returns the fingerprint of the request with the given target.
 func (j *job) hashContent(target string) string {
+	return hashFields([]string{j.account, j.call.Method, target}, j.call.Body)
+}
+
+// hashFields returns the fingerprint of some fields and a body.
+func hashFields(fields []string, body []byte) string {
 	h := sha256.New()
-	for _, part := range []string{j.account, j.call.Method, target} {
-		fmt.Fprintf(h, "%d:%s,", len(part), part)
+	for _, f := range fields {
+		fmt.Fprintf(h, "%d:%s,", len(f), f)
 	}
-	h.Write(j.call.Body)
+	h.Write(body)
 	return hex.EncodeToString(h.Sum(nil)[:fingerprintBytes])
 }
 
