An endpoint that says it is leaving gets no further requests (DRAIN)

What callers would see: requests sent to an endpoint that is about to stop, until the list shows it as draining seconds later. Cause: no code knew the header Server-Leaving. Ruled out: the list alone (it lags). Change: pass.Reply.Leaving, from any response: a stream's head, a rejection, a failure. The entry sends that incarnation nothing more, as long as it is listed and ten minutes beyond; the next one has a state of its own.

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -55,6 +55,9 @@
 	}
 	defer reply.Body.Close()
 	j.mayHaveReached = true
+	if reply.Leaving {
+		e.recordLeaving(to)
+	}
 	if reply.NotRun {
 		return e.handleNotRun(j, to, reply, out, send)
 	}
@@ -82,6 +85,19 @@
 	return e.relayReply(ctx, j, to, reply, out, began, false)
 }
 
+// recordLeaving keeps further requests from an endpoint that says that it is leaving. Its next incarnation has a
+// state of its own.
+func (e *Entry) recordLeaving(to *member.Endpoint) {
+	e.mu.Lock()
+	s := e.endpointState(to)
+	known := !s.leavingAt.IsZero()
+	s.leavingAt = time.Now()
+	e.mu.Unlock()
+	if !known {
+		e.config.Events.Emit(event.Draining, "endpoint", to.ID, "pool", to.Pool, "born", to.Born)
+	}
+}
+
 // releaseMemory releases the engine memory reserved for an attempt.
 func (e *Entry) releaseMemory(j *job, c *placement) {
 	e.mu.Lock()
--- a/pass/call.go
+++ b/pass/call.go
@@ -111,6 +111,8 @@
 	OtherEndpoint string
 	// Version is the version of the weights that produced the response; zero if unknown.
 	Version uint64
+	// Leaving reports that the endpoint is about to stop and wants no further requests.
+	Leaving bool
 	// RetryAfter is the Retry-After time that the endpoint sent; zero if none.
 	RetryAfter time.Duration
 	// UntilClose reports that the body has neither a length nor chunks and ends with its connection.
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -136,6 +136,8 @@
 	alive time.Time
 	// fullUntil is when an endpoint that reported itself full may get requests again.
 	fullUntil time.Time
+	// leavingAt is when the endpoint said that it is leaving; zero if it hasn't.
+	leavingAt time.Time
 	// replaced is set once another endpoint has responded at the address.
 	replaced bool
 	// versions are the weights versions observed in responses, by model; they may be newer than
@@ -193,12 +195,16 @@
 	}
 }
 
+// leavingMemory is how long an entry remembers of an endpoint that isn't listed that it is leaving: the list
+// may show it again.
+const leavingMemory = 10 * time.Minute
+
 func (e *Entry) removeStale(now time.Time) {
 	list := e.list()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for id, s := range e.endpointStates {
-		if s.inFlight == 0 && (list == nil || list.Find(id) == nil) {
+		if s.inFlight == 0 && (list == nil || list.Find(id) == nil) && now.Sub(s.leavingAt) > leavingMemory {
 			delete(e.endpointStates, id)
 		}
 	}
--- a/pass/place.go
+++ b/pass/place.go
@@ -103,7 +103,7 @@
 	for _, to := range list.Pool(j.pool) {
 		s := e.endpointState(to)
 		switch {
-		case to.Draining || to.Loading || s.replaced || slices.Contains(j.tried, to.ID):
+		case to.Draining || to.Loading || s.replaced || !s.leavingAt.IsZero() || slices.Contains(j.tried, to.ID):
 		case e.hasOutdatedWeights(s, to, j, now):
 		case now.Before(s.fullUntil):
 			if nextFree.IsZero() || s.fullUntil.Before(nextFree) {
