--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -58,6 +58,9 @@
 	if reply.Leaving {
 		e.recordLeaving(to)
 	}
+	if reply.Status == http.StatusServiceUnavailable || reply.Status == http.StatusTooManyRequests {
+		e.recordFull(to, reply)
+	}
 	if reply.NotRun {
 		return e.handleNotRun(j, to, reply, out, send)
 	}
@@ -98,6 +101,44 @@
 	}
 }
 
+// recordFull keeps requests from an endpoint that has turned one away, for as long as it asked.
+func (e *Entry) recordFull(to *member.Endpoint, reply *Reply) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.endpointState(to)
+	if until := time.Now().Add(max(reply.RetryAfter, minFullTime)); reply.NotRun || reply.RetryAfter > 0 {
+		s.fullUntil = later(s.fullUntil, until)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// timeUntilFree returns when a client may come back whose request no endpoint had room for: once the first endpoint
+// of the pool may be asked. The caller holds mu.
+func (e *Entry) timeUntilFree(pool string, now time.Time) time.Duration {
+	list := e.list()
+	if list == nil {
+		return staleRetryAfter
+	}
+	var first time.Time
+	for _, to := range list.Pool(pool) {
+		s := e.endpointState(to)
+		switch {
+		case s.isAvoided(to):
+		case !now.Before(s.fullUntil):
+			return fullRetryAfter
+		case first.IsZero() || s.fullUntil.Before(first):
+			first = s.fullUntil
+		}
+	}
+	return max(first.Sub(now), fullRetryAfter)
+}
+
 // releaseMemory releases the engine memory reserved for an attempt.
 func (e *Entry) releaseMemory(j *job, c *placement) {
 	e.mu.Lock()
@@ -222,8 +263,6 @@
 	case reply.Status == http.StatusMisdirectedRequest:
 		outcome = outcomeOtherEndpoint
 		s.replaced = true
-	default:
-		s.fullUntil = now.Add(max(min(reply.RetryAfter, time.Second), minFullTime))
 	}
 	e.mu.Unlock()
 	if j.refusals++; j.refusals > maxRefusals || !e.allowRetry(j.pool) {
@@ -231,7 +270,10 @@
 		if out.headerSent {
 			return false, e.cutResponse(j, out)
 		}
-		return false, j.finalFailure(reasonFull, max(reply.RetryAfter, fullRetryAfter))
+		e.mu.Lock()
+		wait := e.timeUntilFree(j.pool, now)
+		e.mu.Unlock()
+		return false, j.finalFailure(reasonFull, wait)
 	}
 	e.recordAttempt(j, to, outcome, "again", reply.Status)
 	return true, nil
--- a/pass/place.go
+++ b/pass/place.go
@@ -70,12 +70,13 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	eligible, nextFree := e.eligible(j, list, now)
+	eligible, anyFull := e.eligible(j, list, now)
 	if len(eligible) == 0 {
-		if !nextFree.IsZero() {
-			return nil, j.finalFailure(reasonFull, max(time.Until(nextFree), fullRetryAfter))
+		reason := reasonNoneLeft
+		if anyFull {
+			reason = reasonFull
 		}
-		return nil, j.finalFailure(reasonNoneLeft, fullRetryAfter)
+		return nil, j.finalFailure(reason, e.timeUntilFree(j.pool, now))
 	}
 	var c *placement
 	if j.route.NamesPromptParts && len(j.call.Parts) > 0 {
@@ -96,30 +97,33 @@
 	return c, nil
 }
 
-// eligible returns the endpoints that may receive the request. If there are none, nextFree is
-// when the first full endpoint accepts requests again. The caller holds mu.
-func (e *Entry) eligible(j *job, list *member.List, now time.Time) (eligible []*member.Endpoint, nextFree time.Time) {
+// eligible returns the endpoints that may receive the request. anyFull reports whether others have asked for
+// time. The caller holds mu.
+func (e *Entry) eligible(j *job, list *member.List, now time.Time) (eligible []*member.Endpoint, anyFull bool) {
 	var ejected []*member.Endpoint
 	for _, to := range list.Pool(j.pool) {
 		s := e.endpointState(to)
 		switch {
-		case to.Draining || to.Loading || s.replaced || !s.leavingAt.IsZero() || slices.Contains(j.tried, to.ID):
+		case s.isAvoided(to) || slices.Contains(j.tried, to.ID):
 		case e.hasOutdatedWeights(s, to, j, now):
 		case now.Before(s.fullUntil):
-			if nextFree.IsZero() || s.fullUntil.Before(nextFree) {
-				nextFree = s.fullUntil
-			}
+			anyFull = true
 		case to.Down || !s.health.Fit(now):
 			ejected = append(ejected, to)
 		default:
 			eligible = append(eligible, to)
 		}
 	}
-	if len(eligible) == 0 && nextFree.IsZero() {
+	if len(eligible) == 0 && !anyFull {
 		// If every endpoint is down or ejected, these reports carry no information: use them all.
 		eligible = ejected
 	}
-	return eligible, nextFree
+	return eligible, anyFull
+}
+
+// isAvoided reports whether an endpoint gets no new requests, however full the others are.
+func (s *endpointState) isAvoided(to *member.Endpoint) bool {
+	return to.Draining || to.Loading || s.replaced || !s.leavingAt.IsZero()
 }
 
 // rolloutMargin is how long before the deadline of a weights rollout the last prompt sent to an
