--- a/agent/agent.go
+++ b/agent/agent.go
@@ -82,6 +82,9 @@
 	mu        sync.Mutex
 	exchanges map[string]*exchange
 
+	// cleared paces the reports on parts of prompts.
+	cleared partReports
+
 	// healthMu serialises health checks; it is locked before engine.
 	healthMu sync.Mutex
 
--- a/agent/exchange.go
+++ b/agent/exchange.go
@@ -25,6 +25,7 @@
 	id          string
 	account     string
 	fingerprint string
+	parts       []string
 	atMostOnce  bool
 	isolated    bool
 	tokens      float64
@@ -38,6 +39,8 @@
 	data       []byte
 	dataOffset uint64
 	sentOffset uint64
+	// sentAt is when the request was sent to the endpoint; zero before.
+	sentAt time.Time
 	// end is set when the response is complete, failure when it never will be.
 	end        *wire.End
 	failure    *wire.Refuse
@@ -48,13 +51,27 @@
 
 func newExchange(o *wire.Offer, cancel context.CancelFunc) *exchange {
 	x := &exchange{
-		id: o.GetId(), account: o.GetAccount(), fingerprint: o.GetPrint(), atMostOnce: o.GetOnce(), isolated: o.GetAlone(),
+		id: o.GetId(), account: o.GetAccount(), fingerprint: o.GetPrint(), parts: o.GetParts(), atMostOnce: o.GetOnce(), isolated: o.GetAlone(),
 		tokens: float64(o.GetSize()), cancel: cancel,
 	}
 	x.cond = sync.NewCond(&x.mu)
 	return x
 }
 
+// markSent records that the request is sent to the endpoint.
+func (x *exchange) markSent(now time.Time) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.sentAt = now
+}
+
+// awaitsOutput reports whether the request was sent and no output has come, and when it was sent.
+func (x *exchange) awaitsOutput() (sentAt time.Time, ok bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.sentAt, !x.sentAt.IsZero() && x.dataOffset == 0 && len(x.data) == 0
+}
+
 // begin records the response's status and headers. They are sent with the first bytes,
 // or with the end of an empty response.
 func (x *exchange) begin(r *Response) {
--- a/agent/offer.go
+++ b/agent/offer.go
@@ -13,7 +13,6 @@
 	"github.com/joomcode/errorx"
 
 	"egretshunt/body"
-	"egretshunt/ctrl"
 	"egretshunt/event"
 	"egretshunt/ledger"
 	"egretshunt/limit"
@@ -204,7 +203,8 @@
 	if a.config.Follower == nil || o.GetAlone() {
 		return nil
 	}
-	verdict, _ := a.config.Follower.View().Suspects.Check(o.GetAccount(), o.GetPrint(), time.Now())
+	suspects := a.config.Follower.View().Suspects
+	verdict, _ := suspects.Check(o.GetAccount(), suspects.PrintOf(o.GetAccount(), o.GetPrint(), o.GetParts(), time.Now()), time.Now())
 	if verdict == limit.Run {
 		return nil
 	}
@@ -320,6 +320,7 @@
 		ctx, stop = context.WithTimeout(ctx, a.config.CallTimeout)
 		defer stop()
 	}
+	x.markSent(began)
 	reply, use, err := a.begin(ctx, o, call)
 	if err != nil {
 		x.fail(a.classifyFailure(ctx, o, x, err))
@@ -364,6 +365,9 @@
 	for {
 		n, err := source.Read(buf)
 		total += int64(n)
+		if n > 0 && total == int64(n) {
+			a.clearParts(x.parts)
+		}
 		if n > 0 {
 			if werr := x.write(ctx, buf[:n], total == reply.Length); werr != nil {
 				return werr
@@ -421,64 +425,6 @@
 	return newRefuse(codeBroken, ranUnknown, "the endpoint broke off its answer")
 }
 
-// checkCrash reports whether the endpoint's process is gone. If so, it reports the requests in
-// flight to control before any of them can be retried.
-func (a *Agent) checkCrash(ctx context.Context, x *exchange) bool {
-	a.engine.Lock()
-	before := a.health.Incarnation
-	a.engine.Unlock()
-	a.updateHealth(ctx)
-	a.engine.Lock()
-	gone := !a.responding || (before != "" && a.health.Incarnation != before)
-	a.engine.Unlock()
-	if !gone {
-		return false
-	}
-	fingerprints, accounts := a.inFlight(x)
-	crash := a.incarnation + "/" + before
-	if before == "" {
-		crash = x.id
-	}
-	a.Crashes.Add(1)
-	a.config.Events.Emit(event.Crash, "endpoint", a.config.Endpoint, "requests", len(fingerprints), "id", x.id)
-	if a.config.Control == nil {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(a.ctx, 3*time.Second)
-	defer cancel()
-	// If control can't be reached, the requests aren't quarantined; the next crash is reported.
-	_, _ = a.config.Control.Propose(ctx, ctrl.Command{Suspect: &limit.Command{
-		Op: limit.OpCrash, Crash: crash, Fingerprints: fingerprints, Accounts: accounts,
-	}})
-	return true
-}
-
-// inFlight returns the fingerprints and accounts of requests on the endpoint, x first.
-func (a *Agent) inFlight(x *exchange) (fingerprints, accounts []string) {
-	fingerprints, accounts = []string{x.fingerprint}, []string{x.account}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, other := range a.exchanges {
-		if other != x && !other.isDone() && other.fingerprint != "" && !slices.Contains(fingerprints, other.fingerprint) {
-			fingerprints = append(fingerprints, other.fingerprint)
-			accounts = append(accounts, other.account)
-		}
-	}
-	return fingerprints, accounts
-}
-
-// clear reports to control that a quarantined request completed its isolated run without a crash.
-func (a *Agent) clear(o *wire.Offer) {
-	if a.config.Control == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(a.ctx, 3*time.Second)
-	defer cancel()
-	_, _ = a.config.Control.Propose(ctx, ctrl.Command{Suspect: &limit.Command{
-		Op: limit.OpClear, Account: o.GetAccount(), Fingerprints: []string{o.GetPrint()}, Holder: o.GetId(),
-	}})
-}
-
 // serveRevoke sends the outcome of an attempt and keeps it from starting if it hasn't.
 func (a *Agent) serveRevoke(ctx context.Context, s *wire.Stream, r *wire.Revoke) {
 	v := a.verdictFor(ctx, r)
--- a/ctrl/machine.go
+++ b/ctrl/machine.go
@@ -53,6 +53,9 @@
 	Weights         *Weights           `json:"weights,omitempty"`
 	// Crashes attributes endpoint crashes to requests that were sent to endpoints without an agent.
 	Crashes *limit.CrashCommand `json:"crashes,omitempty"`
+	// PartCrashes does the same for parts of prompts at endpoints with an agent, whose quarantines are part of
+	// the view.
+	PartCrashes *limit.CrashCommand `json:"partcrashes,omitempty"`
 	// JoinGroup is a control VM's request to become a member; it is never an entry of the log.
 	JoinGroup *quorum.Member `json:"meet,omitempty"`
 }
@@ -106,7 +109,10 @@
 	Rev      uint64          `json:"rev"`
 	Suspects *limit.Suspects `json:"suspects"`
 	Draining []string        `json:"leaving,omitempty"`
-	Epoch    uint64          `json:"epoch"`
+	// Parts lists the parts of prompts that were present at crashes of endpoints with an agent: agents report
+	// responses to prompts with them that begin.
+	Parts []string `json:"parts,omitempty"`
+	Epoch uint64   `json:"epoch"`
 	// Set is the table set in force; nil before the first.
 	Set *TableSetDocument `json:"set,omitempty"`
 	// Weights holds the latest target version of each model.
@@ -164,6 +170,8 @@
 		m.applyWeights(index, *c.Weights)
 	case c.Crashes != nil:
 		m.crashes = m.crashes.Apply(*c.Crashes, m.now)
+	case c.PartCrashes != nil:
+		m.applyPartCrashes(index, *c.PartCrashes)
 	}
 	for _, j := range c.RegisterNodes {
 		m.nodes[j.Node] = j
@@ -193,12 +201,31 @@
 	next := *m.view
 	next.Suspects = suspects
 	m.publishView(index, &next)
+	if c.Op == limit.OpClear || c.Op == limit.OpOperatorClear {
+		m.crashes = m.crashes.Apply(limit.CrashCommand{Completed: c.Fingerprints}, m.now)
+	}
 	if c.Op == limit.OpOperatorClear && len(c.Fingerprints) > 0 {
 		m.tables.AppendAudit(table.AuditRecord{At: m.now, Operator: c.Operator, Table: "suspects", Name: c.Account + "/" + c.Fingerprints[0], Op: "pardon"})
 	}
 	return Result{Verdict: verdict}
 }
 
+// applyPartCrashes counts the crashes that an agent reports, and publishes the parts that they quarantine and those on
+// which agents must report.
+func (m *Machine) applyPartCrashes(index uint64, c limit.CrashCommand) {
+	former := m.crashes
+	m.crashes = former.Apply(c, m.now)
+	next := *m.view
+	next.Parts = m.crashes.Verdicts(m.now).Parts
+	quarantined := m.crashes.QuarantinedSince(former)
+	for _, part := range quarantined {
+		next.Suspects, _ = next.Suspects.Apply(limit.Command{Op: limit.OpQuarantine, Account: part.Account, Fingerprints: []string{part.Fingerprint}, At: m.now})
+	}
+	if len(quarantined) > 0 || !slices.Equal(next.Parts, m.view.Parts) {
+		m.publishView(index, &next)
+	}
+}
+
 func (m *Machine) applyEpoch(index uint64, e Epoch) Result {
 	if e == m.owner {
 		return Result{Epoch: m.view.Epoch}
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -6,9 +6,11 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 
 	"egretshunt/block"
+	"egretshunt/ledger"
 )
 
 // defaultOutputTokens is the output length assumed when a request sets no max_tokens, in tokens.
@@ -95,6 +97,34 @@
 	return b.String(), nil
 }
 
+// maxSharedParts bounds the parts of one prompt to which crashes are attributed.
+const maxSharedParts = 32
+
+// sharedParts returns the fingerprints of the parts of the prompt that other requests may share: the messages,
+// texts or blocks before the last one.
+func (p *completionRequest) sharedParts(account string) []string {
+	var texts [][]byte
+	var list []string
+	switch {
+	case len(p.Messages) > 0:
+		for _, m := range p.Messages {
+			texts = append(texts, append([]byte(m.Role+": "), m.Content...))
+		}
+	case json.Unmarshal(p.Prompt, &list) == nil:
+		for _, text := range list {
+			texts = append(texts, []byte(text))
+		}
+	default:
+		texts = slices.Collect(slices.Chunk(p.promptText, block.TextBytes))
+	}
+	texts = texts[:max(len(texts)-1, 0)]
+	parts := make([]string, 0, min(len(texts), maxSharedParts))
+	for _, text := range texts[:min(len(texts), maxSharedParts)] {
+		parts = append(parts, ledger.Fingerprint([]byte("part"), []byte(account), []byte(p.Model), text))
+	}
+	return parts
+}
+
 // joinText concatenates the text of raw, which is a string, a list of strings or a list of
 // objects with a text field.
 func joinText(raw json.RawMessage) (string, bool) {
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -143,7 +144,9 @@
 // isolated run of a suspected one. If crashed is set, control is asked even if the
 // local view doesn't list the request as a suspect.
 func (e *Entry) checkQuarantine(ctx context.Context, j *job, crashed bool) *Failure {
-	verdict, suspect := e.config.Follower.View().Suspects.Check(j.account, j.fingerprint, time.Now())
+	suspects := e.config.Follower.View().Suspects
+	j.print = suspects.PrintOf(j.account, j.fingerprint, j.parts, time.Now())
+	verdict, suspect := suspects.Check(j.account, j.print, time.Now())
 	if verdict == limit.Run && !crashed {
 		return nil
 	}
@@ -152,7 +155,7 @@
 	}
 	switch verdict {
 	case limit.Refuse:
-		e.config.Events.Emit(event.Quarantined, "account", j.account, "print", j.fingerprint)
+		e.config.Events.Emit(event.Quarantined, "account", j.account, "print", j.print)
 		f := newFailure(http.StatusUnprocessableEntity, CodeQuarantined, j.ran, "this request crashed endpoints and is refused for a while")
 		if remaining := time.Until(suspect.RefusedUntil); remaining > 0 {
 			return f.withRetryAfter(remaining)
@@ -170,7 +173,7 @@
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	r, err := e.config.Control.Propose(ctx, ctrl.Command{Suspect: &limit.Command{
-		Op: limit.OpIsolatedRun, Account: j.account, Fingerprints: []string{j.fingerprint}, Holder: j.id,
+		Op: limit.OpIsolatedRun, Account: j.account, Fingerprints: []string{j.print}, Holder: j.id,
 	}})
 	if err != nil {
 		// Only control can grant an isolated run, so the request must wait.
@@ -271,7 +274,7 @@
 		Method: j.method, Path: j.path, Body: j.body, Prompt: j.promptText, Key: r.attempt.key, Attempt: r.attempt.number,
 		BudgetMs: uint32(max(time.Until(j.deadline).Milliseconds(), 1)), Class: j.plan.Route.Class.Rank(),
 		Boot: r.attempt.incarnation, Stream: j.stream, Once: j.atMostOnce, Output: uint32(j.maxOutputTokens), Alone: j.isolated,
-		Print: j.fingerprint, Size: uint32(j.promptTokens),
+		Print: cmp.Or(j.print, j.fingerprint), Parts: j.parts, Size: uint32(j.promptTokens),
 	}
 	for name, values := range j.headers {
 		for _, v := range values {
--- a/entry/request.go
+++ b/entry/request.go
@@ -32,6 +32,10 @@
 	root            uint64
 	stream          bool
 	fingerprint     string
+	// parts are the fingerprints of the prompt's parts that other requests may share.
+	parts []string
+	// print is the fingerprint under which the request is suspected of crashing endpoints.
+	print string
 	// key is the value of IdempotencyKeyHeader; empty if there is none or the method is safe.
 	key string
 	// atMostOnce is set for requests that must not run twice.
@@ -67,7 +71,7 @@
 		return &job{
 			target: p.Model, plan: plan, method: http.MethodPost, path: r.URL.Path, body: body, promptText: p.promptText,
 			promptTokens: estimateTokens(p.promptText), maxOutputTokens: p.MaxTokens, root: block.RootHash(account, p.Model, p.promptText), stream: p.Stream,
-			fingerprint: ledger.Fingerprint([]byte(p.Model), p.promptText),
+			fingerprint: ledger.Fingerprint([]byte(p.Model), p.promptText), parts: p.sharedParts(account),
 		}, nil
 	})
 }
--- a/limit/attribute.go
+++ b/limit/attribute.go
@@ -69,8 +69,9 @@
 type crashRecord struct {
 	Fingerprint string `json:"print"`
 	// Part is set if the fingerprint is of a part of prompts.
-	Part  bool `json:"part,omitempty"`
-	Count int  `json:"count"`
+	Part    bool   `json:"part,omitempty"`
+	Account string `json:"account,omitempty"`
+	Count   int    `json:"count"`
 	// TrialAt is when the request may run as a trial; zero if it isn't quarantined. Trials counts the
 	// trials that crashed an endpoint.
 	TrialAt time.Time `json:"trial,omitzero"`
@@ -145,6 +146,8 @@
 	// long before the report the attempt began.
 	Part bool          `json:"part,omitempty"`
 	Age  time.Duration `json:"age,omitempty"`
+	// Account is the client account within which the fingerprint is quarantined; empty if for all.
+	Account string `json:"account,omitempty"`
 }
 
 // CrashCommand is a replicated set of an entry's reports. Applying it again changes nothing.
@@ -213,7 +216,7 @@
 	case !known && len(t.records) >= maxTrackedRequests:
 		t.evict(now)
 	}
-	r.Fingerprint, r.Part = report.Fingerprint, report.Part
+	r.Fingerprint, r.Part, r.Account = report.Fingerprint, report.Part, report.Account
 	limit := maxTrackedCrashes
 	if r.Part {
 		limit = maxPartCrashes
--- a/limit/parts.go
+++ b/limit/parts.go
@@ -21,6 +21,20 @@
 	}
 }
 
+// QuarantinedPart is a part of prompts that is refused within a client account.
+type QuarantinedPart struct{ Account, Fingerprint string }
+
+// QuarantinedSince returns the parts that are quarantined and were not in a former tracker, sorted.
+func (t *CrashTracker) QuarantinedSince(former *CrashTracker) []QuarantinedPart {
+	var parts []QuarantinedPart
+	for _, name := range t.causes {
+		if !slices.Contains(former.causes, name) {
+			parts = append(parts, QuarantinedPart{t.records[name].Account, name})
+		}
+	}
+	return parts
+}
+
 // mostBlamed returns the part to quarantine, if there is one. It was present at the most crashes; one that
 // was never seen in a prompt whose response began goes before one that was, and a tie between such parts needs
 // more crashes.
--- a/limit/parts_test.go
+++ b/limit/parts_test.go
@@ -200,3 +200,23 @@
 		check.Equal(t, "endpoints ended", ended <= 16, true)
 	}
 }
+
+// TestQuarantinedPartOfSuspects guards against requests that differ in all but a quarantined part and run each as its own
+// content: they must be refused, and run in isolation, as one.
+func TestQuarantinedPartOfSuspects(t *testing.T) {
+	s, _ := limit.NewSuspects().Apply(limit.Command{Op: limit.OpQuarantine, Account: "a", Fingerprints: []string{"bad"}, At: start})
+	parts := []string{"sys", "bad"}
+	suspected := s.PrintOf("a", "own", parts, start)
+	check.Equal(t, "print of a request with the part", suspected, "bad")
+	verdict, _ := s.Check("a", suspected, start)
+	check.Equal(t, "verdict", verdict, limit.Refuse)
+	check.Equal(t, "print of another account's", s.PrintOf("b", "own", parts, start), "own")
+	check.Equal(t, "print of a sound request", s.PrintOf("a", "own", parts[:1], start), "own")
+	later := start.Add(limit.QuarantineTime + time.Second)
+	s, verdict = s.Apply(limit.Command{Op: limit.OpIsolatedRun, Account: "a", Fingerprints: []string{suspected}, Holder: "h", At: later})
+	check.Equal(t, "after the quarantine", verdict, limit.RunIsolated)
+	verdict, _ = s.Check("a", s.PrintOf("a", "another", parts, later), later)
+	check.Equal(t, "another request with the part meanwhile", verdict, limit.WaitForIsolatedRun)
+	s, _ = s.Apply(limit.Command{Op: limit.OpClear, Account: "a", Fingerprints: []string{suspected}, Holder: "h", At: later})
+	check.Equal(t, "print after a run without a crash", s.PrintOf("a", "own", parts, later), "own")
+}
--- a/limit/quarantine.go
+++ b/limit/quarantine.go
@@ -59,6 +59,7 @@
 	OpIsolatedRun   = "trial"
 	OpClear         = "clear"
 	OpOperatorClear = "pardon"
+	OpQuarantine    = "quarantine"
 )
 
 // Command is a replicated change to the suspects.
@@ -177,10 +178,25 @@
 		}
 	case OpOperatorClear:
 		delete(s.byKey, key)
+	case OpQuarantine:
+		s.byKey[key] = Suspect{
+			Account: account, Fingerprint: fingerprint, Crashes: QuarantineCrashes, At: c.At, RefusedUntil: later(suspect.RefusedUntil, c.At.Add(QuarantineTime)),
+		}
 	}
 	return Run
 }
 
+// PrintOf returns the fingerprint under which a request is suspected: that of one of its parts that isn't free to
+// run, or its own. Requests that share such a part run, and are refused, as equal ones.
+func (s *Suspects) PrintOf(account, fingerprint string, parts []string, now time.Time) string {
+	for _, part := range parts {
+		if verdict, _ := s.Check(account, part, now); verdict != Run {
+			return part
+		}
+	}
+	return fingerprint
+}
+
 // recordCrash counts one crash once, however many entries report it.
 func recordCrash(suspect Suspect, c Command, account, fingerprint string) Suspect {
 	if suspect.Crash == c.Crash && c.Crash != "" {
