--- a/agent/crash.go
+++ b/agent/crash.go
@@ -44,11 +44,19 @@
 		Op: limit.OpCrash, Crash: crash, Fingerprints: fingerprints, Accounts: accounts,
 	}})
 	if parts := a.partCrashes(x, crash); len(parts) > 0 {
-		_, _ = a.config.Control.Propose(ctx, ctrl.Command{PartCrashes: &limit.CrashCommand{Entry: a.config.Endpoint, Reports: parts}})
+		a.proposePartCrashes(ctx, limit.CrashCommand{Reports: parts})
 	}
 	return true
 }
 
+// proposePartCrashes tells control of ends under parts of prompts, or of responses that began.
+func (a *Agent) proposePartCrashes(ctx context.Context, c limit.CrashCommand) {
+	c.Entry = a.config.Endpoint
+	if _, err := a.config.Control.Propose(ctx, ctrl.Command{PartCrashes: &c}); err != nil {
+		a.config.Events.Emit(event.CrashUncounted, "entry", c.Entry, "count", len(c.Reports)+len(c.Completed), "err", err)
+	}
+}
+
 // partCrashes returns the reports that the endpoint ended under the parts of the prompts of which it had not
 // begun the response; crash identifies the end.
 func (a *Agent) partCrashes(x *exchange, crash string) []limit.CrashReport {
@@ -92,9 +100,7 @@
 	a.tasks.Go(func() {
 		ctx, cancel := context.WithTimeout(a.ctx, 3*time.Second)
 		defer cancel()
-		if _, err := a.config.Control.Propose(ctx, ctrl.Command{PartCrashes: &limit.CrashCommand{Entry: a.config.Endpoint, Completed: begun}}); err != nil {
-			a.config.Events.Emit(event.CrashUncounted, "entry", a.config.Endpoint, "count", len(begun), "err", err)
-		}
+		a.proposePartCrashes(ctx, limit.CrashCommand{Completed: begun})
 	})
 }
 
--- a/body/serve.go
+++ b/body/serve.go
@@ -1,7 +1,6 @@
 package body
 
 import (
-	"errors"
 	"net"
 	"net/http"
 )
@@ -21,24 +20,20 @@
 // complete.
 func ShowsEnd(h http.Header) bool { return h.Get("Transfer-Encoding") != untilClose }
 
-// ResetAborted returns a handler that resets the connection of each response that next aborts with
-// http.ErrAbortHandler and whose end would otherwise be that of its connection: closed as usual, it would look
+// ResetAborted returns a handler that resets the connection of each response that next aborts by a panic, such as
+// http.ErrAbortHandler, and whose end would otherwise be that of its connection: closed as usual, it would look
 // complete.
 func ResetAborted(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		aborted := true
 		defer func() {
-			failure := recover()
-			if failure == nil {
-				return
-			}
-			err, ok := failure.(error)
 			counted := w.Header().Get("Content-Length") != "" || r.ProtoAtLeast(1, 1) && ShowsEnd(w.Header())
-			if ok && errors.Is(err, http.ErrAbortHandler) && !counted {
+			if aborted && !counted {
 				reset(w)
 			}
-			panic(failure)
 		}()
 		next.ServeHTTP(w, r)
+		aborted = false
 	})
 }
 
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -88,57 +88,6 @@
 	return e.relayReply(ctx, j, to, reply, out, began, false)
 }
 
-// recordLeaving keeps further requests from an endpoint that says that it is leaving. Its next incarnation has a
-// state of its own.
-func (e *Entry) recordLeaving(to *member.Endpoint) {
-	e.mu.Lock()
-	s := e.endpointState(to)
-	known := !s.leavingAt.IsZero()
-	s.leavingAt = time.Now()
-	e.mu.Unlock()
-	if !known {
-		e.config.Events.Emit(event.Draining, "endpoint", to.ID, "pool", to.Pool, "born", to.Born)
-	}
-}
-
-// recordFull keeps requests from an endpoint that has turned one away, for as long as it asked.
-func (e *Entry) recordFull(to *member.Endpoint, reply *Reply) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	s := e.endpointState(to)
-	if until := time.Now().Add(max(reply.RetryAfter, minFullTime)); reply.NotRun || reply.RetryAfter > 0 {
-		s.fullUntil = later(s.fullUntil, until)
-	}
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-// timeUntilFree returns when a client may come back whose request no endpoint had room for: once the first endpoint
-// of the pool may be asked. The caller holds mu.
-func (e *Entry) timeUntilFree(pool string, now time.Time) time.Duration {
-	list := e.list()
-	if list == nil {
-		return staleRetryAfter
-	}
-	var first time.Time
-	for _, to := range list.Pool(pool) {
-		s := e.endpointState(to)
-		switch {
-		case s.isAvoided(to):
-		case !now.Before(s.fullUntil):
-			return fullRetryAfter
-		case first.IsZero() || s.fullUntil.Before(first):
-			first = s.fullUntil
-		}
-	}
-	return max(first.Sub(now), fullRetryAfter)
-}
-
 // releaseMemory releases the engine memory reserved for an attempt.
 func (e *Entry) releaseMemory(j *job, c *placement) {
 	e.mu.Lock()
--- a/pass/place.go
+++ b/pass/place.go
@@ -121,11 +121,6 @@
 	return eligible, anyFull
 }
 
-// isAvoided reports whether an endpoint gets no new requests, however full the others are.
-func (s *endpointState) isAvoided(to *member.Endpoint) bool {
-	return to.Draining || to.Loading || s.replaced || !s.leavingAt.IsZero()
-}
-
 // rolloutMargin is how long before the deadline of a weights rollout the last prompt sent to an
 // engine with outdated weights must have started.
 const rolloutMargin = 500 * time.Millisecond
