Fuzz the events' scanner: the end of the last event doesn't depend on how a stream is split

Cause: the relay passes on events at positions that the scanner finds in pieces of any size; a wrong one would cut or join events. Change: FuzzEvents.

--- a/body/body_test.go
+++ b/body/body_test.go
@@ -85,3 +85,24 @@
 		})
 	}
 }
+
+// FuzzEvents checks that the end of the last event doesn't depend on how the stream is split.
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("data: a\r\n\r\n: c\rid: 1\r\rdata"), 3)
+	f.Add([]byte("\n\r\n\ndata: b\n"), 1)
+	f.Fuzz(func(t *testing.T, stream []byte, size int) {
+		size = max(size%16, 1)
+		whole, pieces := body.NewEvents(), body.NewEvents()
+		want, got := whole.Scan(stream), 0
+		for at := 0; at < len(stream); at += size {
+			if end := pieces.Scan(stream[at:min(at+size, len(stream))]); end > 0 {
+				got = at + end
+			}
+		}
+		check.Equal(t, "end", got, want)
+		check.Equal(t, "open", pieces.Open(), whole.Open())
+		rest := body.NewEvents()
+		rest.Scan(stream[want:])
+		check.Equal(t, "open after the last event", rest.Open(), whole.Open())
+	})
+}
