--- a/limit/attribute.go
+++ b/limit/attribute.go
@@ -90,8 +90,8 @@
 	Endpoint string    `json:"endpoint"`
 	Born     int64     `json:"born,omitempty"`
 	At       time.Time `json:"at"`
-	// Concurrent is set if the attempt began before the last crash that counted against the part: endpoints
-	// that end together show no more than one that ends.
+	// Concurrent is set if the attempt began before the last crash that counted: endpoints that end together
+	// under equal requests, or requests that share a part, show no more than one that ends.
 	Concurrent bool `json:"beside,omitempty"`
 }
 
@@ -142,10 +142,10 @@
 	Endpoint    string `json:"endpoint"`
 	// Born identifies the endpoint's incarnation, which ends once; zero if unknown.
 	Born int64 `json:"born,omitempty"`
-	// Part is set if the fingerprint is of a part of the prompt, and the attempt had no output. Age is then how
-	// long before the report the attempt began.
-	Part bool          `json:"part,omitempty"`
-	Age  time.Duration `json:"age,omitempty"`
+	// Part is set if the fingerprint is of a part of the prompt, and the attempt had no output.
+	Part bool `json:"part,omitempty"`
+	// Age is how long before the report the attempt began; zero if the end was learned of later.
+	Age time.Duration `json:"age,omitempty"`
 	// Account is the client account within which the fingerprint is quarantined; empty if for all.
 	Account string `json:"account,omitempty"`
 }
@@ -220,8 +220,8 @@
 	limit := maxTrackedCrashes
 	if r.Part {
 		limit = maxPartCrashes
-		c.Concurrent = r.Count > 0 && !r.quarantined() && now.Add(-report.Age).Before(r.lastCounted())
 	}
+	c.Concurrent = r.Count > 0 && !r.quarantined() && now.Add(-report.Age).Before(r.lastCounted())
 	r.Crashes = append(slices.Clone(r.Crashes[max(len(r.Crashes)-limit+1, 0):]), c)
 	if !c.Concurrent {
 		r.Count++
--- a/limit/attribute_test.go
+++ b/limit/attribute_test.go
@@ -28,6 +28,11 @@
 	report := func(id, endpoint string, at time.Duration) func(*limit.CrashTracker) *limit.CrashTracker {
 		return reportOf(id, endpoint, 0, at)
 	}
+	aged := func(id, endpoint string, age, at time.Duration) func(*limit.CrashTracker) *limit.CrashTracker {
+		return func(t *limit.CrashTracker) *limit.CrashTracker {
+			return t.Apply(limit.CrashCommand{Reports: []limit.CrashReport{{ID: id, Fingerprint: "a", Endpoint: endpoint, Age: age}}}, start.Add(at))
+		}
+	}
 	for name, tc := range map[string]struct {
 		reports []func(*limit.CrashTracker) *limit.CrashTracker
 		crashes int
@@ -37,7 +42,10 @@
 		"an endpoint that keeps its ID crashes again":          {[]func(*limit.CrashTracker) *limit.CrashTracker{report("1", "w0", 0), report("2", "w0", 2000*ms)}, 2},
 		"one end that two entries learn of at different times": {[]func(*limit.CrashTracker) *limit.CrashTracker{reportOf("1", "w0", 7, 0), reportOf("2", "w0", 7, 8000*ms)}, 1},
 		"two incarnations under one ID":                        {[]func(*limit.CrashTracker) *limit.CrashTracker{reportOf("1", "w0", 7, 0), reportOf("2", "w0", 8, 8000*ms)}, 2},
-		"a repeated report":                                    {[]func(*limit.CrashTracker) *limit.CrashTracker{report("1", "w0", 0), report("1", "w0", 5000*ms)}, 1},
+		"equal requests in flight at endpoints that end together": {[]func(*limit.CrashTracker) *limit.CrashTracker{
+			report("1", "w0", 300*ms), aged("2", "w1", 50*ms, 304*ms), aged("3", "w2", 400*ms, 600*ms), aged("4", "w3", 50*ms, 700*ms),
+		}, 2},
+		"a repeated report": {[]func(*limit.CrashTracker) *limit.CrashTracker{report("1", "w0", 0), report("1", "w0", 5000*ms)}, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := limit.NewCrashTracker()
--- a/pass/report.go
+++ b/pass/report.go
@@ -88,6 +88,10 @@
 	for _, run := range ended {
 		report := run.Report
 		report.Age += now.Sub(run.At)
+		if !report.Part {
+			// When the endpoint ended isn't known: each end counts.
+			report.Age = 0
+		}
 		e.reportCrash("", report)
 	}
 }
--- a/pass/serve.go
+++ b/pass/serve.go
@@ -238,7 +238,7 @@
 func (j *job) crashReports(to *member.Endpoint, now time.Time) []limit.CrashReport {
 	var reports []limit.CrashReport
 	for _, fingerprint := range j.fingerprints() {
-		reports = append(reports, limit.CrashReport{Fingerprint: fingerprint(), Endpoint: to.ID, Born: to.Born})
+		reports = append(reports, limit.CrashReport{Fingerprint: fingerprint(), Endpoint: to.ID, Born: to.Born, Age: now.Sub(j.attemptAt)})
 	}
 	if j.attemptBegun {
 		return reports
