--- a/limit/attribute.go
+++ b/limit/attribute.go
@@ -19,9 +19,9 @@
 	// soundnessTime is how long after the first repeated crash entries have to report that responses to
 	// prompts with a part begin: a sync and a first token.
 	soundnessTime = 300 * time.Millisecond
-	// minRestartTime is the least time in which a crashed endpoint runs again: losses at one
+	// MinRestartTime is the least time in which a crashed endpoint runs again: losses at one
 	// endpoint that are closer together are one crash.
-	minRestartTime = time.Second
+	MinRestartTime = time.Second
 	// crashMemory is how long a crash counts while no run of the request completes.
 	crashMemory = 24 * time.Hour
 	// firstTrialDelay is how long after its quarantine a request may run once to show that it was
@@ -101,7 +101,7 @@
 		return false
 	}
 	sameIncarnation := c.Born == other.Born && c.Born != 0
-	return sameIncarnation || other.At.Sub(c.At).Abs() < minRestartTime
+	return sameIncarnation || other.At.Sub(c.At).Abs() < MinRestartTime
 }
 
 // last returns when the latest crash was reported.
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -44,8 +44,11 @@
 		"expected", c.predictedFirstToken.Milliseconds(), "ahead", c.tokensAhead, "compute", c.computeTokens, "moved", c.fetchTokens, "weights", c.version)
 	began := time.Now()
 	out.first = func() { e.settleFirstToken(j, c, time.Since(began), true) }
-	out.onData = func() { e.recordResponse(to) }
-	j.attemptAt, j.attemptBegun = began, false
+	out.onData = func() {
+		j.heardAt = time.Now()
+		e.recordResponse(to)
+	}
+	j.attemptAt, j.heardAt, j.attemptBegun = began, began, false
 	out.begun = func() { e.recordBegun(j) }
 	defer e.settleFirstToken(j, c, 0, false)
 	defer e.releaseMemory(j, c)
@@ -54,7 +57,7 @@
 		return e.handleSendError(ctx, j, to, out, err, began)
 	}
 	defer reply.Body.Close()
-	j.mayHaveReached = true
+	j.mayHaveReached, j.heardAt = true, time.Now()
 	if reply.Leaving {
 		e.recordLeaving(to)
 	}
--- a/pass/crash_test.go
+++ b/pass/crash_test.go
@@ -136,6 +136,44 @@
 	}
 }
 
+// TestLaterEndOfRunningEndpoint guards against counting the end of an endpoint against requests that it had broken off
+// seconds before, and went on. An endpoint that was silent for long enough may have ended and started again meanwhile.
+func TestLaterEndOfRunningEndpoint(t *testing.T) {
+	for name, c := range map[string]struct {
+		silence time.Duration
+		reports int
+	}{
+		"broken off at once":         {0, 0},
+		"broken off after a silence": {limit.MinRestartTime + 100*time.Millisecond, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fx := newFixture(t, func(s *pass.Send) (*pass.Reply, error) {
+				time.Sleep(c.silence)
+				return lost(s)
+			})
+			fx.backend.life = member.Running
+			var ended atomic.Bool
+			all := fx.feed.list
+			fx.feed.listFunc = func() *member.List {
+				if ended.Load() {
+					return (&member.List{}).Index()
+				}
+				return all
+			}
+			fx.call("/once/x", "k")
+			check.Equal(t, "reported before the end is listed", fx.feed.reported(), 0)
+			ended.Store(true)
+			if c.reports > 0 {
+				check.Eventually(t, "reported once the end is listed", func() bool { return fx.feed.reported() == c.reports })
+				return
+			}
+			time.Sleep(1200 * time.Millisecond)
+			check.Equal(t, "reported once the end is listed", fx.feed.reported(), 0)
+		})
+	}
+}
+
 // TestPartThatCrashesIsRefused guards against prompts of which no two are alike and that end each endpoint that begins to
 // respond, by a part that they share; sound prompts with their caller and their other parts must be served meanwhile.
 func TestPartThatCrashesIsRefused(t *testing.T) {
--- a/pass/report.go
+++ b/pass/report.go
@@ -58,11 +58,14 @@
 	}
 }
 
-// recordBrokenRun records a run whose connection broke. Endpoints also break off responses and go on: then
-// only the list can show that this one has ended.
+// recordBrokenRun records a run whose connection broke. Endpoints also break off responses and go on. One that
+// runs and was silent for the time of a restart may be another process than the one that had the request: then only
+// the list can show the end.
 func (e *Entry) recordBrokenRun(ctx context.Context, j *job, to *member.Endpoint) {
 	if e.config.Backend.Probe(ctx, to) == member.Running {
-		e.recordUnanswered(j, to)
+		if time.Since(j.heardAt) >= limit.MinRestartTime {
+			e.recordUnanswered(j, to)
+		}
 		return
 	}
 	for _, report := range j.crashReports(to, time.Now()) {
--- a/pass/serve.go
+++ b/pass/serve.go
@@ -56,9 +56,10 @@
 	refusals int
 	// mayHaveReached is set once an attempt has reached an endpoint, or may have.
 	mayHaveReached bool
-	// attemptAt is when the current attempt was sent; attemptBegun is set once it has had output.
-	attemptAt    time.Time
-	attemptBegun bool
+	// attemptAt is when the current attempt was sent, heardAt when data of its response last arrived, or attemptAt;
+	// attemptBegun is set once it has had output.
+	attemptAt, heardAt time.Time
+	attemptBegun       bool
 	// firstByteAt is when the first byte of the response arrived; zero before.
 	firstByteAt time.Time
 	// fetched and saved are the prompt tokens that the last attempt was to fetch and to save.
