Read-through: three comments say what they mean

Cause: a list's comment left out the parts of prompts; two others needed the code beside them to be understood. Change: comments only. Ruled out: a change of behaviour. Conclusion: none.

--- a/agent/crash.go
+++ b/agent/crash.go
@@ -130,8 +130,8 @@
 	}})
 }
 
-// partReportInterval is the least time between two reports on one part: control needs one, and takes a while to say
-// that it has it.
+// partReportInterval is the least time between two reports on one part: control needs one, and its view stops listing
+// the part only some time later.
 const partReportInterval = time.Second
 
 // partReports holds when this agent last reported on each part.
--- a/limit/attribute.go
+++ b/limit/attribute.go
@@ -154,7 +154,8 @@
 type CrashCommand struct {
 	Entry   string        `json:"entry"`
 	Reports []CrashReport `json:"reports"`
-	// Completed lists the fingerprints of requests that an endpoint has run to the end.
+	// Completed lists the fingerprints of requests that an endpoint has run to the end, and of parts of prompts
+	// the response to which has begun.
 	Completed []string `json:"completed,omitempty"`
 }
 
--- a/limit/unanswered.go
+++ b/limit/unanswered.go
@@ -26,7 +26,7 @@
 
 // UnansweredRun is a run of a request whose response did not arrive.
 type UnansweredRun struct {
-	// Report is what the end of the endpoint would mean; its Age is that at At.
+	// Report is to be made if the endpoint has ended; its Age is as of At.
 	Report CrashReport
 	At     time.Time
 }
