--- a/ctrl/crash_test.go
+++ b/ctrl/crash_test.go
@@ -361,3 +361,37 @@
 		return off.RejectedFor(fingerprint("bad")) > 0 && other.RejectedFor(fingerprint("bad")) > 0
 	})
 }
+
+// TestAttemptsInARowCount guards against the ends of three endpoints under one request, one attempt after another, that count
+// once because control learns of them in one sync; a fourth endpoint ended then.
+func TestAttemptsInARowCount(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1)
+	addr, keys := serveControl(t, ctrl.ServerConfig{Node: c.node(c.leader()), Hub: ctrl.NewHub(c.node(c.leader()))})
+	cut := newCutter(t, addr)
+	off, other := newFeed(t, keys, "off", cut.addr()), newFeed(t, keys, "other", addr)
+	check.Eventually(t, "fresh feeds", func() bool { return off.Fresh() && other.Fresh() })
+	const attempt = 20 * time.Millisecond
+	cut.cut.Store(true)
+	for i := range limit.MaxAttributedCrashes {
+		time.Sleep(attempt + 5*time.Millisecond)
+		off.RecordCrash(limit.CrashReport{Fingerprint: "bad", Endpoint: fmt.Sprint("w", i), Age: attempt})
+	}
+	cut.cut.Store(false)
+	crashes := c.node(c.leader()).Crashes
+	check.Eventually(t, "counted", func() bool { return crashes().Crashes("bad") > 0 })
+	check.Equal(t, "crashes", crashes().Crashes("bad"), limit.MaxAttributedCrashes)
+	check.Eventually(t, "refused by another entry", func() bool { return other.RejectedFor(fingerprint("bad")) > 0 })
+}
+
+// TestEntryCountsAsControlDoes guards against an entry that refuses equal sound requests in flight at endpoints that end
+// together, which control counts once.
+func TestEntryCountsAsControlDoes(t *testing.T) {
+	keys, err := wire.NewKeys("a secret of this test, long enough")
+	check.NoError(t, err)
+	f := newFeed(t, keys, "e0", netip.MustParseAddrPort("127.0.0.1:1"))
+	for i := range limit.MaxAttributedCrashes {
+		f.RecordCrash(limit.CrashReport{Fingerprint: "hot", Endpoint: fmt.Sprint("w", i), Age: time.Minute})
+	}
+	check.Equal(t, "rejected for", f.RejectedFor(fingerprint("hot")), time.Duration(0))
+}
--- a/pass/crash_test.go
+++ b/pass/crash_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -212,3 +213,48 @@
 	got, _ = fx.call("/stream/x", "k", prompt("sys"), func(c *pass.Call) { c.Parts[len(c.Parts)-1].ID = "bad" })
 	check.Equal(t, "the last part is a prompt's own", got.Code, 502)
 }
+
+// keepEndpoints makes the feed list the first n endpoints.
+func (fx *fixture) keepEndpoints(n int) {
+	fx.feed.list = (&member.List{Endpoints: fx.feed.list.Endpoints[:n]}).Index()
+}
+
+// TestRetryLeavesPoolServing guards against a request that ends all endpoints of a small pool in a row, before control can
+// count: the pool's other routes had no endpoint for seconds.
+func TestRetryLeavesPoolServing(t *testing.T) {
+	fx := newFixture(t, lost)
+	fx.keepEndpoints(limit.MaxAttributedCrashes)
+	got, _ := fx.call("/safe/x", "k")
+	check.Equal(t, "status", got.Code, 502)
+	check.Equal(t, "endpoints that the request reached", len(fx.backend.sends), 1)
+}
+
+// TestLastEndpointIsKeptFromSuspects guards against the same over several requests: the last endpoint that runs must not get
+// one under which endpoints have ended.
+func TestLastEndpointIsKeptFromSuspects(t *testing.T) {
+	crashing := func(c *pass.Call) { c.Body = []byte("bad") }
+	fx := newFixture(t, lost, lost, respondWith(200, "ok"))
+	fx.keepEndpoints(limit.MaxAttributedCrashes)
+	for range limit.MaxAttributedCrashes - 1 {
+		fx.call("/once/x", "k", crashing)
+	}
+	endpoints := slices.Clone(fx.feed.list.Endpoints)
+	left := slices.IndexFunc(endpoints, func(e member.Endpoint) bool {
+		return !slices.ContainsFunc(fx.backend.sends, func(s *pass.Send) bool { return s.To.ID == e.ID })
+	})
+	for i := range endpoints {
+		endpoints[i].Down = i != left
+	}
+	fx.feed.list = (&member.List{Endpoints: endpoints}).Index()
+	got, _ := fx.call("/once/x", "k", crashing)
+	check.Equal(t, "status", got.Code, 503)
+	check.Equal(t, "Retry-After", got.Header().Get("Retry-After") != "", true)
+	got, _ = fx.call("/once/x", "k")
+	check.Equal(t, "status of another request", got.Code, 200)
+	for i := range endpoints {
+		endpoints[i].Down = false
+	}
+	fx.feed.list = (&member.List{Endpoints: endpoints}).Index()
+	got, _ = fx.call("/once/x", "k", crashing)
+	check.Equal(t, "status once the others run", got.Code, 200)
+}
