A restored member has the state that was saved (CONFIG)

What callers saw: control VMs ended by themselves, at each start again, and confirmed changes weren't in force.

Cause: a state without crashes was saved as "crashes":null, and restoring it set the tracker to nil.

Ruled out: damage of the disk (no such event), a full queue.

--- a/ctrl/machine.go
+++ b/ctrl/machine.go
@@ -9,6 +9,7 @@
 package ctrl
 
 import (
+	"cmp"
 	"encoding/json"
 	"maps"
 	"slices"
@@ -119,6 +120,18 @@
 	Weights map[string]Weights `json:"weights,omitempty"`
 }
 
+// UnmarshalJSON decodes a view; one without suspects has an empty list of them.
+func (v *View) UnmarshalJSON(data []byte) error {
+	type fields View
+	var decoded fields
+	if err := json.Unmarshal(data, &decoded); err != nil {
+		return Malformed.Wrap(err, "read view")
+	}
+	decoded.Suspects = cmp.Or(decoded.Suspects, limit.NewSuspects())
+	*v = View(decoded)
+	return nil
+}
+
 // IsLeaving reports whether the endpoint is draining or being removed, according to the platform.
 func (v *View) IsLeaving(endpoint string) bool { return slices.Contains(v.Draining, endpoint) }
 
@@ -132,11 +145,13 @@
 	nodes  map[string]NodeRegistration
 	// crashes is no part of the view: only the fingerprints refused are sent to entries.
 	crashes *limit.CrashTracker
+	config  ledger.Config
 }
 
 // NewMachine returns the empty state of a new control group.
 func NewMachine(c ledger.Config) *Machine {
 	return &Machine{
+		config:  c,
 		tables:  table.NewState(),
 		ledger:  ledger.NewState(c),
 		view:    &View{Suspects: limit.NewSuspects()},
@@ -287,13 +302,21 @@
 	return data, nil
 }
 
-// Restore replaces the complete state by one that Save encoded.
+// Restore replaces the complete state by one that Save encoded. What a snapshot lacks, or holds as null, is empty. After an
+// error the state is unchanged.
 func (m *Machine) Restore(data []byte) error {
-	v := machineSnapshot{Tables: table.NewState(), Ledger: m.ledger, View: &View{Suspects: limit.NewSuspects()}, Nodes: map[string]NodeRegistration{}, Crashes: limit.NewCrashTracker()}
+	v := machineSnapshot{Ledger: ledger.NewState(m.config)}
 	if err := json.Unmarshal(data, &v); err != nil {
 		return Malformed.Wrap(err, "read snapshot")
 	}
-	*m = Machine{now: v.Now, tables: v.Tables, ledger: v.Ledger, view: v.View, owner: v.Owner, nodes: v.Nodes, crashes: v.Crashes}
+	empty := NewMachine(m.config)
+	*m = Machine{
+		now: v.Now, owner: v.Owner, config: m.config, nodes: v.Nodes,
+		tables: cmp.Or(v.Tables, empty.tables), ledger: cmp.Or(v.Ledger, empty.ledger), view: cmp.Or(v.View, empty.view), crashes: cmp.Or(v.Crashes, empty.crashes),
+	}
+	if m.nodes == nil {
+		m.nodes = empty.nodes
+	}
 	return nil
 }
 
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -6,10 +6,14 @@
 package ledger
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -27,6 +31,10 @@
 	Key     string `json:"key"`
 }
 
+func (k Key) compare(other Key) int {
+	return cmp.Or(strings.Compare(k.Account, other.Account), strings.Compare(k.Key, other.Key))
+}
+
 // Shard returns the number of the group, from 0 to n-1, that holds the key's claim.
 func (k Key) Shard(n int) int {
 	h := sha256.Sum256([]byte(k.Account + "\x00" + k.Key))
@@ -386,8 +394,8 @@
 // MarshalJSON encodes the ledger for a snapshot of the replicated log.
 func (s *State) MarshalJSON() ([]byte, error) {
 	v := snapshot{Settled: s.expirable, Bodies: s.withBody}
-	for _, c := range s.claims {
-		v.Claims = append(v.Claims, c)
+	for _, key := range slices.SortedFunc(maps.Keys(s.claims), Key.compare) {
+		v.Claims = append(v.Claims, s.claims[key])
 	}
 	return json.Marshal(v)
 }
--- a/limit/attribute.go
+++ b/limit/attribute.go
@@ -328,9 +328,13 @@
 	}
 }
 
-// MarshalJSON encodes the records as an array.
+// MarshalJSON encodes the records as an array, sorted by fingerprint.
 func (t *CrashTracker) MarshalJSON() ([]byte, error) {
-	return json.Marshal(slices.Collect(maps.Values(t.records)))
+	all := make([]crashRecord, 0, len(t.records))
+	for _, fingerprint := range slices.Sorted(maps.Keys(t.records)) {
+		all = append(all, t.records[fingerprint])
+	}
+	return json.Marshal(all)
 }
 
 // UnmarshalJSON replaces the records with the encoded array.
--- a/limit/quarantine.go
+++ b/limit/quarantine.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -271,8 +273,14 @@
 	return all
 }
 
-// MarshalJSON encodes the suspects as an array.
-func (s *Suspects) MarshalJSON() ([]byte, error) { return json.Marshal(s.All()) }
+// MarshalJSON encodes the suspects as an array, sorted by account and fingerprint.
+func (s *Suspects) MarshalJSON() ([]byte, error) {
+	all := make([]Suspect, 0, len(s.byKey))
+	for _, key := range slices.Sorted(maps.Keys(s.byKey)) {
+		all = append(all, s.byKey[key])
+	}
+	return json.Marshal(all)
+}
 
 // UnmarshalJSON replaces the list with the encoded array.
 func (s *Suspects) UnmarshalJSON(data []byte) error {
--- a/table/state.go
+++ b/table/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -335,6 +336,9 @@
 	if err := json.Unmarshal(data, &v); err != nil {
 		return Invalid.Wrap(err, "read table state")
 	}
-	*s = State{tables: v.Tables, results: v.Results, resultOrder: v.Order, audit: v.Audit, auditSeq: v.Seq}
+	if v.Results == nil {
+		v.Results = map[string]pastResult{}
+	}
+	*s = State{tables: cmp.Or(v.Tables, Empty()), results: v.Results, resultOrder: v.Order, audit: v.Audit, auditSeq: v.Seq}
 	return nil
 }
