An entry of the log that can't be applied is skipped (CONFIG)

Cause: an entry is applied outside of any guard, and it stays in the log. One that couldn't be decoded failed its member, which was restarted from its disk and failed again; one that panicked ended the process.

Change: such an entry is skipped, with an error line that names it and the stack, and its proposer gets the error. Applying is deterministic, so members of one version skip the same entries in the same state.

--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -266,9 +267,7 @@
 			}
 		}
 		n.sendMessages(r.Messages)
-		if err := n.applyEntries(r.Committed); err != nil {
-			return err
-		}
+		n.applyEntries(r.Committed)
 		n.core.Advance(n.now(), r)
 		n.updateRole()
 	}
@@ -296,23 +295,37 @@
 	}
 }
 
-func (n *Node) applyEntries(entries []quorum.Entry) error {
+func (n *Node) applyEntries(entries []quorum.Entry) {
 	for _, e := range entries {
 		out := outcome{}
 		switch e.Kind {
 		case quorum.Normal:
-			var c Command
-			if err := json.Unmarshal(e.Data, &c); err != nil {
-				return Malformed.Wrap(err, "read entry %d", e.Index)
-			}
-			out.result = n.machine.Apply(e.Index, c)
-			n.emitChange(c, out.result)
+			out = n.applyCommand(e)
 		case quorum.Config:
 			n.config.Events.Emit(event.Members, "index", e.Index, "members", string(e.Data))
 		}
 		n.queueReply(e, out)
 	}
-	return nil
+}
+
+// applyCommand applies an entry with a command. One that can't be decoded or applied is skipped: it stays in the log, so
+// failing at it would end each member at each start. All members skip it, since they apply the same commands to the same state.
+func (n *Node) applyCommand(e quorum.Entry) (out outcome) {
+	defer func() {
+		if r := recover(); r != nil {
+			out.err = Malformed.New("apply entry %d: %v", e.Index, r)
+			n.config.Events.Emit(event.Skipped, "index", e.Index, "term", e.Term, "err", out.err, "stack", string(debug.Stack()))
+		}
+	}()
+	var c Command
+	if err := json.Unmarshal(e.Data, &c); err != nil {
+		out.err = Malformed.Wrap(err, "read entry %d", e.Index)
+		n.config.Events.Emit(event.Skipped, "index", e.Index, "term", e.Term, "err", out.err)
+		return out
+	}
+	out.result = n.machine.Apply(e.Index, c)
+	n.emitChange(c, out.result)
+	return out
 }
 
 func (n *Node) queueReply(e quorum.Entry, out outcome) {
--- a/event/fields.go
+++ b/event/fields.go
@@ -80,6 +80,7 @@
 		{"size", "Size of the table set in bytes."},
 		{"source", "Who read the list of endpoints: the leader or the entry itself (own)."},
 		{"spent", "Time since the start of the attempt, in milliseconds."},
+		{"stack", "Stack of the goroutine that panicked."},
 		{"status", "HTTP status."},
 		{"store", "KV store, by name or address."},
 		{"table", "Table that was changed."},
