--- a/agent/crash.go
+++ b/agent/crash.go
@@ -28,10 +28,12 @@
 		return false
 	}
 	fingerprints, accounts := a.inFlight(x)
+	detectedAt := time.Now()
 	crash := a.incarnation + "/" + before
 	if before == "" {
 		crash = x.id
 	}
+	parts := a.partCrashes(x, crash)
 	a.Crashes.Add(1)
 	a.config.Events.Emit(event.Crash, "endpoint", a.config.Endpoint, "requests", len(fingerprints), "id", x.id)
 	if a.config.Control == nil {
@@ -43,7 +45,11 @@
 	_, _ = a.config.Control.Propose(ctx, ctrl.Command{Suspect: &limit.Command{
 		Op: limit.OpCrash, Crash: crash, Fingerprints: fingerprints, Accounts: accounts,
 	}})
-	if parts := a.partCrashes(x, crash); len(parts) > 0 {
+	waited := time.Since(detectedAt)
+	for i := range parts {
+		parts[i].Age, parts[i].Ended = parts[i].Age+waited, waited
+	}
+	if len(parts) > 0 {
 		a.proposePartCrashes(ctx, limit.CrashCommand{Reports: parts})
 	}
 	return true
--- a/ctrl/crash.go
+++ b/ctrl/crash.go
@@ -33,9 +33,7 @@
 	}
 	command := &limit.CrashCommand{Entry: req.GetNode(), Completed: req.GetCompleted()}
 	for _, c := range req.GetCrashes() {
-		command.Reports = append(command.Reports, limit.CrashReport{
-			ID: c.GetId(), Fingerprint: c.GetPrint(), Endpoint: c.GetEndpoint(), Born: c.GetBorn(), Part: c.GetPart(), Age: time.Duration(c.GetAgeMs()) * time.Millisecond,
-		})
+		command.Reports = append(command.Reports, decodeCrash(req, c))
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxCountWait)
 	defer cancel()
@@ -48,7 +46,8 @@
 	v := crashes.Verdicts(h.node.groupNow())
 	quarantined := value.SetOf(append(v.Refused, v.Trial...)...)
 	for _, r := range command.Reports {
-		events.Emit(event.CrashCounted, "print", r.Fingerprint, "endpoint", r.Endpoint, "entry", req.GetNode(), "part", r.Part, "count", crashes.Crashes(r.Fingerprint), "term", h.node.Status().Term)
+		events.Emit(event.CrashCounted, "print", r.Fingerprint, "endpoint", r.Endpoint, "entry", req.GetNode(), "part", r.Part, "count", crashes.Crashes(r.Fingerprint),
+			"spent", r.Age.Milliseconds(), "waited", r.Ended.Milliseconds(), "term", h.node.Status().Term)
 		if quarantined.Has(r.Fingerprint) {
 			events.Emit(event.Quarantined, "print", r.Fingerprint)
 		}
@@ -59,6 +58,20 @@
 	return true
 }
 
+// decodeCrash decodes a crash that an entry reports. An entry of a former version doesn't date the end.
+func decodeCrash(req *wire.Sync, c *wire.Crash) limit.CrashReport {
+	r := limit.CrashReport{
+		ID: c.GetId(), Fingerprint: c.GetPrint(), Endpoint: c.GetEndpoint(), Born: c.GetBorn(), Wide: c.GetWide(), Part: c.GetPart(),
+		Age: time.Duration(c.GetAgeMs()) * time.Millisecond,
+	}
+	if req.GetClock() != "" {
+		micros := func(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+		r.Clock, r.Start = req.GetClock(), micros(c.GetSentUs())
+		r.Age, r.Ended = micros(req.GetClockUs()-c.GetSentUs()), micros(req.GetClockUs()-c.GetEndedUs())
+	}
+	return r
+}
+
 // addCrashVerdicts adds the crash verdicts to the reply to an entry, unless it holds them. One entry
 // at a time may run a request that is due for a trial; all others refuse it.
 func (ls *LeaderState) addCrashVerdicts(reply *wire.Synced, req *wire.Sync) {
@@ -88,9 +101,10 @@
 // crashGuard is an entry's part of the attribution of crashes to requests: what it has to report,
 // and what control has quarantined.
 type crashGuard struct {
-	node    string
-	started time.Time
-	events  *event.Log
+	node string
+	// run names this run of the process.
+	run    string
+	events *event.Log
 	// verdicts is nil while control has none. reporting is set while reports are unconfirmed.
 	verdicts  atomic.Pointer[crashVerdicts]
 	reporting atomic.Bool
@@ -99,7 +113,7 @@
 	// seen is the number of crashes so far, dropped that of reports left out since the last
 	// confirmation.
 	mu        sync.Mutex
-	reports   []limit.CrashReport
+	reports   []datedCrash
 	completed value.Set[string]
 	seen      uint64
 	dropped   int
@@ -128,20 +142,32 @@
 	return v != nil && v.parts.Has(fingerprint)
 }
 
+// datedCrash is a report with when the attempt began and ended, by clock.Now.
+type datedCrash struct {
+	limit.CrashReport
+	sent, ended time.Duration
+}
+
 // crashEvidence is what one sync reports: ends of endpoints, and the fingerprints of completed runs.
 type crashEvidence struct {
-	reports   []limit.CrashReport
+	reports   []datedCrash
 	completed []string
 }
 
 func newCrashGuard(node string, events *event.Log) *crashGuard {
-	return &crashGuard{node: node, started: time.Now(), events: events, completed: value.SetOf[string](), trials: map[string]time.Duration{}}
+	return &crashGuard{node: node, run: fmt.Sprintf("%s/%x", node, time.Now().UnixNano()), events: events, completed: value.SetOf[string](), trials: map[string]time.Duration{}}
 }
 
-func (e crashEvidence) encode(req *wire.Sync) {
+// encode adds the evidence to a sync that is sent now.
+func (e crashEvidence) encode(req *wire.Sync, run string) {
+	now := clock.Now()
+	if len(e.reports) > 0 {
+		req.Clock, req.ClockUs = run, now.Microseconds()
+	}
 	for _, c := range e.reports {
 		req.Crashes = append(req.Crashes, &wire.Crash{
-			Id: c.ID, Print: c.Fingerprint, Endpoint: c.Endpoint, Born: c.Born, Part: c.Part, AgeMs: uint32(c.Age.Milliseconds()),
+			Id: c.ID, Print: c.Fingerprint, Endpoint: c.Endpoint, Born: c.Born, Wide: c.Wide, Part: c.Part,
+			AgeMs: uint32((now - c.sent).Milliseconds()), SentUs: c.sent.Microseconds(), EndedUs: c.ended.Microseconds(),
 		})
 	}
 	req.Completed = e.completed
@@ -161,7 +187,7 @@
 	for _, r := range e.reports {
 		counted.Add(r.ID)
 	}
-	g.dropReports(func(r limit.CrashReport) bool { return counted.Has(r.ID) })
+	g.dropReports(func(r datedCrash) bool { return counted.Has(r.ID) })
 	for _, fingerprint := range e.completed {
 		g.completed.Remove(fingerprint)
 	}
@@ -172,7 +198,7 @@
 }
 
 // dropReports removes reports. The caller holds mu.
-func (g *crashGuard) dropReports(drop func(limit.CrashReport) bool) {
+func (g *crashGuard) dropReports(drop func(datedCrash) bool) {
 	g.reports = slices.DeleteFunc(g.reports, drop)
 	g.reporting.Store(len(g.reports) > 0)
 }
@@ -197,18 +223,24 @@
 }
 
 // RecordCrash records that an incarnation of an endpoint ended while it ran a request. Syncs report it until
-// control has counted it. The report needs no ID.
+// control has counted it. The report needs no ID and no clock; its Age and Ended are as of now.
 func (f *Feed) RecordCrash(r limit.CrashReport) {
 	g := f.crashes
+	now := clock.Now()
+	c := datedCrash{r, now - max(r.Age, r.Ended), now - r.Ended}
+	c.Clock, c.Start = g.run, c.sent
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if r.Part {
-		same := func(old limit.CrashReport) bool {
+		same := func(old datedCrash) bool {
 			return old.Fingerprint == r.Fingerprint && old.Endpoint == r.Endpoint && old.Born == r.Born
 		}
 		if i := slices.IndexFunc(g.reports, same); i >= 0 {
 			// Many prompts in flight at one endpoint share a part; the latest of them tells most.
-			g.reports[i].Age = min(g.reports[i].Age, r.Age)
+			if c.sent > g.reports[i].sent {
+				c.ID = g.reports[i].ID
+				g.reports[i] = c
+			}
 			return
 		}
 	}
@@ -217,27 +249,27 @@
 		return
 	}
 	g.seen++
-	r.ID = fmt.Sprintf("%s/%x/%d", g.node, g.started.UnixNano(), g.seen)
-	g.reports = append(g.reports, r)
+	c.ID = fmt.Sprintf("%s/%d", g.run, g.seen)
+	g.reports = append(g.reports, c)
 	g.reporting.Store(true)
 }
 
 // isReported reports whether control hasn't confirmed a report on a request or part. The caller holds mu.
 func (g *crashGuard) isReported(fingerprint string) bool {
-	return slices.ContainsFunc(g.reports, func(r limit.CrashReport) bool { return r.Fingerprint == fingerprint })
+	return slices.ContainsFunc(g.reports, func(r datedCrash) bool { return r.Fingerprint == fingerprint })
 }
 
-// unconfirmedCount returns how many endpoints have ended under a request by reports that control
-// hasn't confirmed. Those on parts don't count: only control knows which part explains the ends. The caller
-// holds mu.
+// unconfirmedCount returns how many crashes of a request reports show that control hasn't confirmed, counted as
+// control does. Those on parts don't count: only control knows which part explains the ends. The caller holds mu.
 func (g *crashGuard) unconfirmedCount(fingerprint string) int {
-	endpoints := value.SetOf[string]()
+	var reports []limit.CrashReport
 	for _, r := range g.reports {
 		if r.Fingerprint == fingerprint && !r.Part {
-			endpoints.Add(r.Endpoint)
+			r.Age, r.Ended = -r.sent, -r.ended
+			reports = append(reports, r.CrashReport)
 		}
 	}
-	return len(endpoints)
+	return limit.CountInSequence(reports)
 }
 
 // RecordCompletion records that an endpoint has run the request with this fingerprint to the end, or has
@@ -254,14 +286,14 @@
 	if v.refuses(name) || v.allowsTrial(name) || v.watches(name) || v.watchesPart(name) || g.isReported(name) {
 		// Control may have counted some of the reports.
 		g.completed.Add(name)
-		g.dropReports(func(r limit.CrashReport) bool { return r.Fingerprint == name })
+		g.dropReports(func(r datedCrash) bool { return r.Fingerprint == name })
 	}
 }
 
 // RejectedFor returns after what time a client may send the request with this fingerprint again
-// that is refused because it crashes endpoints; zero means that it may run now. It is refused if
-// control has quarantined it, or will once it has counted what this entry reports: the retry of an
-// attempt must not wait for that. The function fingerprint is called only if there are verdicts or
+// that is rejected because endpoints ended while they ran it; zero means that it may run now. It is CrashRetryAfter if control
+// has quarantined the request. If control might, once it has counted what this entry reports, it is UncountedRetryAfter:
+// only control knows whether something else explains those ends. The function fingerprint is called only if there are verdicts or
 // unconfirmed reports on any request.
 func (f *Feed) RejectedFor(fingerprint func() string) time.Duration {
 	g := f.crashes
@@ -272,16 +304,32 @@
 	name := fingerprint()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	crashes := g.unconfirmedCount(name)
-	if v.watches(name) {
-		crashes += limit.MaxAttributedCrashes - 1
-	}
-	if v.refuses(name) || crashes >= limit.MaxAttributedCrashes || v.allowsTrial(name) && (crashes > 0 || !g.startTrial(name)) {
+	unconfirmed := g.unconfirmedCount(name)
+	switch {
+	case v.refuses(name):
+		return limit.CrashRetryAfter
+	case unconfirmed > 0 && (v.allowsTrial(name) || v.watches(name)) || unconfirmed >= limit.MaxAttributedCrashes:
+		return limit.UncountedRetryAfter
+	case v.allowsTrial(name) && !g.startTrial(name):
 		return limit.CrashRetryAfter
 	}
 	return 0
 }
 
+// IsSuspected reports whether endpoints ended while they ran the request with this fingerprint, so that one more end would
+// quarantine it. The function fingerprint is called as by RejectedFor.
+func (f *Feed) IsSuspected(fingerprint func() string) bool {
+	g := f.crashes
+	v := g.verdicts.Load()
+	if v == nil && !g.reporting.Load() {
+		return false
+	}
+	name := fingerprint()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return v.watches(name) || v.allowsTrial(name) || g.unconfirmedCount(name) >= limit.MaxAttributedCrashes-1
+}
+
 // startTrial reports whether a quarantined request may run here as a trial, and records the run. The
 // caller holds mu.
 func (g *crashGuard) startTrial(fingerprint string) bool {
--- a/ctrl/feed.go
+++ b/ctrl/feed.go
@@ -182,7 +182,7 @@
 		Node: f.config.Node, Place: f.config.Place, View: f.View().Rev, List: f.listRev, Kept: f.catalogRev, Life: f.incarnation,
 		HoldMs: uint32(hold.Milliseconds()), Used: used, Verdicts: f.crashes.verdictsHash(),
 	}
-	evidence.encode(req)
+	evidence.encode(req, f.crashes.run)
 	if f.config.Bad != nil {
 		req.Bad = f.config.Bad()
 	}
--- a/event/fields.go
+++ b/event/fields.go
@@ -93,6 +93,7 @@
 		{"unsized", "Whether the response had neither a length nor chunks and ended with its connection."},
 		{"urgency", "Urgency level passed to the engine; 0 is the most urgent."},
 		{"view", "Revision of what control replicates to entries without agents."},
+		{"waited", "Time from the end of an endpoint to its report to control, in milliseconds."},
 		{"weights", "Version of the model's weights."},
 		{"who", "Operator who made the change."},
 		{"why", "Reason, in fixed words."},
--- a/limit/attribute.go
+++ b/limit/attribute.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"cmp"
 	"encoding/json"
 	"hash/fnv"
 	"maps"
@@ -30,15 +31,17 @@
 	firstTrialDelay   = 10 * time.Second
 	secondTrialDelay  = 10 * time.Minute
 	furtherTrialDelay = 24 * time.Hour
-	// CrashRetryAfter is when a client may send a quarantined request again.
-	CrashRetryAfter = firstTrialDelay
+	// CrashRetryAfter is when a client may send a quarantined request again, UncountedRetryAfter one whose crashes control
+	// has yet to count.
+	CrashRetryAfter     = firstTrialDelay
+	UncountedRetryAfter = 500 * time.Millisecond
 	// maxTrackedRequests bounds the requests and parts tracked.
 	maxTrackedRequests = 4096
 	// maxTrackedCrashes bounds the crashes kept of one request, to recognize repeated reports;
 	// maxPartCrashes those of one part, to recognize the crashes that it explains.
 	maxTrackedCrashes = 8
 	maxPartCrashes    = 32
-	// maxWatchedParts bounds the parts on which entries report; those with most crashes come first.
+	// maxWatchedParts bounds the parts on which entries report; those against which most crashes speak come first.
 	maxWatchedParts = 128
 )
 
@@ -52,58 +55,40 @@
 // allowed as a trial, with growing delays. It is replicated state: a published
 // tracker is immutable, and Apply returns a modified copy.
 //
-// A part is shared with sound requests, so what it has in common with the cause must not be blamed: only
-// attempts without output count; a response that begins clears all parts of its prompt; of the parts left,
-// the one that was present at most crashes is quarantined, and what it explains no longer counts against
-// others.
+// What was only in flight beside the cause must not be blamed. Of a part, only attempts without output count, and a response
+// that begins clears all parts of its prompt. Contents, contents without their query and parts are ranked together by the
+// crashes that they were present at: what the first explains doesn't count against the others, until later crashes
+// change the order.
 type CrashTracker struct {
 	records map[string]crashRecord
 	// suspects are the records that verdicts depend on, sorted by fingerprint: each sync of each entry
 	// asks for verdicts, and most records are of requests that were in flight at one crash.
 	suspects []crashRecord
-	// causes are the fingerprints of the quarantined parts.
+	// causes are the fingerprints of the quarantined parts, sorted.
 	causes []string
 }
 
 // crashRecord is the state of one request or part, identified by its fingerprint.
 type crashRecord struct {
 	Fingerprint string `json:"print"`
-	// Part is set if the fingerprint is of a part of prompts.
+	// Wide is set if the fingerprint leaves out the query, Part if it is of a part of prompts.
+	Wide    bool   `json:"wide,omitempty"`
 	Part    bool   `json:"part,omitempty"`
 	Account string `json:"account,omitempty"`
-	Count   int    `json:"count"`
+	// Count is the number of crashes in sequence that nothing else explains.
+	Count int `json:"count"`
 	// TrialAt is when the request may run as a trial; zero if it isn't quarantined. Trials counts the
 	// trials that crashed an endpoint.
 	TrialAt time.Time `json:"trial,omitzero"`
 	Trials  int       `json:"trials,omitempty"`
 	// Crashes holds the latest crashes, in order of their reports.
 	Crashes []crash `json:"crashes"`
-	// WatchedAt is when a second crash counted against a part, SoundAt when a response to a prompt with it
-	// last began.
+	// WatchedAt is when a part was present at a second crash in sequence, SoundAt when a response to a prompt with it last
+	// began.
 	WatchedAt time.Time `json:"watched,omitzero"`
 	SoundAt   time.Time `json:"sound,omitzero"`
 }
 
-// crash is the end of one endpoint under a request.
-type crash struct {
-	Report   string    `json:"report"`
-	Endpoint string    `json:"endpoint"`
-	Born     int64     `json:"born,omitempty"`
-	At       time.Time `json:"at"`
-	// Concurrent is set if the attempt began before the last crash that counted: endpoints that end together
-	// under equal requests, or requests that share a part, show no more than one that ends.
-	Concurrent bool `json:"beside,omitempty"`
-}
-
-// isSame reports whether two crashes are of one incarnation of an endpoint.
-func (c crash) isSame(other crash) bool {
-	if c.Endpoint != other.Endpoint {
-		return false
-	}
-	sameIncarnation := c.Born == other.Born && c.Born != 0
-	return sameIncarnation || other.At.Sub(c.At).Abs() < MinRestartTime
-}
-
 // last returns when the latest crash was reported.
 func (r crashRecord) last() time.Time {
 	if len(r.Crashes) == 0 {
@@ -112,44 +97,12 @@
 	return r.Crashes[len(r.Crashes)-1].At
 }
 
-// lastCounted returns when the latest crash that counts was reported.
-func (r crashRecord) lastCounted() time.Time {
-	for _, c := range slices.Backward(r.Crashes) {
-		if !c.Concurrent {
-			return c.At
-		}
-	}
-	return time.Time{}
-}
-
 func (r crashRecord) quarantined() bool { return !r.TrialAt.IsZero() }
 
 func (r crashRecord) rank() evictionRank {
 	return evictionRank{r.quarantined(), r.Count, r.last(), r.Fingerprint}
 }
 
-// includes reports whether a crash has been counted: its report is repeated, or another attempt was in
-// flight at the same endpoint.
-func (r crashRecord) includes(reported crash) bool {
-	return slices.ContainsFunc(r.Crashes, func(c crash) bool { return c.Report == reported.Report || c.isSame(reported) })
-}
-
-// CrashReport is an entry's report that an endpoint ended while it ran a request.
-type CrashReport struct {
-	// ID is unique to the attempt at the endpoint.
-	ID          string `json:"id"`
-	Fingerprint string `json:"print"`
-	Endpoint    string `json:"endpoint"`
-	// Born identifies the endpoint's incarnation, which ends once; zero if unknown.
-	Born int64 `json:"born,omitempty"`
-	// Part is set if the fingerprint is of a part of the prompt, and the attempt had no output.
-	Part bool `json:"part,omitempty"`
-	// Age is how long before the report the attempt began; zero if the end was learned of later.
-	Age time.Duration `json:"age,omitempty"`
-	// Account is the client account within which the fingerprint is quarantined; empty if for all.
-	Account string `json:"account,omitempty"`
-}
-
 // CrashCommand is a replicated set of an entry's reports. Applying it again changes nothing.
 type CrashCommand struct {
 	Entry   string        `json:"entry"`
@@ -164,16 +117,14 @@
 
 // Apply returns the tracker after the command, which is applied at now.
 func (t *CrashTracker) Apply(c CrashCommand, now time.Time) *CrashTracker {
-	next := &CrashTracker{records: maps.Clone(t.records), causes: slices.Clone(t.causes)}
+	next := &CrashTracker{records: maps.Clone(t.records)}
 	for _, report := range c.Reports {
 		next.count(report, now)
 	}
 	for _, fingerprint := range c.Completed {
 		next.clear(fingerprint, now)
 	}
-	if len(c.Reports) > 0 {
-		next.blameParts(now)
-	}
+	next.blame(now)
 	next.listSuspects()
 	return next
 }
@@ -192,64 +143,65 @@
 
 // listSuspects derives the lists from the records.
 func (t *CrashTracker) listSuspects() {
-	t.causes = nil
+	type watched struct {
+		record   crashRecord
+		strength int
+	}
+	var parts []watched
 	for _, r := range t.records {
-		if r.Count >= MaxAttributedCrashes-1 {
-			t.suspects = append(t.suspects, r)
-		}
-		if r.Part && r.quarantined() {
+		switch {
+		case r.Part && r.quarantined():
 			t.causes = append(t.causes, r.Fingerprint)
+			t.suspects = append(t.suspects, r)
+		case r.Part && !r.WatchedAt.IsZero():
+			parts = append(parts, watched{r, r.strength()})
+		case r.quarantined() || r.Count >= MaxAttributedCrashes-1:
+			t.suspects = append(t.suspects, r)
 		}
 	}
+	slices.SortFunc(parts, func(a, b watched) int {
+		return cmp.Or(-cmp.Compare(a.strength, b.strength), strings.Compare(a.record.Fingerprint, b.record.Fingerprint))
+	})
+	for _, w := range parts[:min(len(parts), maxWatchedParts)] {
+		t.suspects = append(t.suspects, w.record)
+	}
 	slices.SortFunc(t.suspects, func(a, b crashRecord) int { return strings.Compare(a.Fingerprint, b.Fingerprint) })
 	slices.Sort(t.causes)
 }
 
-// count attributes a crash to the request or part that a report names.
+// count adds a crash to the request or part that a report names.
 func (t *CrashTracker) count(report CrashReport, now time.Time) {
 	r, known := t.records[report.Fingerprint]
-	c := crash{Report: report.ID, Endpoint: report.Endpoint, Born: report.Born, At: now}
+	c := report.crash(now)
 	switch {
-	case r.includes(c) || !r.quarantined() && t.isExplained(c):
-		return
 	case known && !r.quarantined() && now.Sub(r.last()) > crashMemory:
-		r = crashRecord{}
+		r = crashRecord{SoundAt: r.SoundAt}
 	case !known && len(t.records) >= maxTrackedRequests:
 		t.evict(now)
 	}
-	r.Fingerprint, r.Part, r.Account = report.Fingerprint, report.Part, report.Account
+	r.Fingerprint, r.Wide, r.Part, r.Account = report.Fingerprint, report.Wide, report.Part, report.Account
+	r.Crashes = slices.Clone(r.Crashes)
+	defer func() { t.records[report.Fingerprint] = r }()
+	if same := slices.IndexFunc(r.Crashes, func(old crash) bool { return old.Report == c.Report || old.isSame(c) }); same >= 0 {
+		// Of several attempts in flight at one endpoint, the latest tells most.
+		if c.Sent.After(r.Crashes[same].Sent) {
+			r.Crashes[same] = c
+		}
+		return
+	}
 	limit := maxTrackedCrashes
 	if r.Part {
 		limit = maxPartCrashes
 	}
-	c.Concurrent = r.Count > 0 && !r.quarantined() && now.Add(-report.Age).Before(r.lastCounted())
-	r.Crashes = append(slices.Clone(r.Crashes[max(len(r.Crashes)-limit+1, 0):]), c)
-	if !c.Concurrent {
-		r.Count++
-	}
-	switch {
-	case r.quarantined() && now.Before(r.TrialAt):
-		// An attempt that began before the quarantine.
-	case r.quarantined():
+	r.Crashes = append(r.Crashes[max(len(r.Crashes)-limit+1, 0):], c)
+	// An attempt that began before the quarantine is no trial.
+	if r.quarantined() && !now.Before(r.TrialAt) {
 		r.Trials++
 		r.TrialAt = now.Add(secondTrialDelay)
 		if r.Trials > 1 {
 			r.TrialAt = now.Add(furtherTrialDelay)
 		}
-	case r.Part && r.Count > 1 && r.WatchedAt.IsZero():
-		r.WatchedAt = now
-	case !r.Part && r.Count >= MaxAttributedCrashes:
-		r.TrialAt = now.Add(firstTrialDelay)
 	}
-	t.records[report.Fingerprint] = r
-	if r.Part && r.quarantined() {
-		t.dropExplained(r)
-	}
-}
-
-// isExplained reports whether a quarantined part caused a crash.
-func (t *CrashTracker) isExplained(c crash) bool {
-	return slices.ContainsFunc(t.causes, func(name string) bool { return slices.ContainsFunc(t.records[name].Crashes, c.isSame) })
 }
 
 // Crashes returns how many crashes count against the request with this fingerprint.
@@ -297,11 +249,6 @@
 			v.Trial = append(v.Trial, r.Fingerprint)
 		}
 	}
-	if len(v.Parts) > maxWatchedParts {
-		slices.SortStableFunc(v.Parts, func(a, b string) int { return -t.records[a].compareBlame(t.records[b]) })
-		v.Parts = v.Parts[:maxWatchedParts]
-		slices.Sort(v.Parts)
-	}
 	return v
 }
 
@@ -347,6 +294,7 @@
 	for _, r := range all {
 		t.records[r.Fingerprint] = r
 	}
+	t.suspects, t.causes = nil, nil
 	t.listSuspects()
 	return nil
 }
