--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -58,6 +58,7 @@
 	}
 	defer reply.Body.Close()
 	j.mayHaveReached, j.heardAt = true, time.Now()
+	e.recordRunning(to)
 	if reply.Leaving {
 		e.recordLeaving(to)
 	}
@@ -142,10 +143,11 @@
 
 // retry decides whether another attempt follows one that may have run.
 func (e *Entry) retry(ctx context.Context, j *job, to *member.Endpoint, out *relay, outcome, reason string, status int) (bool, *failure) {
+	endangers := false
 	if outcome == outcomeLost || outcome == outcomeBrokenOff {
-		e.recordBrokenRun(ctx, j, to)
+		endangers = e.recordBrokenRun(ctx, j, to) && !e.canLoseMore(j.pool)
 	}
-	if j.route.Repeatable() && j.possibleRuns < j.route.Attempts && e.allowRetry(j.pool) {
+	if !endangers && j.route.Repeatable() && j.possibleRuns < j.route.Attempts && e.allowRetry(j.pool) {
 		e.recordAttempt(j, to, outcome, "again", status)
 		return true, nil
 	}
--- /dev/null
+++ b/pass/ended.go
@@ -0,0 +1,59 @@
+package pass
+
+import (
+	"slices"
+	"time"
+
+	"egretshunt/limit"
+	"egretshunt/member"
+)
+
+// recordEnded records that an endpoint's process has ended. Its next incarnation has a state of its own.
+func (e *Entry) recordEnded(to *member.Endpoint) { e.setEnded(to, true) }
+
+// recordRunning records that an endpoint responds. One that started again may be listed as the former incarnation for some time.
+func (e *Entry) recordRunning(to *member.Endpoint) { e.setEnded(to, false) }
+
+func (e *Entry) setEnded(to *member.Endpoint, ended bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.endpointState(to).ended = ended
+}
+
+// countRunning returns how many endpoints of a pool run and take requests, as far as this entry knows, and how many are listed.
+func (e *Entry) countRunning(pool string) (running, listed int) {
+	list := e.list()
+	if list == nil {
+		return 0, 0
+	}
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	all := list.Pool(pool)
+	for _, to := range all {
+		if s := e.endpointState(to); !s.ended && !to.Down && !s.isAvoided(to) && s.health.Fit(now) {
+			running++
+		}
+	}
+	return running, len(all)
+}
+
+// canLoseMore reports whether a pool would still run if one more request ended all the endpoints that it can before
+// control has counted them: the one that has just ended is the first.
+//
+// The load pattern is a request that ends each endpoint it reaches, in a pool of few: its retries would leave the pool's other
+// requests without an endpoint for the time of a restart.
+func (e *Entry) canLoseMore(pool string) bool {
+	running, _ := e.countRunning(pool)
+	return running >= limit.MaxAttributedCrashes
+}
+
+// endangersPool reports whether a request under which endpoints have ended would be sent to the last one of its pool that runs, while
+// others are about to start again.
+func (e *Entry) endangersPool(j *job) bool {
+	if !slices.ContainsFunc(j.fingerprints(), e.config.View.IsSuspected) {
+		return false
+	}
+	running, listed := e.countRunning(j.pool)
+	return running < 2 && listed > 1
+}
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -42,6 +42,8 @@
 	// RejectedFor returns for how long requests with the fingerprint, or prompts with a part, are still
 	// rejected because they crash endpoints; zero if they aren't.
 	RejectedFor(fingerprint func() string) time.Duration
+	// IsSuspected reports whether requests with the fingerprint are rejected after one more crash.
+	IsSuspected(fingerprint func() string) bool
 }
 
 // Config holds the parameters of an Entry.
@@ -136,6 +138,8 @@
 	alive time.Time
 	// fullUntil is when an endpoint that reported itself full may get requests again.
 	fullUntil time.Time
+	// ended is set while this entry knows that the endpoint's process has ended.
+	ended bool
 	// leavingAt is when the endpoint said that it is leaving; zero if it hasn't.
 	leavingAt time.Time
 	// replaced is set once another endpoint has responded at the address.
--- a/pass/failure.go
+++ b/pass/failure.go
@@ -31,6 +31,10 @@
 	reasonUnsigned = "answer not vouched for"
 	reasonCrashes  = "it crashes endpoints"
 	reasonTooMany  = "too many requests at once"
+	// reasonUncounted: by this entry's reports control may quarantine the request.
+	reasonUncounted = "endpoints ended under it, which control has yet to count"
+	// reasonLastEndpoint: it is kept from the last endpoint of its pool that runs.
+	reasonLastEndpoint = "endpoints ended under it, and only one is left"
 )
 
 // notRun reports whether the failure's status says that the request has not run and won't.
--- a/pass/pass_test.go
+++ b/pass/pass_test.go
@@ -102,6 +102,12 @@
 	return 0
 }
 
+func (f *feed) IsSuspected(fingerprint func() string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crashTracker != nil && slices.Contains(f.crashTracker.Verdicts(f.clock).Watched, fingerprint())
+}
+
 func (f *feed) RecordCompletion(fingerprint func() string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/pass/report.go
+++ b/pass/report.go
@@ -61,16 +61,19 @@
 // recordBrokenRun records a run whose connection broke. Endpoints also break off responses and go on. One that
 // runs and was silent for the time of a restart may be another process than the one that had the request: then only
 // the list can show the end.
-func (e *Entry) recordBrokenRun(ctx context.Context, j *job, to *member.Endpoint) {
+// ended reports whether the endpoint's process has ended.
+func (e *Entry) recordBrokenRun(ctx context.Context, j *job, to *member.Endpoint) (ended bool) {
 	if e.config.Backend.Probe(ctx, to) == member.Running {
 		if time.Since(j.heardAt) >= limit.MinRestartTime {
 			e.recordUnanswered(j, to)
 		}
-		return
+		return false
 	}
 	for _, report := range j.crashReports(to, time.Now()) {
 		e.reportCrash(j.call.ID, report)
 	}
+	e.recordEnded(to)
+	return true
 }
 
 // reportSilentEnds reports the unanswered runs whose endpoint has ended, by the list.
@@ -89,12 +92,10 @@
 	})
 	e.mu.Unlock()
 	for _, run := range ended {
+		// When the endpoint ended isn't known; the attempt ended when it was given up.
 		report := run.Report
 		report.Age += now.Sub(run.At)
-		if !report.Part {
-			// When the endpoint ended isn't known: each end counts.
-			report.Age = 0
-		}
+		report.Ended = now.Sub(run.At)
 		e.reportCrash("", report)
 	}
 }
--- a/pass/serve.go
+++ b/pass/serve.go
@@ -193,15 +193,22 @@
 // crashes endpoints.
 func (e *Entry) next(j *job) (*placement, *failure) {
 	for _, fingerprint := range append(j.fingerprints(), j.partFingerprints()...) {
-		if left := e.config.View.RejectedFor(fingerprint); left > 0 {
+		switch left := e.config.View.RejectedFor(fingerprint); left {
+		case 0:
+		case limit.UncountedRetryAfter:
+			return nil, j.finalFailure(reasonUncounted, left)
+		default:
 			return nil, j.finalFailure(reasonCrashes, left)
 		}
 	}
+	if e.endangersPool(j) {
+		return nil, j.finalFailure(reasonLastEndpoint, limit.MinRestartTime)
+	}
 	return e.place(j)
 }
 
 // fingerprints returns functions for the fingerprints under which crashes of this request count: of
-// what is requested, and the same without its query. A request that crashes endpoints may come again
+// what is requested, and then the same without its query. A request that crashes endpoints may come again
 // with another query, and may come beside others that differ from it only in the query: their
 // completed runs clear the second count, not the first.
 func (j *job) fingerprints() []func() string {
@@ -238,8 +245,8 @@
 // had begun tell nothing of their parts: a part that crashes endpoints does so before.
 func (j *job) crashReports(to *member.Endpoint, now time.Time) []limit.CrashReport {
 	var reports []limit.CrashReport
-	for _, fingerprint := range j.fingerprints() {
-		reports = append(reports, limit.CrashReport{Fingerprint: fingerprint(), Endpoint: to.ID, Born: to.Born, Age: now.Sub(j.attemptAt)})
+	for i, fingerprint := range j.fingerprints() {
+		reports = append(reports, limit.CrashReport{Fingerprint: fingerprint(), Endpoint: to.ID, Born: to.Born, Wide: i > 0, Age: now.Sub(j.attemptAt)})
 	}
 	if j.attemptBegun {
 		return reports
