--- a/ctrl/badentry_test.go
+++ b/ctrl/badentry_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -65,3 +66,16 @@
 		})
 	}
 }
+
+// TestPanicFailsMemberOnly guards against a fault in the event loop that ends the whole process: its driver starts the member
+// again from its disk.
+func TestPanicFailsMemberOnly(t *testing.T) {
+	n := startAlone(t, fake.NewDisk())
+	defer n.Close()
+	err := n.runOnLoop(t.Context(), func() { panic("a fault") })
+	check.Kind(t, err, Stopped)
+	check.Eventually(t, "a failed member", func() bool { return n.Err() != nil })
+	if text := n.Err().Error(); !strings.Contains(text, "a fault") {
+		t.Errorf("the failure %q doesn't say why", text)
+	}
+}
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -184,7 +184,13 @@
 // while the VM is suspended, so that no lease outlives a suspension.
 func (n *Node) now() time.Duration { return clock.Now() - n.started }
 
-func (n *Node) run(ctx context.Context) error {
+// run is the event loop. A panic fails the member, whose driver starts it again from its disk, not the process.
+func (n *Node) run(ctx context.Context) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = Stopped.New("event loop panicked: %v at %s", r, debug.Stack())
+		}
+	}()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	n.core.StartElectionTimer(n.now())
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -10,6 +10,7 @@
 	Reloaded           = declare(106, "reloaded", "info", "The settings changed and were reloaded.")
 	SettingsUnreadable = declare(107, "readbad", "error", "The settings could not be reloaded; the previous ones stay in use.")
 	Dropped            = declare(108, "dropped", "warn", "Log lines were dropped because their reader was too slow; count is their number.")
+	FormerEnd          = declare(109, "formerend", "warn", "How the former run of this process ended, by what it left in its data folder.")
 	KeysBad            = declare(105, "keysbad", "error", "Keys could not be reloaded; the previous ones stay in use. Fix the file.")
 )
 
