Keep to the limits that endpoints name (LIMIT)

What callers saw: an endpoint that had named a limit of 1.9 requests a second got 22 in 4 s.

Cause: nothing read the limit.

Change: the adapter decodes the limit of any response; a text that is no number is logged and ignored. Entries tell the leader what they learned and how many requests they would send, in the syncs that they make anyhow; the leader knows the newest limit of each incarnation, tells all entries, and issues permits. A new leader learns the limits from the first syncs and begins without permits. One place in pass decides where an attempt may go: first attempts, retries, resumes and trials alike. An endpoint with a limit is eligible with a permit only, also where all endpoints are down. Where only such are left, requests wait for permits by rank and in fair shares among accounts; one that can't be sent before its deadline or its client's patience is rejected at once, with the time until its turn as Retry-After.

Calls of the leader to engines (events, orders) aren't requests and need no permits.

--- a/ctrl/feed.go
+++ b/ctrl/feed.go
@@ -45,6 +45,8 @@
 	Heard func() []string
 	// Work returns the prompt tokens that this entry has in flight at each endpoint.
 	Work func() map[string]int
+	// Wants returns the demand for endpoints that have named limits.
+	Wants func() []limit.PermitWant
 }
 
 // workUnitTokens is the number of prompt tokens in one unit of work on the wire.
@@ -56,6 +58,7 @@
 type Feed struct {
 	config  FeedConfig
 	crashes *crashGuard
+	rates   *rateGuard
 	cancel  context.CancelFunc
 	running sync.WaitGroup
 	changed *notifier
@@ -96,7 +99,7 @@
 	if c.Events == nil {
 		c.Events = event.Discard()
 	}
-	f := &Feed{config: c, crashes: newCrashGuard(c.Node, c.Events), changed: newNotifier(), catalog: block.NewCatalog(), members: value.SetOf[string](), used: value.SetOf[string]()}
+	f := &Feed{config: c, crashes: newCrashGuard(c.Node, c.Events), rates: newRateGuard(c.Events), changed: newNotifier(), catalog: block.NewCatalog(), members: value.SetOf[string](), used: value.SetOf[string]()}
 	f.view.Store(&View{Suspects: limit.NewSuspects()})
 	f.stale.Store(true)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -158,7 +161,7 @@
 	stop := context.AfterFunc(ctx, s.Abort)
 	defer stop()
 	defer s.Close()
-	for hold := time.Duration(0); ; hold = f.config.Hold {
+	for hold := time.Duration(0); ; hold = f.hold() {
 		fresh, err := f.exchange(s, hold)
 		if err != nil {
 			if ctx.Err() == nil {
@@ -173,6 +176,14 @@
 	}
 }
 
+// hold returns how long control may hold the next sync.
+func (f *Feed) hold() time.Duration {
+	if f.rates.limited.Load() {
+		return min(f.config.Hold, limitedSyncHold)
+	}
+	return f.config.Hold
+}
+
 // exchange sends one sync and installs the response. fresh reports whether the control VM leads; the
 // response of one that does not only updates the members and the leader's address.
 func (f *Feed) exchange(s *wire.Stream, hold time.Duration) (fresh bool, err error) {
@@ -196,6 +207,11 @@
 		}
 		req.Work = encodeWork(work)
 	}
+	var wants []limit.PermitWant
+	if f.config.Wants != nil && f.rates.limited.Load() {
+		wants = f.config.Wants()
+	}
+	f.rates.encode(req, wants)
 	s.SetDeadline(time.Now().Add(hold + syncTimeout))
 	if err := s.Send(&wire.Frame{Body: &wire.Frame_Sync{Sync: req}}); err != nil {
 		return false, err
@@ -283,11 +299,23 @@
 		f.engineClock.Store(ms - clock.Now().Milliseconds())
 	}
 	f.entries.Store(int64(reply.GetEntries()))
+	f.rates.install(reply, f.isListed)
 	work := decodeWork(reply.GetWork())
 	f.otherWork.Store(&work)
 	return nil
 }
 
+// isListed reports whether the list shows an incarnation of an endpoint, or there is no list.
+func (f *Feed) isListed(run limit.EndpointRun) bool { return isListed(f.List(), run) }
+
+func isListed(l *member.List, run limit.EndpointRun) bool {
+	if l == nil {
+		return true
+	}
+	at := l.Find(run.ID)
+	return at != nil && at.Born == run.Born
+}
+
 // drain empties a set of names and returns them sorted.
 func (f *Feed) drain(names *value.Set[string]) []string {
 	f.mu.Lock()
--- a/ctrl/hub.go
+++ b/ctrl/hub.go
@@ -10,6 +10,7 @@
 
 	"egretshunt/block"
 	"egretshunt/clock"
+	"egretshunt/limit"
 	"egretshunt/member"
 	"egretshunt/wire"
 )
@@ -58,6 +59,7 @@
 	// reachableAt is when an entry last reported that an endpoint responds although control
 	// has marked it down.
 	reachableAt map[string]time.Duration
+	issued      issuedRates
 }
 
 // entryReport is the state that an entry reported in its last sync.
@@ -79,6 +81,7 @@
 	ls := &LeaderState{
 		Life: rand.Uint64() | 1, Catalog: block.NewCatalog(), hub: h,
 		lastUsed: map[string]time.Duration{}, entries: map[string]entryReport{}, reachableAt: map[string]time.Duration{},
+		issued: newIssuedRates(),
 	}
 	h.state.Store(ls)
 	return ls
@@ -245,6 +248,7 @@
 	for _, id := range req.GetHeard() {
 		ls.reachableAt[id] = now
 	}
+	ls.issued.record(req, func(run limit.EndpointRun) bool { return isListed(ls.list.Load(), run) }, now)
 	ls.entries[req.GetNode()] = entryReport{at: now, ejected: req.GetBad(), work: decodeWork(req.GetWork())}
 }
 
@@ -264,7 +268,7 @@
 		if h.node.View().Rev > req.GetView() || req.GetLife() != ls.Life || h.state.Load() != ls || req.GetKept() < ls.withdrawn.Load() {
 			return
 		}
-		if l := ls.list.Load(); l != nil && l.Rev > req.GetList() {
+		if l := ls.list.Load(); l != nil && l.Rev > req.GetList() || ls.permitsDue(req) {
 			return
 		}
 		select {
@@ -328,5 +332,12 @@
 	}
 	reply.Work = encodeWork(otherWork)
 	reply.Entries = uint32(len(ls.entries))
+	for node := range ls.entries {
+		if node < req.GetNode() {
+			reply.Turn++
+		}
+	}
+	reply.GroupUs = ls.hub.node.groupNow().UnixMicro()
+	ls.addPermits(reply, req, now)
 	return nil
 }
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -67,6 +67,8 @@
 	Placed          = declare(316, "placed", "info", "A request was assigned to an endpoint. The fields give the reasons: prompt tokens queued ahead of it, to compute and to move, and the predicted time to the first event in milliseconds.")
 	CrashReported   = declare(317, "reported", "info", "An endpoint ended while it ran a request and control is told; print is the request's fingerprint.")
 	CrashTrial      = declare(318, "trial", "info", "A quarantined request is run once, to find out whether it still crashes endpoints.")
+	BadLimit        = declare(320, "limitbad", "warn", "An endpoint's answer named a limit that can't be read; it is ignored.")
+	EndpointLimited = declare(319, "limited", "info", "An endpoint named a limit for the requests of all entries together, changed it or, with limited=false, ended it.")
 	Fenced          = declare(307, "fenced", "warn", "A command with an old epoch was rejected.")
 )
 
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -59,6 +59,7 @@
 	defer reply.Body.Close()
 	j.mayHaveReached, j.heardAt = true, time.Now()
 	e.recordRunning(to)
+	e.recordRate(j, to, reply, began)
 	if reply.Leaving {
 		e.recordLeaving(to)
 	}
--- a/pass/call.go
+++ b/pass/call.go
@@ -18,6 +18,7 @@
 	"github.com/joomcode/errorx"
 
 	"egretshunt/member"
+	"egretshunt/value"
 )
 
 var (
@@ -115,6 +116,10 @@
 	Leaving bool
 	// RetryAfter is the Retry-After time that the endpoint sent; zero if none.
 	RetryAfter time.Duration
+	// Limit is the limit that the response names for the requests a second of all entries together. BadLimit is its text if it can't be
+	// read.
+	Limit    value.Option[float64]
+	BadLimit string
 	// UntilClose reports that the body has neither a length nor chunks and ends with its connection.
 	UntilClose bool
 	// Body ends with io.EOF only if the response is complete, or, with UntilClose, may be. Closing
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -15,6 +15,7 @@
 	"egretshunt/event"
 	"egretshunt/limit"
 	"egretshunt/member"
+	"egretshunt/value"
 )
 
 // View is the entry's view of the rest of the system. In production it is a *ctrl.Feed.
@@ -42,6 +43,14 @@
 	// RejectedFor returns for how long requests with the fingerprint, or prompts with a part, are still
 	// rejected because they crash endpoints; zero if they aren't.
 	RejectedFor(fingerprint func() string) time.Duration
+	// RecordRate records that an endpoint's answer named a limit, or none, by the answer to a request that was sent at a time.
+	RecordRate(run limit.EndpointRun, rate value.Option[float64], sentAt time.Time)
+	// NamedRate returns the limit that an endpoint has named. PermitCount returns how many requests may be sent now to one that
+	// has, TakePermit uses one of these permits, and Permitted returns a channel that is closed when there are further ones.
+	NamedRate(run limit.EndpointRun) (rate float64, named bool)
+	PermitCount(run limit.EndpointRun) int
+	TakePermit(run limit.EndpointRun) bool
+	Permitted() <-chan struct{}
 	// IsSuspected reports whether requests with the fingerprint are rejected after one more crash.
 	IsSuspected(fingerprint func() string) bool
 }
@@ -80,6 +89,8 @@
 	fallback atomic.Pointer[fallbackList]
 	// open is the number of requests in progress.
 	open atomic.Int64
+	// rateWaiting tells that a request has begun to wait for a permit.
+	rateWaiting chan struct{}
 
 	// mu guards the fields below.
 	mu             sync.Mutex
@@ -94,6 +105,8 @@
 	prefillRates map[string]float64
 	// linkTokens are the tokens that requests in progress have yet to read from each source.
 	linkTokens map[netip.AddrPort]int
+	// rateQueues hold the requests that wait for a permit, by pool.
+	rateQueues map[string]*rateQueue
 	// unanswered holds the runs whose endpoint may have ended without a sign.
 	unanswered limit.UnansweredRuns
 	// targetVersions holds the target version of each model's weights and when this entry first
@@ -164,12 +177,13 @@
 	}
 	e := &Entry{
 		config: c, meters: newMeters(c.Metrics), started: time.Now(), endpointStates: map[string]*endpointState{}, retryBudgets: map[string]*limit.RetryLimiter{}, pendingSave: map[string]pendingSave{},
-		prefillRates: map[string]float64{}, linkTokens: map[netip.AddrPort]int{}, targetVersions: map[string]timedVersion{},
+		prefillRates: map[string]float64{}, linkTokens: map[netip.AddrPort]int{}, targetVersions: map[string]timedVersion{}, rateQueues: map[string]*rateQueue{}, rateWaiting: make(chan struct{}, 1),
 	}
 	c.Metrics.NewGauge("egretshunt_pass_backlog_tokens", func() float64 { return float64(e.backlog()) })
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	e.running.Go(func() { e.runMaintenance(ctx) })
+	e.running.Go(func() { e.runRateQueues(ctx) })
 	return e
 }
 
--- a/pass/failure.go
+++ b/pass/failure.go
@@ -31,6 +31,8 @@
 	reasonUnsigned = "answer not vouched for"
 	reasonCrashes  = "it crashes endpoints"
 	reasonTooMany  = "too many requests at once"
+	// reasonLimited: the endpoints have named limits for the requests that they take.
+	reasonLimited = "endpoints limit their requests"
 	// reasonUncounted: by this entry's reports control may quarantine the request.
 	reasonUncounted = "endpoints ended under it, which control has yet to count"
 	// reasonLastEndpoint: it is kept from the last endpoint of its pool that runs.
--- a/pass/pass_test.go
+++ b/pass/pass_test.go
@@ -22,6 +22,7 @@
 	"egretshunt/limit"
 	"egretshunt/member"
 	"egretshunt/pass"
+	"egretshunt/value"
 )
 
 // feed is a fixed view of the system.
@@ -38,10 +39,13 @@
 	// listFunc replaces list if it isn't nil.
 	listFunc func() *member.List
 
-	// mu guards crashTracker and clock. The clock advances a second at each crash.
+	// mu guards the rest. The clock advances a second at each crash.
 	mu           sync.Mutex
 	crashTracker *limit.CrashTracker
 	clock        time.Time
+	// rates and permits are those of endpoints that have named limits.
+	rates   map[limit.EndpointRun]float64
+	permits map[limit.EndpointRun]int
 }
 
 func (f *feed) View() *ctrl.View {
@@ -102,6 +106,52 @@
 	return 0
 }
 
+// RecordRate implements pass.View.
+func (f *feed) RecordRate(run limit.EndpointRun, rate value.Option[float64], _ time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r, named := rate.Get(); named {
+		f.rates[run] = r
+	} else {
+		delete(f.rates, run)
+	}
+}
+
+// NamedRate implements pass.View.
+func (f *feed) NamedRate(run limit.EndpointRun) (float64, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	rate, named := f.rates[run]
+	return rate, named
+}
+
+// PermitCount implements pass.View.
+func (f *feed) PermitCount(run limit.EndpointRun) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.permits[run]
+}
+
+// TakePermit implements pass.View.
+func (f *feed) TakePermit(run limit.EndpointRun) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.permits[run] == 0 {
+		return false
+	}
+	f.permits[run]--
+	return true
+}
+
+// Permitted implements pass.View; the entry looks for permits of its own accord.
+func (f *feed) Permitted() <-chan struct{} { return nil }
+
+func (f *feed) permit(run limit.EndpointRun, n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.permits[run] += n
+}
+
 func (f *feed) IsSuspected(fingerprint func() string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -198,11 +248,12 @@
 // newFixtureWith is newFixture with some of the entry's configuration set.
 func newFixtureWith(t *testing.T, c pass.Config, responses ...func(*pass.Send) (*pass.Reply, error)) *fixture {
 	t.Helper()
+	ranks := map[string]int{"/once/": 1}
 	route := func(prefix string, kind board.Kind, attempts int) board.Route {
 		return board.Route{
 			Name: prefix, Host: "h", Prefix: prefix, Kind: kind, Attempts: attempts, Timeout: 10 * time.Second, Goal: time.Second,
 			Patience: 2 * time.Second, Split: []board.WeightedPool{{Pool: "p", Weight: 1}}, Resumable: prefix == "/resume/",
-			NamesPromptParts: kind == board.Stream, Public: prefix == "/public/",
+			NamesPromptParts: kind == board.Stream, Public: prefix == "/public/", Rank: ranks[prefix],
 		}
 	}
 	set, err := board.New(board.Draft{
@@ -210,7 +261,7 @@
 		Accounts: []board.Account{{Name: "a", Keys: []string{"k", "k-secret"}}, {Name: "iso", Keys: []string{"i"}, Isolated: true}},
 		Routes: []board.Route{
 			route("/safe/", board.Idempotent, 2), route("/once/", board.AtMostOnce, 1), route("/stream/", board.Stream, 1),
-			route("/resume/", board.Stream, 2), route("/public/", board.Idempotent, 1),
+			route("/resume/", board.Stream, 2), route("/public/", board.Idempotent, 1), route("/urgent/", board.AtMostOnce, 1),
 		},
 	})
 	check.NoError(t, err)
@@ -223,6 +274,7 @@
 	fx := &fixture{backend: &scriptedBackend{responses: responses}, feed: &feed{
 		view: &ctrl.View{Set: &ctrl.TableSetDocument{Number: 1}}, list: (&member.List{Endpoints: endpoints}).Index(),
 		others: map[string]int{}, where: map[string][]block.Holder{},
+		rates: map[limit.EndpointRun]float64{}, permits: map[limit.EndpointRun]int{},
 	}}
 	c.View, c.Backend = fx.feed, fx.backend
 	c.Decode = func([]byte) (*board.Set, error) { return set, nil }
--- a/pass/place.go
+++ b/pass/place.go
@@ -58,35 +58,58 @@
 // maxMemoryTokens returns the most tokens that the request can occupy in an engine's memory.
 func (j *job) maxMemoryTokens() int { return j.call.Tokens() + j.call.MaxOutputTokens }
 
-// place chooses the endpoint of the next attempt and reserves capacity there.
-func (e *Entry) place(j *job) (*placement, *failure) {
+// place chooses the endpoint of the next attempt and reserves capacity there. limited reports that only endpoints with limits are
+// left, for which the request needs a permit; permitted is set once it has waited for one.
+func (e *Entry) place(j *job, permitted bool) (c *placement, f *failure, limited bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if permitted {
+		e.rateQueue(j.pool).woken--
+	}
 	now := time.Now()
 	if j.deadline.Sub(now) < minTimeLeft {
-		return nil, j.finalFailure(reasonTimeout, fullRetryAfter)
+		return nil, j.finalFailure(reasonTimeout, fullRetryAfter), false
 	}
 	list := e.list()
 	if list == nil {
-		return nil, j.finalFailure(reasonNoneLeft, staleRetryAfter)
+		return nil, j.finalFailure(reasonNoneLeft, staleRetryAfter), false
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	eligible, anyFull := e.eligible(j, list, now)
-	if len(eligible) == 0 {
+	all := e.eligible(j, list, now)
+	eligible := all.endpoints
+	switch {
+	case all.limited && (len(eligible) == 0 || all.onlyPermits && !permitted && e.rateQueue(j.pool).queue.Len() > 0):
+		return nil, nil, true
+	case len(eligible) == 0:
 		reason := reasonNoneLeft
-		if anyFull {
+		if all.full {
 			reason = reasonFull
 		}
-		return nil, j.finalFailure(reason, e.timeUntilFree(j.pool, now))
+		return nil, j.finalFailure(reason, e.timeUntilFree(j.pool, now)), false
+	}
+	if c, f = e.choose(j, list, eligible, now); f != nil {
+		return nil, f, false
+	}
+	if run := runOf(c.to); e.isLimited(run) && !e.config.View.TakePermit(run) {
+		// It has expired meanwhile.
+		return nil, nil, true
+	}
+	if all.limited {
+		e.rateQueue(j.pool).passed++
 	}
-	var c *placement
+	e.reserve(j, c, now)
+	return c, nil, false
+}
+
+// choose chooses one of the eligible endpoints. The caller holds mu.
+func (e *Entry) choose(j *job, list *member.List, eligible []*member.Endpoint, now time.Time) (*placement, *failure) {
 	if j.route.NamesPromptParts && len(j.call.Parts) > 0 {
-		var f *failure
-		if c, f = e.placePrompt(j, list, eligible, now); f != nil {
-			return nil, f
-		}
-	} else {
-		c = e.placeByLoad(j, eligible)
+		return e.placePrompt(j, list, eligible, now)
 	}
+	return e.placeByLoad(j, eligible), nil
+}
+
+// reserve reserves capacity for an attempt. The caller holds mu.
+func (e *Entry) reserve(j *job, c *placement, now time.Time) {
 	s := e.endpointState(c.to)
 	s.inFlight++
 	s.memoryTokens += j.maxMemoryTokens()
@@ -94,31 +117,44 @@
 	e.addLinkTokens(c, 1)
 	s.health.RecordSent(now)
 	j.tried = append(j.tried, c.to.ID)
-	return c, nil
 }
 
-// eligible returns the endpoints that may receive the request. anyFull reports whether others have asked for
-// time. The caller holds mu.
-func (e *Entry) eligible(j *job, list *member.List, now time.Time) (eligible []*member.Endpoint, anyFull bool) {
+// eligibility is which endpoints may receive a request.
+type eligibility struct {
+	endpoints []*member.Endpoint
+	// full reports that others have asked for time, limited that some have named limits, onlyPermits that all those left have.
+	full, limited, onlyPermits bool
+}
+
+// eligible returns the endpoints that may receive the request. The caller holds mu.
+func (e *Entry) eligible(j *job, list *member.List, now time.Time) eligibility {
+	got := eligibility{onlyPermits: true}
 	var ejected []*member.Endpoint
 	for _, to := range list.Pool(j.pool) {
 		s := e.endpointState(to)
+		run := runOf(to)
+		limited := e.isLimited(run)
+		up := !to.Down && s.health.Fit(now)
 		switch {
 		case s.isAvoided(to) || slices.Contains(j.tried, to.ID):
 		case e.hasOutdatedWeights(s, to, j, now):
 		case now.Before(s.fullUntil):
-			anyFull = true
-		case to.Down || !s.health.Fit(now):
+			got.full = true
+		case limited && e.config.View.PermitCount(run) == 0:
+			got.limited = got.limited || up
+		case !up:
 			ejected = append(ejected, to)
 		default:
-			eligible = append(eligible, to)
+			got.endpoints = append(got.endpoints, to)
+			got.limited = got.limited || limited
+			got.onlyPermits = got.onlyPermits && limited
 		}
 	}
-	if len(eligible) == 0 && !anyFull {
+	if len(got.endpoints) == 0 && !got.full && !got.limited {
 		// If every endpoint is down or ejected, these reports carry no information: use them all.
-		eligible = ejected
+		got.endpoints = ejected
 	}
-	return eligible, anyFull
+	return got
 }
 
 // rolloutMargin is how long before the deadline of a weights rollout the last prompt sent to an
--- a/pass/serve.go
+++ b/pass/serve.go
@@ -175,7 +175,7 @@
 		if out.headerSent && ctx.Err() != nil {
 			return e.cutResponse(j, out)
 		}
-		c, f := e.next(j)
+		c, f := e.next(ctx, j)
 		if f != nil {
 			if out.headerSent {
 				return e.cutResponse(j, out)
@@ -191,7 +191,7 @@
 
 // next chooses the endpoint of the next attempt, unless the request is rejected because it
 // crashes endpoints.
-func (e *Entry) next(j *job) (*placement, *failure) {
+func (e *Entry) next(ctx context.Context, j *job) (*placement, *failure) {
 	for _, fingerprint := range append(j.fingerprints(), j.partFingerprints()...) {
 		switch left := e.config.View.RejectedFor(fingerprint); left {
 		case 0:
@@ -204,7 +204,15 @@
 	if e.endangersPool(j) {
 		return nil, j.finalFailure(reasonLastEndpoint, limit.MinRestartTime)
 	}
-	return e.place(j)
+	for permitted := false; ; permitted = true {
+		c, f, limited := e.place(j, permitted)
+		if !limited {
+			return c, f
+		}
+		if f := e.awaitPermit(ctx, j); f != nil {
+			return nil, f
+		}
+	}
 }
 
 // fingerprints returns functions for the fingerprints under which crashes of this request count: of
