Agents keep to the limit that their engine names (LIMIT)

An agent sees all requests of its engine, so it issues the permits itself, by the same types: the queue in front of the engine starts no more than the limit, by rank and in fair shares as before; an offer that can't start in time is rejected at once with the time until it could; a prefill of a prompt's front takes a permit too, and is left to the request without one. X-Request-Limit in any response of a run names the limit, a response without it ends it, another incarnation begins without.

Not covered: calls for blocks, events and weights, which are no requests.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -70,6 +70,7 @@
 	config       Config
 	incarnation  string
 	slots        *slots
+	pace         *pace
 	attempts     *attemptTable
 	pendingSaves *ring.Ring[saveJob]
 	cancel       context.CancelFunc
@@ -132,10 +133,11 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
-		config: c, incarnation: uuid.NewString(), slots: newSlots(c.MaxRunning, c.MaxQueued), attempts: newAttemptTable(),
+		config: c, incarnation: uuid.NewString(), pace: newPace(c.Endpoint, c.Events), attempts: newAttemptTable(),
 		pendingSaves: ring.New[saveJob](maxPendingSaves), cancel: cancel, ctx: ctx, started: time.Now(),
 		exchanges: map[string]*exchange{}, tokensPerSecond: c.PrefillRate, link: limit.NewLink(0), cache: newMirror(),
 	}
+	a.slots = newSlots(c.MaxRunning, c.MaxQueued, a.pace)
 	a.updateHealth(ctx)
 	a.tasks.Go(func() { every(ctx, healthInterval, a.updateHealth) })
 	a.tasks.Go(func() { every(ctx, time.Second, a.removeExpired) })
@@ -176,6 +178,7 @@
 		return
 	}
 	if h.Incarnation != a.health.Incarnation {
+		a.pace.restart()
 		a.cache.reset()
 	}
 	a.health = h
--- a/agent/offer.go
+++ b/agent/offer.go
@@ -13,6 +13,7 @@
 	"github.com/joomcode/errorx"
 
 	"egretshunt/body"
+	"egretshunt/clock"
 	"egretshunt/event"
 	"egretshunt/ledger"
 	"egretshunt/limit"
@@ -126,6 +127,8 @@
 	}
 	tokensAhead := a.slots.tokensAhead(o.GetAccount(), o.GetClass())
 	wait := time.Duration((tokensAhead + float64(o.GetSize())) / a.prefillRate() * float64(time.Second))
+	_, _, waiting := a.slots.load()
+	wait = max(wait, a.pace.waitFor(waiting))
 	if budget := time.Duration(o.GetBudgetMs()) * time.Millisecond; wait > budget {
 		r := newRefuse(codeBusy, ranNo, "the expected wait is longer than the request may take")
 		r.RetryMs = uint32((wait - budget).Milliseconds()) + 1
@@ -321,12 +324,14 @@
 		defer stop()
 	}
 	x.markSent(began)
+	sentAt := clock.Now()
 	reply, use, err := a.begin(ctx, o, call)
 	if err != nil {
 		x.fail(a.classifyFailure(ctx, o, x, err))
 		return
 	}
 	defer reply.Body.Close()
+	a.pace.observe(reply.Headers, sentAt, clock.Now())
 	answered = true
 	a.slots.answered(x.tokens)
 	a.updatePrefillRate(use.computed, time.Since(began))
--- a/agent/reuse.go
+++ b/agent/reuse.go
@@ -9,6 +9,7 @@
 	"github.com/joomcode/errorx"
 
 	"egretshunt/block"
+	"egretshunt/clock"
 	"egretshunt/disk"
 	"egretshunt/event"
 	"egretshunt/route"
@@ -108,7 +109,7 @@
 		return
 	}
 	var warm sync.WaitGroup
-	if front := from * block.TextBytes; from > held {
+	if front := from * block.TextBytes; from > held && a.pace.take(clock.Now()) == 0 {
 		warm.Go(func() {
 			part := call
 			part.Chain = u.chain[:from]
--- a/agent/slots.go
+++ b/agent/slots.go
@@ -5,11 +5,15 @@
 	"sync"
 	"time"
 
+	"egretshunt/clock"
 	"egretshunt/limit"
 )
 
-// slots queues requests for the endpoint and bounds how many run concurrently.
+// slots queues requests for the endpoint, and bounds how many run concurrently and, if the endpoint names a limit, how many
+// start in a time.
 type slots struct {
+	pace *pace
+
 	// mu guards the fields below.
 	mu       sync.Mutex
 	queue    *limit.Queue[*waiter]
@@ -19,6 +23,8 @@
 	isolated bool
 	// prefillTokens is the cost of started requests without a response yet.
 	prefillTokens float64
+	// paused is set while a timer waits for the next start that the limit allows.
+	paused bool
 }
 
 // waiter is one queued request; granted receives whether it may run.
@@ -27,8 +33,8 @@
 	isolated bool
 }
 
-func newSlots(capacity, waiting int) *slots {
-	return &slots{queue: limit.NewQueue[*waiter](waiting), capacity: capacity}
+func newSlots(capacity, waiting int, p *pace) *slots {
+	return &slots{pace: p, queue: limit.NewQueue[*waiter](waiting), capacity: capacity}
 }
 
 // acquire waits for a slot. It returns false if the queue is full or ctx is done first;
@@ -61,7 +67,12 @@
 func (s *slots) startWaiting() {
 	for s.running < s.capacity && !s.isolated {
 		it, ok := s.queue.Peek()
-		if !ok || (it.Value.isolated && s.running > 0) {
+		if !ok || s.paused || (it.Value.isolated && s.running > 0) {
+			return
+		}
+		if wait := s.pace.take(clock.Now()); wait > 0 {
+			s.paused = true
+			time.AfterFunc(wait, s.resume)
 			return
 		}
 		s.queue.Pop()
@@ -72,6 +83,14 @@
 	}
 }
 
+// resume goes on after a wait for the limit.
+func (s *slots) resume() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.paused = false
+	s.startWaiting()
+}
+
 // answered records that the endpoint has begun to respond to a request of the given cost.
 func (s *slots) answered(cost float64) {
 	s.mu.Lock()
--- a/limit/rate.go
+++ b/limit/rate.go
@@ -175,6 +175,19 @@
 	return issued
 }
 
+// NextPermit returns after what time a permit for an endpoint can be issued; zero if one can be now or the endpoint has no limit.
+func (p *PermitIssuer) NextPermit(run EndpointRun, now time.Duration) time.Duration {
+	b := p.budgets[run]
+	if b == nil {
+		return 0
+	}
+	b.advance(now)
+	if b.left >= 1 {
+		return 0
+	}
+	return time.Duration(math.Ceil((1 - b.left) / b.rate * float64(time.Second)))
+}
+
 // Turn is an entry's place among all entries. While no issuer can be reached, entry Index of Count entries may send a request to
 // an endpoint with a limit when its turn comes, by a clock that all of them share.
 type Turn struct {
