A part isn't blamed while one request was present at all its ends (BUDGET)

The request that ended four endpoints, two of them silently, had a sequence of three, since its silent attempts overlapped others; the part that it shares with sound prompts had four, since of each endpoint the latest attempt counts. So the part explained more, by the length of attempts alone.

Change: a part is blamed only once it was present at an end at which no single request was that was present at all the others.

Before: TestRequestWithLongAttemptsIsBlamed names the part; now the request.

--- a/limit/blame.go
+++ b/limit/blame.go
@@ -190,6 +190,8 @@
 	switch {
 	case count < MaxAttributedCrashes:
 		return best, undecided
+	case t.isCovered(left):
+		return best, undecided
 	case best.quarantined():
 		return best, decided
 	case tied && count < maxAmbiguousCrashes:
@@ -200,6 +202,20 @@
 	return best, decided
 }
 
+// isCovered reports whether one request was present at all the crashes of a part: then it explains as much.
+func (t *CrashTracker) isCovered(crashes []crash) bool {
+	for _, r := range t.records {
+		if r.Part || len(r.Crashes) < len(crashes) {
+			continue
+		}
+		isElsewhere := func(c crash) bool { return !slices.ContainsFunc(r.Crashes, c.isSame) }
+		if !slices.ContainsFunc(crashes, isElsewhere) {
+			return true
+		}
+	}
+	return false
+}
+
 // compareBlame orders parts by how likely they cause their crashes.
 func compareBlame(a crashRecord, crashesOfA []crash, b crashRecord, crashesOfB []crash) int {
 	if neverSound := a.SoundAt.IsZero(); neverSound != b.SoundAt.IsZero() {
--- a/limit/blame_test.go
+++ b/limit/blame_test.go
@@ -68,6 +68,27 @@
 	})
 }
 
+// TestRequestWithLongAttemptsIsBlamed guards against the part that takes the blame because prompts with it were sent to the same
+// endpoints later: its attempts overlap less, though it was present at no other end.
+func TestRequestWithLongAttemptsIsBlamed(t *testing.T) {
+	p := newCrashPlay()
+	for i := range limit.MaxAttributedCrashes + 1 {
+		p.now += 3 * time.Second
+		p.ended++
+		report := func(name string, part bool, age time.Duration) limit.CrashReport {
+			return limit.CrashReport{ID: fmt.Sprint(p.ended, name), Fingerprint: name, Endpoint: fmt.Sprint("w", p.ended), Born: int64(p.ended), Part: part, Age: age}
+		}
+		age := time.Second
+		if i == 1 {
+			// The endpoint was silent for a while before its end showed.
+			age = 3100 * time.Millisecond
+		}
+		reports := []limit.CrashReport{report("subject", true, 50*time.Millisecond), report("bad", false, age)}
+		p.CrashTracker = p.Apply(limit.CrashCommand{Reports: reports}, start.Add(p.now))
+	}
+	check.Equal(t, "refused", p.refused(), []string{"bad"})
+}
+
 // TestPartIsBlamedForDifferentPrompts guards against prompts with one part of which each ends as many endpoints as its own
 // retries allow, because only the prompt is blamed.
 func TestPartIsBlamedForDifferentPrompts(t *testing.T) {
