No retry in a small pool after an attempt that lasted through a restart (BUDGET)

The endpoint had lost power under it; the connection broke when it ran again, so it counted as one that goes on, and the retry went to the last one but one.

Change: an endpoint that was silent for the time of a restart may have ended under the attempt; the rule on retries takes it as ended.

Before: TestRetryAfterSilenceLeavesPoolServing reaches two endpoints; now one.

--- a/pass/crash_test.go
+++ b/pass/crash_test.go
@@ -258,3 +258,18 @@
 	got, _ = fx.call("/once/x", "k", crashing)
 	check.Equal(t, "status once the others run", got.Code, 200)
 }
+
+// TestRetryAfterSilenceLeavesPoolServing guards against the same where the endpoint lost power: it was silent for the time of a
+// restart, and runs again when the connection breaks.
+func TestRetryAfterSilenceLeavesPoolServing(t *testing.T) {
+	t.Parallel()
+	fx := newFixture(t, func(s *pass.Send) (*pass.Reply, error) {
+		time.Sleep(limit.MinRestartTime + 100*time.Millisecond)
+		return lost(s)
+	})
+	fx.backend.life = member.Running
+	fx.keepEndpoints(limit.MaxAttributedCrashes)
+	got, _ := fx.call("/safe/x", "k")
+	check.Equal(t, "status", got.Code, 502)
+	check.Equal(t, "endpoints that the request reached", len(fx.backend.sends), 1)
+}
--- a/pass/report.go
+++ b/pass/report.go
@@ -61,13 +61,14 @@
 // recordBrokenRun records a run whose connection broke. Endpoints also break off responses and go on. One that
 // runs and was silent for the time of a restart may be another process than the one that had the request: then only
 // the list can show the end.
-// ended reports whether the endpoint's process has ended.
+// ended reports whether the endpoint's process has ended, or may have.
 func (e *Entry) recordBrokenRun(ctx context.Context, j *job, to *member.Endpoint) (ended bool) {
 	if e.config.Backend.Probe(ctx, to) == member.Running {
-		if time.Since(j.heardAt) >= limit.MinRestartTime {
+		ended = time.Since(j.heardAt) >= limit.MinRestartTime
+		if ended {
 			e.recordUnanswered(j, to)
 		}
-		return false
+		return ended
 	}
 	for _, report := range j.crashReports(to, time.Now()) {
 		e.reportCrash(j.call.ID, report)
