Syncs while endpoints name limits are spaced by the number of entries (LIMIT)

Cause: each entry's syncs were held 40 ms at most then: at 300 entries the leader would answer 7,500 a second. Not measured at that size.

--- a/ctrl/feed.go
+++ b/ctrl/feed.go
@@ -179,7 +179,7 @@
 // hold returns how long control may hold the next sync.
 func (f *Feed) hold() time.Duration {
 	if f.rates.limited.Load() {
-		return min(f.config.Hold, limitedSyncHold)
+		return min(f.config.Hold, max(limitedSyncHold, syncSpacing*time.Duration(f.EntryCount())))
 	}
 	return f.config.Hold
 }
--- a/ctrl/rates.go
+++ b/ctrl/rates.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// limitedSyncHold is how long control holds syncs without updates while endpoints name limits: requests wait for permits.
+	// limitedSyncHold is how long control holds syncs without updates at least while endpoints name limits: requests wait for
+	// permits. It is syncSpacing for each entry if that is more, so that the leader's load stays bounded.
 	limitedSyncHold = 40 * time.Millisecond
+	syncSpacing     = 2 * time.Millisecond
 	// permitSilence is the time without an answered sync from which an entry sends by turns.
 	permitSilence = 600 * time.Millisecond
 	// permitReplyShare is the share of a second's permits that ends the hold of a sync which wants them, so that high rates
