--- a/ctrl/crash.go
+++ b/ctrl/crash.go
@@ -79,6 +79,10 @@
 	all := ls.hub.node.Crashes().Verdicts(now)
 	v := limit.CrashVerdicts{Refused: all.Refused, Watched: all.Watched, Parts: all.Parts}
 	entries := ls.entryNames()
+	if clock.Now()-ls.beganAt < entryTTL {
+		// Others than those known may have leave for a trial from the former leader.
+		entries = nil
+	}
 	for _, fingerprint := range all.Trial {
 		if entry, ok := limit.TrialEntry(fingerprint, entries, now).Get(); ok && entry == req.GetNode() {
 			v.Trial = append(v.Trial, fingerprint)
--- a/ctrl/crash_test.go
+++ b/ctrl/crash_test.go
@@ -395,3 +395,26 @@
 	}
 	check.Equal(t, "rejected for", f.RejectedFor(fingerprint("hot")), time.Duration(0))
 }
+
+// TestNoTrialWhileLeaderLearnsEntries guards against two trials of one request: a new leader that knows one entry lets that one run it,
+// while another runs it by the former leader's leave.
+func TestNoTrialWhileLeaderLearnsEntries(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1)
+	hub := ctrl.NewHub(c.node(c.leader()))
+	addr, keys := serveControl(t, ctrl.ServerConfig{Node: c.node(c.leader()), Hub: hub})
+	feed := newFeed(t, keys, "e0", addr)
+	for i := range limit.MaxAttributedCrashes {
+		feed.RecordCrash(limit.CrashReport{Fingerprint: "bad", Endpoint: fmt.Sprint("w", i)})
+	}
+	due := func() bool { return len(c.node(c.leader()).Crashes().Verdicts(time.Now()).Trial) > 0 }
+	// Trials start in the first half of an interval.
+	check.Eventually(t, "a trial that may start", func() bool {
+		return due() && time.Now().UnixNano()%int64(limit.TrialInterval) < int64(limit.TrialInterval)/4
+	})
+	hub.BeginTerm()
+	for range 20 {
+		time.Sleep(100 * time.Millisecond)
+		check.Equal(t, "refused in the first seconds of a term", feed.RejectedFor(fingerprint("bad")) > 0, true)
+	}
+}
--- a/ctrl/hub.go
+++ b/ctrl/hub.go
@@ -41,8 +41,9 @@
 	// Catalog holds the complete cached parts of stores and engines.
 	Catalog *block.Catalog
 
-	hub  *Hub
-	list atomic.Pointer[member.List]
+	hub     *Hub
+	beganAt time.Duration
+	list    atomic.Pointer[member.List]
 	// engineClock is the offset of the engines' clock from clock.Now in milliseconds; zero if unknown.
 	engineClock atomic.Int64
 	// withdrawn is the catalogue's revision at which all parts of a store or engine were last
@@ -79,7 +80,7 @@
 // BeginTerm replaces the leader's state by an empty one for a new term.
 func (h *Hub) BeginTerm() *LeaderState {
 	ls := &LeaderState{
-		Life: rand.Uint64() | 1, Catalog: block.NewCatalog(), hub: h,
+		Life: rand.Uint64() | 1, Catalog: block.NewCatalog(), hub: h, beganAt: clock.Now(),
 		lastUsed: map[string]time.Duration{}, entries: map[string]entryReport{}, reachableAt: map[string]time.Duration{},
 		issued: newIssuedRates(),
 	}
