--- a/limit/attribute.go
+++ b/limit/attribute.go
@@ -180,20 +180,24 @@
 		t.evict(now)
 	}
 	r.Fingerprint, r.Wide, r.Part, r.Account = report.Fingerprint, report.Wide, report.Part, report.Account
+	t.records[report.Fingerprint] = r.withCrash(c, now)
+}
+
+// withCrash returns the record with one more crash, which is reported at now; one that it holds already counts once.
+func (r crashRecord) withCrash(c crash, now time.Time) crashRecord {
 	r.Crashes = slices.Clone(r.Crashes)
-	defer func() { t.records[report.Fingerprint] = r }()
 	if same := slices.IndexFunc(r.Crashes, func(old crash) bool { return old.Report == c.Report || old.isSame(c) }); same >= 0 {
 		// Of several attempts in flight at one endpoint, the latest tells most.
 		if c.Sent.After(r.Crashes[same].Sent) {
 			r.Crashes[same] = c
 		}
-		return
+		return r
 	}
-	limit := maxTrackedCrashes
+	most := maxTrackedCrashes
 	if r.Part {
-		limit = maxPartCrashes
+		most = maxPartCrashes
 	}
-	r.Crashes = append(r.Crashes[max(len(r.Crashes)-limit+1, 0):], c)
+	r.Crashes = append(r.Crashes[max(len(r.Crashes)-most+1, 0):], c)
 	// An attempt that began before the quarantine is no trial.
 	if r.quarantined() && !now.Before(r.TrialAt) {
 		r.Trials++
@@ -202,6 +206,7 @@
 			r.TrialAt = now.Add(furtherTrialDelay)
 		}
 	}
+	return r
 }
 
 // Crashes returns how many crashes count against the request with this fingerprint.
@@ -292,6 +297,7 @@
 	}
 	t.records = make(map[string]crashRecord, len(all))
 	for _, r := range all {
+		r.Crashes = upgradeCrashes(r.Crashes)
 		t.records[r.Fingerprint] = r
 	}
 	t.suspects, t.causes = nil, nil
--- a/limit/attribute_test.go
+++ b/limit/attribute_test.go
@@ -115,6 +115,22 @@
 	})
 }
 
+// TestOlderCrashRecords guards against quarantines that end with an upgrade: former versions dated the ends of attempts only, and
+// marked those that don't count.
+func TestOlderCrashRecords(t *testing.T) {
+	const older = `[{"print":"a","count":3,"trial":"1970-01-12T13:46:50Z","crashes":[
+ {"report":"1","endpoint":"w1","born":1,"at":"1970-01-12T13:46:40Z"},{"report":"2","endpoint":"w2","born":2,"at":"1970-01-12T13:46:42Z"},
+ {"report":"3","endpoint":"w3","born":3,"at":"1970-01-12T13:46:44Z"}]},
+ {"print":"b","count":1,"crashes":[{"report":"4","endpoint":"w1","born":1,"at":"1970-01-12T13:46:40Z"},
+ {"report":"5","endpoint":"w4","born":4,"at":"1970-01-12T13:46:41Z","beside":true}]}]`
+	b := limit.NewCrashTracker()
+	check.NoError(t, json.Unmarshal([]byte(older), b))
+	check.Equal(t, "refused", b.Verdicts(start.Add(time.Second)).Refused, []string{"a"})
+	b = applyCrash(b, "c", "w9", 5*time.Second)
+	check.Equal(t, "refused after another report", b.Verdicts(start.Add(6*time.Second)).Refused, []string{"a"})
+	check.Equal(t, "crashes that count", b.Crashes("b"), 0)
+}
+
 // BenchmarkCrashTrackerApply measures one report against a full tracker, and the verdicts that each sync needs.
 func BenchmarkCrashTrackerApply(b *testing.B) {
 	full := limit.NewCrashTracker()
--- a/limit/evidence.go
+++ b/limit/evidence.go
@@ -17,6 +17,19 @@
 	// Clock names the run of the entry's process that made the attempt, Start is when it was sent by that process's clock.
 	Clock string        `json:"clock,omitempty"`
 	Start time.Duration `json:"start,omitempty"`
+	// Uncounted is set in records of former versions for an attempt that overlapped another one.
+	Uncounted bool `json:"beside,omitempty"`
+}
+
+// upgradeCrashes returns the crashes of a record that a former version may have written: it didn't date when attempts began.
+func upgradeCrashes(crashes []crash) []crash {
+	crashes = slices.DeleteFunc(crashes, func(c crash) bool { return c.Uncounted })
+	for i := range crashes {
+		if crashes[i].Sent.IsZero() {
+			crashes[i].Sent = crashes[i].At
+		}
+	}
+	return crashes
 }
 
 // isSame reports whether two crashes are of one incarnation of an endpoint.
