The last endpoint of a pool is recognized while control can't count (BUDGET)

Control had no leader for two seconds. Its second entry knew of one end by its own report, and took the first endpoint, which refused connections by then, for one that runs; so it sent the request to the last one.

Change: a request is suspected as long as this entry has a report on it that control hasn't counted, and an endpoint that takes no connection doesn't count as running until it responds.

Before: TestLastEndpointAfterRefusedConnections reaches the last endpoint, TestEntryRefusesByItsOwnReports doesn't find the request suspected. Now both pass.

--- a/ctrl/crash.go
+++ b/ctrl/crash.go
@@ -321,7 +321,8 @@
 }
 
 // IsSuspected reports whether endpoints ended while they ran the request with this fingerprint, so that one more end would
-// quarantine it. The function fingerprint is called as by RejectedFor.
+// quarantine it, or may: control hasn't counted what this entry reports, and other entries may report more. The function
+// fingerprint is called as by RejectedFor.
 func (f *Feed) IsSuspected(fingerprint func() string) bool {
 	g := f.crashes
 	v := g.verdicts.Load()
@@ -331,7 +332,7 @@
 	name := fingerprint()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return v.watches(name) || v.allowsTrial(name) || g.unconfirmedCount(name) >= limit.MaxAttributedCrashes-1
+	return v.watches(name) || v.allowsTrial(name) || g.unconfirmedCount(name) > 0
 }
 
 // startTrial reports whether a quarantined request may run here as a trial, and records the run. The
--- a/ctrl/crash_test.go
+++ b/ctrl/crash_test.go
@@ -213,8 +213,10 @@
 	}
 	check.Equal(t, "refused", refused("bad"), true)
 	check.Equal(t, "refused after one crash", refused("in flight at one crash"), false)
+	check.Equal(t, "suspected after one end that control hasn't counted", f.IsSuspected(fingerprint("in flight at one crash")), true)
 	f.RecordCompletion(fingerprint("hot"))
 	check.Equal(t, "refused after a completed run", refused("hot"), false)
+	check.Equal(t, "suspected after a completed run", f.IsSuspected(fingerprint("hot")), false)
 	f.RecordCrash(limit.CrashReport{Fingerprint: "hot", Endpoint: "w9"})
 	check.Equal(t, "refused after one more crash", refused("hot"), false)
 }
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -166,6 +166,7 @@
 			e.endAttemptUnscored(to)
 		} else {
 			e.endAttempt(to, true, began)
+			e.recordEnded(to)
 		}
 		e.recordAttempt(j, to, outcomeNotSent, "again", 0)
 		if ctx.Err() == context.Canceled {
--- a/pass/crash_test.go
+++ b/pass/crash_test.go
@@ -273,3 +273,17 @@
 	check.Equal(t, "status", got.Code, 502)
 	check.Equal(t, "endpoints that the request reached", len(fx.backend.sends), 1)
 }
+
+// TestLastEndpointAfterRefusedConnections guards against the same where only refused connections show that the others have ended.
+func TestLastEndpointAfterRefusedConnections(t *testing.T) {
+	crashing := func(c *pass.Call) { c.Body = []byte("bad") }
+	fx := newFixture(t, lost, lost, notSent, notSent, respondWith(200, "ok"))
+	fx.backend.life = member.Ended
+	fx.keepEndpoints(limit.MaxAttributedCrashes)
+	for range limit.MaxAttributedCrashes - 1 {
+		fx.call("/once/x", "k", crashing)
+	}
+	got, _ := fx.call("/once/x", "k", crashing)
+	check.Equal(t, "status", got.Code, 503)
+	check.Equal(t, "sends", len(fx.backend.sends) <= 4, true)
+}
--- a/pass/ended.go
+++ b/pass/ended.go
@@ -8,7 +8,7 @@
 	"egretshunt/member"
 )
 
-// recordEnded records that an endpoint's process has ended. Its next incarnation has a state of its own.
+// recordEnded records that an endpoint's process has ended, or takes no connection. Its next incarnation has a state of its own.
 func (e *Entry) recordEnded(to *member.Endpoint) { e.setEnded(to, true) }
 
 // recordRunning records that an endpoint responds. One that started again may be listed as the former incarnation for some time.
