--- a/agent/pace_test.go
+++ b/agent/pace_test.go
@@ -44,7 +44,8 @@
 	}
 	check.Equal(t, "most of the limit is used", len(sent) >= 55, true)
 	p.observe(http.Header{}, 500*time.Millisecond, 42*time.Second)
-	check.Equal(t, "a request from before the limit ends it", p.take(42*time.Second) == 0 && p.take(42*time.Second) == 0, false)
+	p.take(42 * time.Second)
+	check.Equal(t, "the second request waits after an answer from before the limit", p.take(42*time.Second) > 0, true)
 	p.restart()
 	check.Equal(t, "wait at another incarnation", p.take(43*time.Second), time.Duration(0))
 }
--- a/pass/rate_test.go
+++ b/pass/rate_test.go
@@ -1,7 +1,6 @@
 package pass_test
 
 import (
-	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -136,8 +135,7 @@
 
 	fx = newFixture(t, naming(0, notRun(503, "")))
 	fx.keepEndpoints(1)
-	got := httptest.NewRecorder()
-	got, _ = fx.call("/once/x", "k")
+	got, _ := fx.call("/once/x", "k")
 	check.Equal(t, "status", got.Code, 503)
 	check.Equal(t, "sends", fx.backend.sendsTo()["w0"], 1)
 }
