Requests that wait for a permit go where a limit has ended (LIMIT)

Where all endpoints of a pool had named limits and one ended its own, the requests that waited went on waiting for permits of the others, while new ones were served.

Before: TestEndOfOneLimitServesAllThatWait waits in vain, its requests get 503. Now they are served.

--- a/pass/rate.go
+++ b/pass/rate.go
@@ -67,21 +67,37 @@
 	return q
 }
 
-// limitedRuns returns the endpoints of a pool that run and have named limits, the sum of these, and the permits on hand. The
-// caller holds mu.
-func (e *Entry) limitedRuns(pool string) (runs []limit.EndpointRun, rate float64, permits int) {
+// limitedRuns are the endpoints of a pool that take requests and have named limits.
+type limitedRuns struct {
+	runs []limit.EndpointRun
+	// rate is the sum of the limits, permits the number of permits on hand.
+	rate    float64
+	permits int
+	// unlimited is set if others take requests without a permit.
+	unlimited bool
+}
+
+// limitedRuns returns the endpoints of a pool that have named limits. The caller holds mu.
+func (e *Entry) limitedRuns(pool string) limitedRuns {
+	var got limitedRuns
 	list := e.list()
 	if list == nil {
-		return nil, 0, 0
+		return got
 	}
 	now := time.Now()
 	for _, to := range list.Pool(pool) {
 		s, run := e.endpointState(to), runOf(to)
-		if r, named := e.config.View.NamedRate(run); named && !to.Down && !s.isAvoided(to) && s.health.Fit(now) && !now.Before(s.fullUntil) {
-			runs, rate, permits = append(runs, run), rate+r, permits+e.config.View.PermitCount(run)
+		if to.Down || s.isAvoided(to) || !s.health.Fit(now) || now.Before(s.fullUntil) {
+			continue
+		}
+		rate, named := e.config.View.NamedRate(run)
+		if !named {
+			got.unlimited = true
+			continue
 		}
+		got.runs, got.rate, got.permits = append(got.runs, run), got.rate+rate, got.permits+e.config.View.PermitCount(run)
 	}
-	return runs, rate, permits
+	return got
 }
 
 // PermitWants returns the demand for endpoints that have named limits, by pool.
@@ -96,9 +112,9 @@
 		if demand == 0 {
 			continue
 		}
-		runs, _, permits := e.limitedRuns(pool)
-		if count := demand - permits; count > 0 && len(runs) > 0 {
-			wants = append(wants, limit.PermitWant{Count: count, Waiting: waiting, Runs: runs})
+		limited := e.limitedRuns(pool)
+		if count := demand - limited.permits; count > 0 && len(limited.runs) > 0 {
+			wants = append(wants, limit.PermitWant{Count: count, Waiting: waiting, Runs: limited.runs})
 		}
 	}
 	return wants
@@ -129,7 +145,7 @@
 	item := &limit.Item[*rateWaiter]{Account: j.account, Rank: uint32(max(j.rank, 0)), Cost: 1, Value: w}
 	e.mu.Lock()
 	q := e.rateQueue(j.pool)
-	_, rate, _ := e.limitedRuns(j.pool)
+	rate := e.limitedRuns(j.pool).rate
 	wait := e.permitWait(q, int(q.queue.Ahead(item.Account, item.Rank)), rate, now)
 	rejected := wait > left
 	if !rejected {
@@ -165,23 +181,27 @@
 	return j.finalFailure(reasonLimited, max(e.permitWait(q, q.queue.Len(), rate, time.Now()), fullRetryAfter))
 }
 
-// runRateQueues wakes waiting requests as permits come, until ctx ends.
+// runRateQueues wakes waiting requests as permits come, until ctx ends. Those that still find no endpoint wait again: they are
+// woken each turnInterval at most.
 func (e *Entry) runRateQueues(ctx context.Context) {
 	t := time.NewTimer(turnInterval)
 	defer t.Stop()
-	for {
-		permitted := e.config.View.Permitted()
-		if !e.wakeRateWaiters(time.Now()) {
-			t.Stop()
-		}
+	for ticking := true; ; {
+		permitted, waiting := e.config.View.Permitted(), true
 		select {
 		case <-permitted:
-		case <-e.rateWaiting:
+			waiting = e.wakeRateWaiters(time.Now())
 		case <-t.C:
+			ticking = false
+			waiting = e.wakeRateWaiters(time.Now())
+		case <-e.rateWaiting:
 		case <-ctx.Done():
 			return
 		}
-		t.Reset(turnInterval)
+		if waiting && !ticking {
+			t.Reset(turnInterval)
+			ticking = true
+		}
 	}
 }
 
@@ -193,9 +213,10 @@
 		if q.queue.Len() == 0 {
 			continue
 		}
-		runs, _, permits := e.limitedRuns(pool)
-		if len(runs) == 0 {
-			// Their limits have ended, or others must take the requests.
+		limited := e.limitedRuns(pool)
+		permits := limited.permits
+		if limited.unlimited || len(limited.runs) == 0 {
+			// A limit has ended, or there is nothing to wait for.
 			permits = q.queue.Len() + q.woken
 		}
 		for permits > q.woken && q.queue.Len() > 0 {
--- a/pass/rate_test.go
+++ b/pass/rate_test.go
@@ -139,3 +139,27 @@
 	check.Equal(t, "status", got.Code, 503)
 	check.Equal(t, "sends", fx.backend.sendsTo()["w0"], 1)
 }
+
+// TestEndOfOneLimitServesAllThatWait guards against requests that go on waiting for permits though one endpoint takes them without.
+func TestEndOfOneLimitServesAllThatWait(t *testing.T) {
+	fx := newFixture(t, respondWith(200, "ok"))
+	fx.keepEndpoints(2)
+	runs := []limit.EndpointRun{{ID: "w0"}, {ID: "w1"}}
+	for _, run := range runs {
+		fx.feed.RecordRate(run, value.Some(50.0), time.Time{})
+	}
+	var work sync.WaitGroup
+	for i := range 3 {
+		work.Go(func() {
+			got, _ := fx.call("/once/x", "k", func(c *pass.Call) { c.ID = string(rune('a' + i)) })
+			check.Equal(t, "status", got.Code, 200)
+		})
+	}
+	check.Eventually(t, "three requests wait", func() bool {
+		wants := fx.entry.PermitWants()
+		return len(wants) == 1 && wants[0].Waiting == 3
+	})
+	fx.feed.RecordRate(runs[0], value.None[float64](), time.Time{})
+	work.Wait()
+	check.Equal(t, "requests", fx.backend.sendsTo(), map[string]int{"w0": 3})
+}
