--- a/agent/pace.go
+++ b/agent/pace.go
@@ -1,9 +1,7 @@
 package agent
 
 import (
-	"math"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -45,8 +43,8 @@
 	text := h.Get(headerLimit)
 	r := limit.NamedRate{At: sentAt}
 	if text != "" {
-		rate, err := strconv.ParseFloat(text, 64)
-		if err != nil || !(rate >= 0) || math.IsInf(rate, 1) {
+		rate, err := limit.ParseRate(text)
+		if err != nil {
 			p.events.Emit(event.BadLimit, "endpoint", p.endpoint, "text", text)
 			return
 		}
--- a/limit/rate.go
+++ b/limit/rate.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -43,6 +44,18 @@
 	At time.Duration
 }
 
+// ParseRate reads a limit from the text of an answer, in requests a second. An error is of type Malformed.
+func ParseRate(text string) (rate float64, err error) {
+	rate, err = strconv.ParseFloat(text, 64)
+	switch {
+	case err != nil:
+		return 0, Malformed.Wrap(err, "read limit %q", text)
+	case !(rate >= 0) || math.IsInf(rate, 1):
+		return 0, Malformed.New("limit %q is no number of requests a second", text)
+	}
+	return rate, nil
+}
+
 // NamedRates keeps the newest limit of each endpoint that has named one. It is not safe for concurrent use.
 type NamedRates struct{ newest map[EndpointRun]NamedRate }
 
--- a/limit/rate_test.go
+++ b/limit/rate_test.go
@@ -223,3 +223,16 @@
 	_, named = n.Rate(limit.EndpointRun{ID: "w", Born: 2})
 	check.Equal(t, "named by another incarnation", named, false)
 }
+
+// TestParseRate guards against a text that is no limit and is taken for one.
+func TestParseRate(t *testing.T) {
+	for text, want := range map[string]float64{"0": 0, "1.9": 1.9, "250": 250} {
+		got, err := limit.ParseRate(text)
+		check.NoError(t, err)
+		check.Equal(t, text, got, want)
+	}
+	for _, text := range []string{"", "-1", "NaN", "Inf", "1,9", "many", "1e999"} {
+		_, err := limit.ParseRate(text)
+		check.Kind(t, err, limit.Malformed)
+	}
+}
