--- a/limit/rate.go
+++ b/limit/rate.go
@@ -116,7 +116,7 @@
 
 // PermitIssuer issues the permits to send requests to endpoints that have named limits. One issuer serves all entries.
 //
-// The load pattern is many entries that each send a little to an endpoint in need, more in sum than it takes. A rate
+// The load pattern is many entries that each send a little to an overloaded endpoint, more in sum than it takes. A rate
 // divided among them would be wasted by those without demand; permits go to those that have requests. In any time
 // the permits that may be used are at most those of that time, of PermitTime and of issueInterval before it, and one.
 // PermitIssuer is not safe for concurrent use.
--- a/pass/crash_test.go
+++ b/pass/crash_test.go
@@ -287,3 +287,15 @@
 	check.Equal(t, "status", got.Code, 503)
 	check.Equal(t, "sends", len(fx.backend.sends) <= 4, true)
 }
+
+// TestUncountedCrashesHoldRequest guards against a request that is sent on, or refused as one that crashes endpoints, while
+// control has yet to count what its entry reports.
+func TestUncountedCrashesHoldRequest(t *testing.T) {
+	fx := newFixture(t, respondWith(200, "ok"))
+	fx.feed.uncounted = true
+	got, _ := fx.call("/once/x", "k")
+	check.Equal(t, "status", got.Code, 503)
+	check.Equal(t, "Retry-After", got.Header().Get("Retry-After"), "0.500")
+	check.Equal(t, "says that it crashes endpoints", strings.Contains(got.Body.String(), "it crashes endpoints"), false)
+	check.Equal(t, "sends", len(fx.backend.sends), 0)
+}
--- a/pass/pass_test.go
+++ b/pass/pass_test.go
@@ -46,6 +46,8 @@
 	// rates and permits are those of endpoints that have named limits.
 	rates   map[limit.EndpointRun]float64
 	permits map[limit.EndpointRun]int
+	// uncounted makes control have all requests' crashes yet to count.
+	uncounted bool
 }
 
 func (f *feed) View() *ctrl.View {
@@ -97,6 +99,9 @@
 func (f *feed) RejectedFor(fingerprint func() string) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.uncounted {
+		return limit.UncountedRetryAfter
+	}
 	if f.crashTracker == nil {
 		return 0
 	}
--- a/pass/rate.go
+++ b/pass/rate.go
@@ -23,7 +23,7 @@
 // rateQueue holds the requests of one pool that wait for permits to send to endpoints with limits: by rank, then in fair shares among
 // accounts.
 //
-// The load pattern is a pool all of whose endpoints are in need and take a few requests a second: more arrive than may be sent.
+// The load pattern is a pool all of whose endpoints are overloaded and take a few requests a second: more arrive than may be sent.
 type rateQueue struct {
 	queue *limit.Queue[*rateWaiter]
 	// woken counts the requests that have been woken for a permit and not yet used one.
