--- a/limit/attribute_test.go
+++ b/limit/attribute_test.go
@@ -150,3 +150,26 @@
 		}
 	})
 }
+
+// TestRepeatThroughAnotherEntryCounts guards against a repeat that its client sends at once through another entry: group time dates the
+// ends that two entries report some milliseconds off, and the two attempts counted as one.
+func TestRepeatThroughAnotherEntryCounts(t *testing.T) {
+	const ms = time.Millisecond
+	for name, c := range map[string]struct {
+		// began is when the second attempt began by group time, after the first had ended.
+		began time.Duration
+		want  int
+	}{
+		"as dated":                          {2 * ms, 2},
+		"a little early by group time":      {-3 * ms, 2},
+		"in flight for long at that moment": {-40 * ms, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			first := limit.CrashReport{ID: "1", Fingerprint: "a", Endpoint: "w0", Age: 130 * ms, Ended: 120 * ms, Clock: "e0", Start: time.Hour}
+			second := limit.CrashReport{ID: "2", Fingerprint: "a", Endpoint: "w1", Age: 120*ms - c.began, Ended: 60 * ms, Clock: "e1", Start: time.Minute}
+			b := limit.NewCrashTracker().Apply(limit.CrashCommand{Reports: []limit.CrashReport{first}}, start)
+			b = b.Apply(limit.CrashCommand{Reports: []limit.CrashReport{second}}, start)
+			check.Equal(t, "crashes", b.Crashes("a"), c.want)
+		})
+	}
+}
--- a/limit/evidence.go
+++ b/limit/evidence.go
@@ -46,12 +46,16 @@
 
 func (c crash) sharesClock(other crash) bool { return c.Clock != "" && c.Clock == other.Clock }
 
+// clockTolerance is how far group time may misdate the attempts of two entries against each other: by what their reports' ways to the
+// leader differ. A client's repeat through another entry begins within as little.
+const clockTolerance = 10 * time.Millisecond
+
 // follows reports whether the attempt began after another one had ended.
 func (c crash) follows(other crash) bool {
 	if c.sharesClock(other) {
 		return c.Start >= other.end()
 	}
-	return !c.Sent.Before(other.At)
+	return !c.Sent.Add(clockTolerance).Before(other.At)
 }
 
 // compareEnd orders crashes by when their attempts ended.
