--- a/pass/crash_test.go
+++ b/pass/crash_test.go
@@ -269,6 +269,9 @@
 	})
 	fx.backend.life = member.Running
 	fx.keepEndpoints(limit.MaxAttributedCrashes)
+	endpoints := fx.feed.list.Endpoints
+	// The list is published anew while the attempt lasts.
+	fx.feed.listFunc = func() *member.List { return (&member.List{Endpoints: slices.Clone(endpoints)}).Index() }
 	got, _ := fx.call("/safe/x", "k")
 	check.Equal(t, "status", got.Code, 502)
 	check.Equal(t, "endpoints that the request reached", len(fx.backend.sends), 1)
--- a/pass/ended.go
+++ b/pass/ended.go
@@ -20,9 +20,9 @@
 	e.endpointState(to).ended = ended
 }
 
-// countRunning returns how many endpoints of a pool, without the one given, run and take requests, as far as this entry knows, and how
+// countRunning returns how many endpoints of a pool, without the one with the ID, run and take requests, as far as this entry knows, and how
 // many of the pool are listed.
-func (e *Entry) countRunning(pool string, without *member.Endpoint) (running, listed int) {
+func (e *Entry) countRunning(pool, without string) (running, listed int) {
 	list := e.list()
 	if list == nil {
 		return 0, 0
@@ -32,7 +32,7 @@
 	defer e.mu.Unlock()
 	all := list.Pool(pool)
 	for _, to := range all {
-		if s := e.endpointState(to); to != without && !s.ended && !to.Down && !s.isAvoided(to) && s.health.Fit(now) {
+		if s := e.endpointState(to); to.ID != without && !s.ended && !to.Down && !s.isAvoided(to) && s.health.Fit(now) {
 			running++
 		}
 	}
@@ -45,7 +45,7 @@
 // The load pattern is a request that ends each endpoint it reaches, in a pool of few: its retries would leave the pool's other
 // requests without an endpoint for the time of a restart.
 func (e *Entry) canLoseMore(pool string, ended *member.Endpoint) bool {
-	running, _ := e.countRunning(pool, ended)
+	running, _ := e.countRunning(pool, ended.ID)
 	return running >= limit.MaxAttributedCrashes
 }
 
@@ -55,6 +55,6 @@
 	if !slices.ContainsFunc(j.fingerprints(), e.config.View.IsSuspected) {
 		return false
 	}
-	running, listed := e.countRunning(j.pool, nil)
+	running, listed := e.countRunning(j.pool, "")
 	return running < 2 && listed > 1
 }
