A connection that broke after a silence makes its request suspected at once (BUDGET)

Change: where one endpoint of a pool is left, a run whose connection broke after the time of a restart speaks against its request too. Runs that were given up don't: their endpoints may only be slow.

Before: TestLastEndpointAfterSilentEnds reaches the last endpoint; now the request is rejected with a second of Retry-After, and another one is served.

--- a/limit/unanswered.go
+++ b/limit/unanswered.go
@@ -29,6 +29,8 @@
 	// Report is to be made if the endpoint has ended; its Age is as of At.
 	Report CrashReport
 	At     time.Time
+	// Broken is set if its connection broke, after a silence for the time of a restart.
+	Broken bool
 }
 
 // ListedEndpoint is what the platform's list says of an endpoint.
@@ -45,6 +47,17 @@
 	u.runs = append(u.runs, r)
 }
 
+// AnyBroken reports whether MayHaveEnded holds for any request.
+func (u *UnansweredRuns) AnyBroken() bool {
+	return slices.ContainsFunc(u.runs, func(r UnansweredRun) bool { return r.Broken })
+}
+
+// MayHaveEnded reports whether an endpoint may have ended under a run of the request with the fingerprint, by a connection that
+// broke. A run that was given up says too little: its endpoint may only be slow.
+func (u *UnansweredRuns) MayHaveEnded(fingerprint string) bool {
+	return slices.ContainsFunc(u.runs, func(r UnansweredRun) bool { return r.Broken && r.Report.Fingerprint == fingerprint })
+}
+
 // Ended removes and returns the runs whose endpoint has ended without draining, by what look returns
 // for an endpoint's ID.
 func (u *UnansweredRuns) Ended(now time.Time, look func(id string) ListedEndpoint) []UnansweredRun {
--- a/pass/crash_test.go
+++ b/pass/crash_test.go
@@ -302,3 +302,23 @@
 	check.Equal(t, "says that it crashes endpoints", strings.Contains(got.Body.String(), "it crashes endpoints"), false)
 	check.Equal(t, "sends", len(fx.backend.sends), 0)
 }
+
+// TestLastEndpointAfterSilentEnds guards against the same where a connection that broke after a silence is all that an entry knows: the list
+// shows the end later.
+func TestLastEndpointAfterSilentEnds(t *testing.T) {
+	t.Parallel()
+	crashing := func(c *pass.Call) { c.Body = []byte("bad") }
+	silent := func(s *pass.Send) (*pass.Reply, error) {
+		time.Sleep(limit.MinRestartTime + 100*time.Millisecond)
+		return lost(s)
+	}
+	fx := newFixture(t, silent, notSent, notSent, respondWith(200, "ok"))
+	fx.backend.life = member.Running
+	fx.keepEndpoints(limit.MaxAttributedCrashes)
+	fx.call("/once/x", "k", crashing)
+	got, _ := fx.call("/once/x", "k", crashing)
+	check.Equal(t, "status", got.Code, 503)
+	check.Equal(t, "sends", len(fx.backend.sends), 3)
+	got, _ = fx.call("/once/x", "k")
+	check.Equal(t, "status of another request", got.Code, 200)
+}
--- a/pass/ended.go
+++ b/pass/ended.go
@@ -52,9 +52,20 @@
 // endangersPool reports whether a request under which endpoints have ended would be sent to the last one of its pool that runs, while
 // others are about to start again.
 func (e *Entry) endangersPool(j *job) bool {
-	if !slices.ContainsFunc(j.fingerprints(), e.config.View.IsSuspected) {
+	if !slices.ContainsFunc(j.fingerprints(), e.isSuspected) {
 		return false
 	}
 	running, listed := e.countRunning(j.pool, "")
 	return running < 2 && listed > 1
 }
+
+// isSuspected reports whether endpoints have ended under requests with the fingerprint, by what control and this entry know, or may
+// have.
+func (e *Entry) isSuspected(fingerprint func() string) bool {
+	if e.config.View.IsSuspected(fingerprint) {
+		return true
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.unanswered.AnyBroken() && e.unanswered.MayHaveEnded(fingerprint())
+}
--- a/pass/report.go
+++ b/pass/report.go
@@ -41,12 +41,15 @@
 
 // recordUnanswered records a run whose response did not arrive although its endpoint said nothing of
 // an end.
-func (e *Entry) recordUnanswered(j *job, to *member.Endpoint) {
+func (e *Entry) recordUnanswered(j *job, to *member.Endpoint) { e.addUnanswered(j, to, false) }
+
+// addUnanswered records an unanswered run; broken is set if its connection broke after a silence.
+func (e *Entry) addUnanswered(j *job, to *member.Endpoint, broken bool) {
 	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	for _, report := range j.crashReports(to, now) {
-		e.mu.Lock()
-		e.unanswered.Add(limit.UnansweredRun{Report: report, At: now})
-		e.mu.Unlock()
+		e.unanswered.Add(limit.UnansweredRun{Report: report, At: now, Broken: broken})
 	}
 }
 
@@ -66,7 +69,7 @@
 	if e.config.Backend.Probe(ctx, to) == member.Running {
 		ended = time.Since(j.heardAt) >= limit.MinRestartTime
 		if ended {
-			e.recordUnanswered(j, to)
+			e.addUnanswered(j, to, true)
 		}
 		return ended
 	}
