event, pass, platform: logs tell how a request ended without an answer

Callers saw requests end without an answer (LOST); the logs could not tell why. A panic of a handler went to standard error only, a line cut gave no reason, and a handler that returned without writing left no line.

Now fault carries ID, stage and stack of a panic, unanswered reports each request whose handler ends without an answer while its client is there, cut has the last attempt's outcome and the time left, left says whether the connection ended or a write failed, and what net/http reports becomes the event server.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -11,6 +11,7 @@
 	SettingsUnreadable = declare(107, "readbad", "error", "The settings could not be reloaded; the previous ones stay in use.")
 	Dropped            = declare(108, "dropped", "warn", "Log lines were dropped because their reader was too slow; count is their number.")
 	FormerEnd          = declare(109, "formerend", "warn", "How the former run of this process ended, by what it left in its data folder.")
+	ServerReport       = declare(110, "server", "error", "The HTTP server reports a problem, such as a panic of a handler.")
 	KeysBad            = declare(105, "keysbad", "error", "Keys could not be reloaded; the previous ones stay in use. Fix the file.")
 )
 
@@ -50,7 +51,7 @@
 
 // Events of the data path.
 var (
-	ResponseCut     = declare(300, "cut", "warn", "A response was cut off before its end; the client was told.")
+	ResponseCut     = declare(300, "cut", "warn", "A response was cut off before its end, and the client was told; outcome is that of the last attempt that failed, left the time to the deadline.")
 	Unknown         = declare(301, "unknown", "warn", "A non-idempotent request was accepted and its outcome is unknown. See ctl unknown list.")
 	Crash           = declare(302, "crash", "error", "An endpoint crashed while it ran a request.")
 	Quarantined     = declare(303, "quarantined", "warn", "A request that crashed endpoints is rejected; where endpoints have no agents, until a trial run completes. print is the fingerprint of its content. See ctl suspect list where endpoints have agents.")
@@ -69,6 +70,7 @@
 	CrashReported   = declare(317, "reported", "info", "An endpoint ended while it ran a request and control is told; print is the request's fingerprint.")
 	CrashTrial      = declare(318, "trial", "info", "A quarantined request is run once, to find out whether it still crashes endpoints.")
 	BadLimit        = declare(320, "limitbad", "warn", "An endpoint's answer named a limit that can't be read; it is ignored.")
+	Unanswered      = declare(321, "unanswered", "error", "A request that was read ended without an answer though its client had not left; why and stage say how.")
 	EndpointLimited = declare(319, "limited", "info", "An endpoint named a limit for the requests of all entries together, changed it or, with limited=false, ended it.")
 	Fenced          = declare(307, "fenced", "warn", "A command with an old epoch was rejected.")
 )
--- a/event/fields.go
+++ b/event/fields.go
@@ -83,6 +83,7 @@
 		{"source", "Who read the list of endpoints: the leader or the entry itself (own)."},
 		{"spent", "Time since the start of the attempt, in milliseconds."},
 		{"stack", "Stack of the goroutine that panicked."},
+		{"stage", "How far a request was: admission, placement, sent, buffered (a response that the client is yet to get) or response."},
 		{"status", "HTTP status."},
 		{"store", "KV store, by name or address."},
 		{"table", "Table that was changed."},
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -296,16 +296,21 @@
 }
 
 func (e *Entry) recordClientClosed(j *job, to *member.Endpoint, out *relay) {
-	first := int64(-1)
+	j.clientLeft = true
+	why, first := "connection closed", int64(-1)
+	if out.clientGone {
+		why = "write failed"
+	}
 	if !j.firstByteAt.IsZero() {
 		first = j.firstByteAt.Sub(j.call.Arrived).Milliseconds()
 	}
-	e.config.Events.Emit(event.ClientClosed, "id", j.call.ID, "route", j.route.Name, "endpoint", to.ID, "took", time.Since(j.call.Arrived).Milliseconds(),
+	e.config.Events.Emit(event.ClientClosed, "id", j.call.ID, "route", j.route.Name, "endpoint", to.ID, "why", why, "took", time.Since(j.call.Arrived).Milliseconds(),
 		"first", first, "last", out.lastEventID, "bytes", out.sentBytes, "expected", j.predictedFirstToken.Milliseconds(), "urgency", j.urgency, "print", j.fingerprint())
 	e.meters.outcome(j.route.Name, "left")
 }
 
 func (e *Entry) recordAttempt(j *job, to *member.Endpoint, outcome, next string, status int) {
+	j.lastOutcome = outcome
 	fingerprint, parts := "", ""
 	switch outcome {
 	case outcomeLost, outcomeBrokenOff, outcomeTimeout, outcomeFailed:
--- a/pass/log_test.go
+++ b/pass/log_test.go
@@ -48,6 +48,15 @@
 	}
 }
 
+// A panic must be found in the log by the request's ID, with the stage that it ended.
+func TestPanicIsLogged(t *testing.T) {
+	out := &buffer{}
+	fx := newFixtureWith(t, pass.Config{Events: event.New(event.Config{Out: out, Node: "n"})}, func(*pass.Send) (*pass.Reply, error) { panic("index out of range") })
+	fx.call("/once/x", "k", func(call *pass.Call) { call.ID = "request-8" })
+	line, _, _ := strings.Cut(out.text.String()[strings.Index(out.text.String(), "name=fault"):], "\n")
+	check.Equal(t, "ID and stage in "+line, strings.Contains(line, "id=request-8") && strings.Contains(line, "stage=sent") && strings.Contains(line, "index out of range"), true)
+}
+
 // A process may be killed while a request is in progress: its endpoint must be logged before the
 // request is sent.
 func TestPlacedIsLoggedBeforeSend(t *testing.T) {
--- a/pass/serve.go
+++ b/pass/serve.go
@@ -48,6 +48,13 @@
 	rank     int
 	deadline time.Time
 
+	// step is the stage but for stageBuffered and stageResponse, which stage tells.
+	step string
+	// clientLeft is set once the client has been found to have closed its connection.
+	clientLeft bool
+	// lastOutcome is how the last attempt that failed did so; "" if none has.
+	lastOutcome string
+
 	// tried holds the IDs of the endpoints already chosen.
 	tried []string
 	// possibleRuns counts attempts that may have run.
@@ -79,6 +86,9 @@
 	defer e.open.Add(-1)
 	// Before it was read, the request waited about as long as any work here.
 	c.Arrived = c.Arrived.Add(-e.waitForProcessor())
+	j, out := &job{call: c, step: stageAdmission}, &answer{ResponseWriter: w}
+	defer func() { e.recordEnd(j, out, recover()) }()
+	w = out
 	j, f := e.admitWhenReady(ctx, c)
 	if f != nil {
 		e.recordFailure(j, f)
@@ -134,7 +144,7 @@
 
 // admit resolves the route, account, pool and deadline of a request from the table set.
 func (e *Entry) admit(c *Call) (*job, *failure) {
-	j := &job{call: c}
+	j := &job{call: c, step: stageAdmission}
 	if j.set = e.tableSet(); j.set == nil || e.list() == nil {
 		return j, refuse(reasonNoTables, staleRetryAfter)
 	}
@@ -178,6 +188,7 @@
 func (e *Entry) dispatch(ctx context.Context, j *job, w http.ResponseWriter) *failure {
 	out := newRelay(w, j.route.Kind == board.Stream)
 	for {
+		j.step = stagePlacement
 		if out.headerSent && endOf(ctx) != nil {
 			return e.cutResponse(j, out)
 		}
@@ -192,6 +203,7 @@
 			}
 			return f
 		}
+		j.step = stageSent
 		next, f := e.attempt(ctx, j, c, out)
 		if !next {
 			return f
@@ -296,7 +308,8 @@
 
 // cutResponse aborts a response that has begun and can't be completed.
 func (e *Entry) cutResponse(j *job, out *relay) *failure {
-	e.config.Events.Emit(event.ResponseCut, "id", j.call.ID, "route", j.route.Name, "tried", len(j.tried), "last", out.lastEventID, "bytes", out.sentBytes)
+	e.config.Events.Emit(event.ResponseCut, "id", j.call.ID, "route", j.route.Name, "tried", len(j.tried), "last", out.lastEventID, "bytes", out.sentBytes,
+		"outcome", j.lastOutcome, "left", time.Until(j.deadline).Milliseconds())
 	e.meters.outcome(j.route.Name, "cut")
 	out.abort()
 	return nil
