pass: a panic ends its request with an answer

Callers saw a connection close without a word (LOST) where a handler panicked.

Cause: net/http recovers panics of handlers and closes the connection; nothing of ours stood between, so any fault met while a request was handled cost its answer.

Evidence: TestPanicEndsRequestWithoutAnswer failed before: status 0 in place of 502, both for a panic in the backend and for a status that net/http rejects ('invalid WriteHeader code 99').

Change: Serve is the one place that ensures an answer: whatever ends the handler, a request whose response hasn't begun gets 503 if no attempt was made, else 502; a response that has begun is cut, and the panic is logged with its stack. The test covers these four cases now.

Conclusion: a panic costs one request an answer of its endpoint's, not its answer. A panic while the entry's lock is held by a section without a deferred unlock would still block the process; there are eight such sections in this package.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -70,7 +70,7 @@
 	CrashReported   = declare(317, "reported", "info", "An endpoint ended while it ran a request and control is told; print is the request's fingerprint.")
 	CrashTrial      = declare(318, "trial", "info", "A quarantined request is run once, to find out whether it still crashes endpoints.")
 	BadLimit        = declare(320, "limitbad", "warn", "An endpoint's answer named a limit that can't be read; it is ignored.")
-	Unanswered      = declare(321, "unanswered", "error", "A request that was read ended without an answer though its client had not left; why and stage say how.")
+	Unanswered      = declare(321, "unanswered", "error", "The handler of a request ended without a response though the client had not left; the entry sent one of its own. stage says how far it was. Report it with this line.")
 	EndpointLimited = declare(319, "limited", "info", "An endpoint named a limit for the requests of all entries together, changed it or, with limited=false, ended it.")
 	Fenced          = declare(307, "fenced", "warn", "A command with an old epoch was rejected.")
 )
--- a/pass/answer.go
+++ b/pass/answer.go
@@ -48,15 +48,24 @@
 	return j.step
 }
 
-// recordEnd logs a request whose handler ends without an answer; failed is the panic that ends it, or nil.
-func (e *Entry) recordEnd(j *job, out *answer, failed any) {
+// ensureAnswer answers a request whose handler ends without an answer, and logs the request; failed is the panic that ends it, or nil.
+func (e *Entry) ensureAnswer(j *job, out *answer, failed any) {
 	if failed != nil && failed != http.ErrAbortHandler {
 		e.config.Events.Emit(event.Fault, "id", j.call.ID, "why", "panic", "stage", j.stage(out.begun), "err", failed, "stack", string(debug.Stack()))
 	}
-	if !out.begun && !j.clientLeft {
-		e.config.Events.Emit(event.Unanswered, "id", j.call.ID, "stage", j.stage(false), "tried", len(j.tried), "ran", ranText(j))
+	if out.begun || j.clientLeft {
+		if failed != nil {
+			panic(http.ErrAbortHandler)
+		}
+		return
 	}
-	if failed != nil {
-		panic(failed)
+	e.config.Events.Emit(event.Unanswered, "id", j.call.ID, "stage", j.stage(false), "tried", len(j.tried), "ran", ranText(j))
+	f := &failure{status: http.StatusBadGateway, reason: reasonFault}
+	if j.attemptAt.IsZero() {
+		f = refuse(reasonFault, fullRetryAfter)
 	}
+	// They may be of a response that couldn't begin.
+	clear(out.Header())
+	e.recordFailure(j, f)
+	f.write(out)
 }
--- a/pass/failure.go
+++ b/pass/failure.go
@@ -30,6 +30,7 @@
 	reasonLost     = "answer lost"
 	reasonUnsigned = "answer not vouched for"
 	reasonCrashes  = "it crashes endpoints"
+	reasonFault    = "an internal check failed"
 	reasonTooMany  = "too many requests at once"
 	// reasonLimited: the endpoints have named limits for the requests that they take.
 	reasonLimited = "endpoints limit their requests"
--- a/pass/lost_test.go
+++ b/pass/lost_test.go
@@ -7,12 +7,14 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"egretshunt/board"
 	"egretshunt/check"
+	"egretshunt/ctrl"
 	"egretshunt/pass"
 )
 
@@ -33,8 +35,34 @@
 			check.Equal(t, "end", end, endCounted)
 		})
 	}
+	t.Run("before a request is sent", func(t *testing.T) {
+		fx := newFixture(t, respondWith(200, "ok"))
+		fx.feed.viewFunc = func() *ctrl.View { panic("an index out of range") }
+		status, _, end := readResponse(t, fx.serveHTTP(t), "1.1", "/once/x")
+		check.Equal(t, "status", status, http.StatusServiceUnavailable)
+		check.Equal(t, "end", end, endCounted)
+	})
+	t.Run("within a response", func(t *testing.T) {
+		fx := newFixture(t, func(*pass.Send) (*pass.Reply, error) {
+			return &pass.Reply{Status: 200, Sealed: true, Header: http.Header{}, Body: &panickingBody{strings.NewReader(eventA)}}, nil
+		})
+		status, body, end := readResponse(t, fx.serveHTTP(t), "1.1", "/stream/x")
+		check.Equal(t, "response", []any{status, body, end}, []any{http.StatusOK, eventA, endCut})
+	})
+}
+
+// panickingBody panics after its content.
+type panickingBody struct{ content *strings.Reader }
+
+func (b *panickingBody) Read(p []byte) (int, error) {
+	if b.content.Len() == 0 {
+		panic("an index out of range")
+	}
+	return b.content.Read(p)
 }
 
+func (b *panickingBody) Close() error { return nil }
+
 // TestEmptyResponseToClosedClient guards against empty responses with status 200 that no endpoint had sent, to clients that had
 // closed their half of the connection.
 func TestEmptyResponseToClosedClient(t *testing.T) {
--- a/pass/serve.go
+++ b/pass/serve.go
@@ -87,7 +87,7 @@
 	// Before it was read, the request waited about as long as any work here.
 	c.Arrived = c.Arrived.Add(-e.waitForProcessor())
 	j, out := &job{call: c, step: stageAdmission}, &answer{ResponseWriter: w}
-	defer func() { e.recordEnd(j, out, recover()) }()
+	defer func() { e.ensureAnswer(j, out, recover()) }()
 	w = out
 	j, f := e.admitWhenReady(ctx, c)
 	if f != nil {
