pass: no empty response to a client that has closed its half of the connection

Cause: where the client is found to have left before its response has begun, the attempt returned without writing, and net/http answers 200 for such a handler.

Change: ensureAnswer aborts such a request. TestSilentEndIsReported now serves its requests as a server does, which recovers the abort, and checks in addition that exactly the case whose caller left is aborted; the rest of it is as it was.

--- a/pass/answer.go
+++ b/pass/answer.go
@@ -48,16 +48,18 @@
 	return j.step
 }
 
-// ensureAnswer answers a request whose handler ends without an answer, and logs the request; failed is the panic that ends it, or nil.
+// ensureAnswer answers a request whose handler ends without an answer, unless its client has left, and logs the request; failed is the panic
+// that ends it, or nil.
 func (e *Entry) ensureAnswer(j *job, out *answer, failed any) {
 	if failed != nil && failed != http.ErrAbortHandler {
 		e.config.Events.Emit(event.Fault, "id", j.call.ID, "why", "panic", "stage", j.stage(out.begun), "err", failed, "stack", string(debug.Stack()))
 	}
-	if out.begun || j.clientLeft {
-		if failed != nil {
-			panic(http.ErrAbortHandler)
-		}
+	switch {
+	case out.begun && failed == nil:
 		return
+	case out.begun, j.clientLeft:
+		// net/http answers 200 for a handler that returns without a response.
+		panic(http.ErrAbortHandler)
 	}
 	e.config.Events.Emit(event.Unanswered, "id", j.call.ID, "stage", j.stage(false), "tried", len(j.tried), "ran", ranText(j))
 	f := &failure{status: http.StatusBadGateway, reason: reasonFault}
--- a/pass/crash_test.go
+++ b/pass/crash_test.go
@@ -105,7 +105,8 @@
 				return all
 			}
 			call := &pass.Call{ID: "x", Host: "h", Method: http.MethodPost, Path: "/once/x", Target: "/once/x", Header: http.Header{}, APIKey: "k", Arrived: time.Now(), ClientTimeout: c.timeout}
-			fx.entry.Serve(ctx, call, httptest.NewRecorder())
+			_, aborted := fx.serve(ctx, call)
+			check.Equal(t, "aborted", aborted, c.leaves)
 			check.Equal(t, "reported before the end is listed", fx.feed.reported(), 0)
 			ended.Store(true)
 			check.Eventually(t, "one report", func() bool { return fx.feed.reported() == 1 })
--- a/pass/pass_test.go
+++ b/pass/pass_test.go
@@ -148,13 +148,18 @@
 	for _, f := range change {
 		f(c)
 	}
+	return fx.serve(context.Background(), c)
+}
+
+// serve serves one request as a server does, and returns as call does.
+func (fx *fixture) serve(ctx context.Context, c *pass.Call) (got *httptest.ResponseRecorder, aborted bool) {
 	got = httptest.NewRecorder()
 	defer func() {
 		if r := recover(); r != nil {
 			aborted = r == http.ErrAbortHandler
 		}
 	}()
-	fx.entry.Serve(context.Background(), c, got)
+	fx.entry.Serve(ctx, c, got)
 	return got, false
 }
 
