pass: no request is served on a connection that its timer has closed

Callers on kept connections lost a request (LOST) that crossed the end of the idle time: it ran, and nobody got the answer.

Cause: a connection counts as idle, or new, until the headers of its request have been read. The timer closes it by that state. A request that was in the process by then went on to the handler, and to an endpoint.

Change: the timer marks what it closes, under the lock by which a connection becomes active, and the handler drops requests of such a connection. Nothing is passed on, so that a caller may repeat it.

Conclusion: a request either stops the timer or isn't run.

--- a/pass/conns.go
+++ b/pass/conns.go
@@ -1,6 +1,7 @@
 package pass
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -30,26 +31,37 @@
 type conn struct {
 	raw net.Conn
 
-	// mu guards timer.
+	// mu guards the fields below.
 	mu sync.Mutex
 	// timer closes the connection on expiry. It is nil while a request is in progress.
 	timer *time.Timer
+	// closed is set once the timeout has closed the connection.
+	closed bool
 }
 
+// connKey is the context key of a client's net.Conn.
+type connKey struct{}
+
 // LimitConns applies limits to the connections of a server that doesn't serve yet. The limits
 // may change later, and none may be zero.
 func LimitConns(s *http.Server, limits func() board.Limits) {
 	c := &conns{limits: limits}
 	s.ReadHeaderTimeout, s.IdleTimeout, s.MaxHeaderBytes = maxHeaderTime, maxIdleTime, maxHeaderBytes
 	s.ConnState = c.trackState
-	s.Handler = body.ResetAborted(c.limitHeaderSize(s.Handler))
+	next := s.ConnContext
+	s.ConnContext = func(ctx context.Context, raw net.Conn) context.Context {
+		if next != nil {
+			ctx = next(ctx, raw)
+		}
+		return context.WithValue(ctx, connKey{}, raw)
+	}
+	s.Handler = body.ResetAborted(c.handler(s.Handler))
 }
 
 // trackState sets or clears a connection's timeout as its state changes. A connection is active
 // from when a request's headers are read until its response is complete.
 func (c *conns) trackState(raw net.Conn, state http.ConnState) {
-	entry, _ := c.open.LoadOrStore(raw, &conn{raw: raw})
-	tracked := entry.(*conn)
+	tracked := c.tracked(raw)
 	switch state {
 	case http.StateNew:
 		tracked.setTimeout(c.headerTime)
@@ -63,9 +75,18 @@
 	}
 }
 
-// limitHeaderSize rejects requests whose headers are too large.
-func (c *conns) limitHeaderSize(next http.Handler) http.Handler {
+// tracked returns the state of a connection.
+func (c *conns) tracked(raw net.Conn) *conn {
+	known, _ := c.open.LoadOrStore(raw, &conn{raw: raw})
+	return known.(*conn)
+}
+
+// handler rejects requests whose headers are too large, and drops those on connections that are closed.
+func (c *conns) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if raw, ok := r.Context().Value(connKey{}).(net.Conn); ok && c.tracked(raw).isClosed() {
+			panic(http.ErrAbortHandler)
+		}
 		if headerSize(r) > c.limits().Header {
 			w.Header().Set("Connection", "close")
 			http.Error(w, "the headers are too large", http.StatusRequestHeaderFieldsTooLarge)
@@ -112,6 +133,7 @@
 			timer.Reset(left)
 			return
 		}
+		c.closed = true
 		c.raw.Close()
 	})
 	c.timer = timer
@@ -126,3 +148,9 @@
 		c.timer = nil
 	}
 }
+
+func (c *conn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
