pass, platform: a stopping entry drops no request that is being read

Callers saw requests that an entry had read end without an answer when it was stopped (LOST): on connections new and kept, around the time at which it closes its listener.

Cause: Server.Shutdown goes by the state of connections, which stays new or idle until the headers have been read; and from Shutdown on net/http drops each request whose headers it has read (server.go, 'if c.server.shuttingDown() { return }'), also one that lay in its buffer for as long as the process waited for the processor. A response that had begun before announced no end of its connection, so that the next request crossed the close.

Change: the entry closes its listener itself and goes on reading. pass.Conns closes only connections without any byte of a request, read or waiting, for 500 ms; all responses that begin after SIGTERM end their connections. Closing the listener waits until the server knows every connection that was accepted. A connection whose next request has begun to arrive has the header time from then on, in place of what is left of its idle time.

TestClosingIdleConnsDropsRequests covers the six states of a connection (its API is new with this change).

--- a/pass/conns.go
+++ b/pass/conns.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"egretshunt/board"
 	"egretshunt/body"
 )
@@ -18,34 +23,28 @@
 	maxHeaderBytes = 1 << 20
 	maxHeaderTime  = 2 * time.Minute
 	maxIdleTime    = time.Hour
+	// minQuiet is how long a connection has been without a request when CloseIdle closes it: a client
+	// may send the next one as soon as it has the response.
+	minQuiet = 500 * time.Millisecond
 )
 
-// conns enforces limits on client connections that may change while the server runs.
-type conns struct {
-	limits func() board.Limits
-	// open maps each open net.Conn to its *conn.
+// Conns tracks the client connections of a server. It enforces limits that may change while the server
+// runs, and closes connections without losing requests: one that is read on a connection that it
+// closes isn't served.
+type Conns struct {
+	limits   func() board.Limits
+	draining atomic.Bool
+	// open maps each open net.Conn of the server to its *conn.
 	open sync.Map
 }
 
-// conn is one client connection and its timeout.
-type conn struct {
-	raw net.Conn
-
-	// mu guards the fields below.
-	mu sync.Mutex
-	// timer closes the connection on expiry. It is nil while a request is in progress.
-	timer *time.Timer
-	// closed is set once the timeout has closed the connection.
-	closed bool
-}
-
 // connKey is the context key of a client's net.Conn.
 type connKey struct{}
 
 // LimitConns applies limits to the connections of a server that doesn't serve yet. The limits
 // may change later, and none may be zero.
-func LimitConns(s *http.Server, limits func() board.Limits) {
-	c := &conns{limits: limits}
+func LimitConns(s *http.Server, limits func() board.Limits) *Conns {
+	c := &Conns{limits: limits}
 	s.ReadHeaderTimeout, s.IdleTimeout, s.MaxHeaderBytes = maxHeaderTime, maxIdleTime, maxHeaderBytes
 	s.ConnState = c.trackState
 	next := s.ConnContext
@@ -56,37 +55,63 @@
 		return context.WithValue(ctx, connKey{}, raw)
 	}
 	s.Handler = body.ResetAborted(c.handler(s.Handler))
+	return c
+}
+
+// Listener returns the listener that the server is to serve on, with which Conns also sees when a request begins to arrive.
+func (c *Conns) Listener(l net.Listener) net.Listener {
+	return &listener{Listener: l, ended: make(chan struct{})}
+}
+
+// Drain makes the responses that haven't begun yet end their connections.
+func (c *Conns) Drain() { c.draining.Store(true) }
+
+// CloseIdle closes the connections that have been without a request for some time, and returns how many
+// others are open.
+func (c *Conns) CloseIdle(now time.Time) (open int) {
+	c.open.Range(func(_, tracked any) bool {
+		if !tracked.(*conn).closeIdle(now) {
+			open++
+		}
+		return true
+	})
+	return open
 }
 
 // trackState sets or clears a connection's timeout as its state changes. A connection is active
 // from when a request's headers are read until its response is complete.
-func (c *conns) trackState(raw net.Conn, state http.ConnState) {
+func (c *Conns) trackState(raw net.Conn, state http.ConnState) {
 	tracked := c.tracked(raw)
 	switch state {
 	case http.StateNew:
-		tracked.setTimeout(c.headerTime)
+		tracked.await(c.headerTime, c.headerTime)
 	case http.StateActive:
-		tracked.clearTimeout()
+		tracked.begin()
 	case http.StateIdle:
-		tracked.setTimeout(c.idleTime)
+		tracked.await(c.idleTime, c.headerTime)
 	case http.StateClosed, http.StateHijacked:
-		tracked.clearTimeout()
+		tracked.begin()
 		c.open.Delete(raw)
 	}
 }
 
 // tracked returns the state of a connection.
-func (c *conns) tracked(raw net.Conn) *conn {
-	known, _ := c.open.LoadOrStore(raw, &conn{raw: raw})
+func (c *Conns) tracked(raw net.Conn) *conn {
+	own, ok := raw.(*conn)
+	if !ok {
+		own = &conn{Conn: raw}
+	}
+	known, _ := c.open.LoadOrStore(raw, own)
 	return known.(*conn)
 }
 
 // handler rejects requests whose headers are too large, and drops those on connections that are closed.
-func (c *conns) handler(next http.Handler) http.Handler {
+func (c *Conns) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if raw, ok := r.Context().Value(connKey{}).(net.Conn); ok && c.tracked(raw).isClosed() {
 			panic(http.ErrAbortHandler)
 		}
+		w = &lastResponse{w, &c.draining}
 		if headerSize(r) > c.limits().Header {
 			w.Header().Set("Connection", "close")
 			http.Error(w, "the headers are too large", http.StatusRequestHeaderFieldsTooLarge)
@@ -96,6 +121,23 @@
 	})
 }
 
+// lastResponse is a response that ends its connection if it begins while the server drains.
+type lastResponse struct {
+	http.ResponseWriter
+	draining *atomic.Bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (l *lastResponse) WriteHeader(status int) {
+	if l.draining.Load() {
+		l.Header().Set("Connection", "close")
+	}
+	l.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap lets an http.ResponseController find the server's own writer.
+func (l *lastResponse) Unwrap() http.ResponseWriter { return l.ResponseWriter }
+
 // headerSize returns the size of a request before its body as sent, in bytes.
 func headerSize(r *http.Request) int64 {
 	const lineEnds, separator = 2, 2
@@ -109,19 +151,82 @@
 	return int64(n + lineEnds)
 }
 
-func (c *conns) headerTime() time.Duration { return c.limits().HeaderTimeout }
-func (c *conns) idleTime() time.Duration   { return c.limits().IdleTimeout }
+func (c *Conns) headerTime() time.Duration { return c.limits().HeaderTimeout }
+func (c *Conns) idleTime() time.Duration   { return c.limits().IdleTimeout }
+
+// listener accepts the connections of one server.
+type listener struct {
+	net.Listener
+	// ended is closed once the server has learned that the listener is closed.
+	ended chan struct{}
+	once  sync.Once
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err == nil {
+		return &conn{Conn: raw}, nil
+	}
+	if errors.Is(err, net.ErrClosed) {
+		l.once.Do(func() { close(l.ended) })
+	}
+	return nil, err
+}
+
+// Close implements net.Listener. When it returns, Conns knows all connections that were accepted.
+func (l *listener) Close() error {
+	err := l.Listener.Close()
+	<-l.ended
+	return err
+}
 
-// setTimeout closes the connection after a limit unless the timeout is set again or cleared
-// before. The limit is read again on expiry: the client may have received notice of a longer one
-// meanwhile.
-func (c *conn) setTimeout(limit func() time.Duration) {
-	start := time.Now()
+// conn is one client connection and its timeout.
+type conn struct {
+	net.Conn
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// timer closes the connection on expiry. It is nil while a request is in progress.
+	timer *time.Timer
+	// since is when the connection began to wait for a request, heard when the first bytes of that request were read; zero before.
+	since, heard time.Time
+	// ahead is when the server read a byte of the next request within the present one; zero if it hasn't.
+	ahead time.Time
+	// closed is set once the connection was closed while it waited for a request.
+	closed bool
+}
+
+// NetConn returns the connection itself.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case len(p) == 1:
+		// net/http reads a single byte to learn of a client that leaves.
+		c.ahead = time.Now()
+	case c.heard.IsZero():
+		c.heard = time.Now()
+	}
+	return n, err
+}
+
+// await closes the connection if no request arrives within a limit, or if one that began to arrive doesn't within headerTime. The
+// limits are read again on expiry: the client may have received notice of longer ones meanwhile.
+func (c *conn) await(limit, headerTime func() time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.timer != nil {
 		c.timer.Stop()
 	}
+	c.since, c.heard = time.Now(), c.ahead
 	var timer *time.Timer
 	timer = time.AfterFunc(limit(), func() {
 		c.mu.Lock()
@@ -129,24 +234,47 @@
 		if c.timer != timer {
 			return
 		}
-		if left := limit() - time.Since(start); left > 0 {
+		left := limit() - time.Since(c.since)
+		if c.hasRequest() {
+			if c.heard.IsZero() {
+				c.heard = time.Now()
+			}
+			left = headerTime() - time.Since(c.heard)
+		}
+		if left > 0 {
 			timer.Reset(left)
 			return
 		}
-		c.closed = true
-		c.raw.Close()
+		c.close()
 	})
 	c.timer = timer
 }
 
-// clearTimeout stops the timeout while a request is in progress.
-func (c *conn) clearTimeout() {
+// begin stops the timeout while a request is in progress.
+func (c *conn) begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.timer != nil {
 		c.timer.Stop()
 		c.timer = nil
 	}
+	c.ahead = time.Time{}
+}
+
+// closeIdle closes the connection if it has been without a request for some time, and reports whether it is closed.
+func (c *conn) closeIdle(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed && c.timer != nil && now.Sub(c.since) >= minQuiet && !c.hasRequest() {
+		c.close()
+	}
+	return c.closed
+}
+
+// close closes the connection, on which no request is in progress. The caller holds mu.
+func (c *conn) close() {
+	c.closed = true
+	c.Close()
 }
 
 func (c *conn) isClosed() bool {
@@ -154,3 +282,24 @@
 	defer c.mu.Unlock()
 	return c.closed
 }
+
+// hasRequest reports whether a request has begun to arrive. The caller holds mu.
+func (c *conn) hasRequest() bool { return !c.heard.IsZero() || hasInput(c.Conn) }
+
+// hasInput reports whether bytes that haven't been read wait on a connection.
+func hasInput(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := 0
+	err = raw.Control(func(fd uintptr) {
+		// An error leaves no bytes waiting.
+		waiting, _ = unix.IoctlGetInt(int(fd), unix.SIOCINQ)
+	})
+	return err == nil && waiting > 0
+}
--- a/pass/conns_test.go
+++ b/pass/conns_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"egretshunt/board"
+	"egretshunt/body"
 	"egretshunt/check"
 	"egretshunt/pass"
 )
@@ -133,3 +134,62 @@
 		check.Equal(t, "status beyond limit", request(t, c, in, "X-Note: "+strings.Repeat("x", 1100)+"\r\n"), http.StatusRequestHeaderFieldsTooLarge)
 	})
 }
+
+// TestClosingIdleConnsDropsRequests guards against requests lost where a server that stops closes connections by their state: a
+// request may have begun to arrive.
+func TestClosingIdleConnsDropsRequests(t *testing.T) {
+	const half, rest = "GET / HTTP/1.1\r\nHo", "st: a\r\n\r\n"
+	for name, c := range map[string]struct {
+		// kept connections have had a response.
+		kept   bool
+		sent   string
+		status int
+	}{
+		"kept, nothing sent":          {true, "", 0},
+		"kept, half a request":        {true, half, http.StatusOK},
+		"new, nothing sent":           {false, "", 0},
+		"new, half a request":         {false, half, http.StatusOK},
+		"new, a byte of the request":  {false, half[:1], http.StatusOK},
+		"kept, a byte of the request": {true, half[:1], http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })}
+			conns := pass.LimitConns(s, func() board.Limits {
+				return board.Limits{Header: 1 << 10, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+			})
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			check.NoError(t, err)
+			tracked := conns.Listener(l)
+			body.Serve(s, tracked)
+			t.Cleanup(func() { s.Close() })
+			client, err := net.Dial("tcp", l.Addr().String())
+			check.NoError(t, err)
+			defer client.Close()
+			check.NoError(t, client.SetReadDeadline(time.Now().Add(10*time.Second)))
+			in := bufio.NewReader(client)
+			if c.kept {
+				check.Equal(t, "status before", request(t, client, in, ""), http.StatusOK)
+			}
+			_, err = io.WriteString(client, c.sent)
+			check.NoError(t, err)
+			check.Eventually(t, "the connection is known", func() bool { return conns.CloseIdle(time.Time{}) == 1 })
+			conns.Drain()
+			check.NoError(t, tracked.Close())
+			// Bytes that are on their way are lost by any close.
+			time.Sleep(100 * time.Millisecond)
+			later := time.Now().Add(time.Minute)
+			if c.status == 0 {
+				check.Eventually(t, "it is closed", func() bool { return conns.CloseIdle(later) == 0 })
+				checkClosed(t, in)
+				return
+			}
+			check.Equal(t, "open after a quiet time", conns.CloseIdle(later), 1)
+			_, err = io.WriteString(client, half[len(c.sent):]+rest)
+			check.NoError(t, err)
+			r, err := http.ReadResponse(in, nil)
+			check.NoError(t, err)
+			check.Equal(t, "status and end of the connection", []any{r.StatusCode, r.Close}, []any{c.status, true})
+			check.Eventually(t, "no connection is open", func() bool { return conns.CloseIdle(time.Now()) == 0 })
+		})
+	}
+}
