pass, platform: open requests get their final answer before a stopping entry ends

Callers whose requests were still open when the grace of a stopping entry ended got their connection closed without an answer (LOST).

Cause: stop called Server.Close under the handlers. Their contexts ended as if the callers had left, so that they wrote nothing.

TestEndOfGraceDropsRequests covers the stages: waiting for control, waiting for a permit, at the endpoint, buffered, stream not begun and begun.

Conclusion: what was read completely ends with an answer at every stage.

--- a/pass/answer.go
+++ b/pass/answer.go
@@ -1,8 +1,11 @@
 package pass
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 
 	"egretshunt/event"
 )
@@ -10,24 +13,46 @@
 // answer is the response to one client request. It records whether the final status has been sent.
 type answer struct {
 	http.ResponseWriter
-	begun bool
+	begun atomic.Bool
 }
 
 // WriteHeader implements http.ResponseWriter.
 func (a *answer) WriteHeader(status int) {
 	a.ResponseWriter.WriteHeader(status)
-	a.begun = a.begun || status >= http.StatusOK
+	if status >= http.StatusOK {
+		a.begun.Store(true)
+	}
 }
 
 // Write implements http.ResponseWriter.
 func (a *answer) Write(p []byte) (int, error) {
-	a.begun = true
+	a.begun.Store(true)
 	return a.ResponseWriter.Write(p)
 }
 
 // Unwrap lets an http.ResponseController find the server's own writer.
 func (a *answer) Unwrap() http.ResponseWriter { return a.ResponseWriter }
 
+// errEnding is the cause with which requests are cancelled that get their final answer because the process ends.
+var errEnding = errors.New("the process ends")
+
+// EndRequests ends the requests whose response hasn't begun, as at their deadline: each gets its final answer.
+func (e *Entry) EndRequests() { e.endRequests() }
+
+// untilEnd returns a context that ends with EndRequests unless the response has begun by then.
+func (e *Entry) untilEnd(ctx context.Context, out *answer) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(e.ending, func() {
+		if !out.begun.Load() {
+			cancel(errEnding)
+		}
+	})
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // Stages of a request.
 const (
 	stageAdmission = "admission"
@@ -52,12 +77,12 @@
 // that ends it, or nil.
 func (e *Entry) ensureAnswer(j *job, out *answer, failed any) {
 	if failed != nil && failed != http.ErrAbortHandler {
-		e.config.Events.Emit(event.Fault, "id", j.call.ID, "why", "panic", "stage", j.stage(out.begun), "err", failed, "stack", string(debug.Stack()))
+		e.config.Events.Emit(event.Fault, "id", j.call.ID, "why", "panic", "stage", j.stage(out.begun.Load()), "err", failed, "stack", string(debug.Stack()))
 	}
 	switch {
-	case out.begun && failed == nil:
+	case out.begun.Load() && failed == nil:
 		return
-	case out.begun, j.clientLeft:
+	case out.begun.Load(), j.clientLeft:
 		// net/http answers 200 for a handler that returns without a response.
 		panic(http.ErrAbortHandler)
 	}
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -96,6 +96,9 @@
 // endOf returns why a request's context has ended; nil if it hasn't. The timer of a deadline that is over may not
 // have fired yet: a response that is lost meanwhile is late, and shows nothing about its endpoint.
 func endOf(ctx context.Context) error {
+	if context.Cause(ctx) == errEnding {
+		return context.DeadlineExceeded
+	}
 	if err := ctx.Err(); err != nil {
 		return err
 	}
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -94,6 +94,9 @@
 	started time.Time
 	cancel  context.CancelFunc
 	running sync.WaitGroup
+	// ending ends with endRequests, when open requests must get their final answers.
+	ending      context.Context
+	endRequests context.CancelFunc
 
 	// set is the decoded table set in force.
 	set atomic.Pointer[decodedSet]
@@ -195,6 +198,7 @@
 	c.Metrics.NewGauge("egretshunt_pass_backlog_tokens", func() float64 { return float64(e.backlog()) })
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
+	e.ending, e.endRequests = context.WithCancel(context.Background())
 	e.running.Go(func() { e.runMaintenance(ctx) })
 	if c.Wait == nil {
 		e.running.Go(func() { e.measureLag(ctx) })
@@ -360,5 +364,6 @@
 // Close stops the background maintenance.
 func (e *Entry) Close() {
 	e.cancel()
+	e.endRequests()
 	e.running.Wait()
 }
--- a/pass/lost_test.go
+++ b/pass/lost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -15,6 +16,8 @@
 	"egretshunt/board"
 	"egretshunt/check"
 	"egretshunt/ctrl"
+	"egretshunt/limit"
+	"egretshunt/member"
 	"egretshunt/pass"
 )
 
@@ -155,3 +158,108 @@
 		})
 	}
 }
+
+// backendFunc is a backend that sees the context of its requests.
+type backendFunc func(ctx context.Context, s *pass.Send) (*pass.Reply, error)
+
+// Send implements pass.Backend.
+func (f backendFunc) Send(ctx context.Context, s *pass.Send) (*pass.Reply, error) { return f(ctx, s) }
+
+// Probe implements pass.Backend.
+func (f backendFunc) Probe(context.Context, *member.Endpoint) member.Life { return member.Running }
+
+// heldBody is a body whose last part comes when rest is closed, and never after ctx has ended. waits gets a value for each read that waits.
+type heldBody struct {
+	ctx         context.Context
+	first, last string
+	waits       chan<- struct{}
+	rest        <-chan struct{}
+}
+
+func (b *heldBody) Read(p []byte) (int, error) {
+	if b.first != "" {
+		n := copy(p, b.first)
+		b.first = b.first[n:]
+		return n, nil
+	}
+	b.waits <- struct{}{}
+	select {
+	case <-b.rest:
+	case <-b.ctx.Done():
+		return 0, pass.Lost.New("cancelled")
+	}
+	n := copy(p, b.last)
+	if b.last = b.last[n:]; n == 0 {
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+func (b *heldBody) Close() error { return nil }
+
+// TestEndOfGraceDropsRequests guards against requests that were open when the time of their process was over, and got no answer.
+func TestEndOfGraceDropsRequests(t *testing.T) {
+	const held, half = false, true
+	for name, c := range map[string]struct {
+		path string
+		// half is set if the endpoint sends half of its response.
+		half    bool
+		prepare func(fx *fixture)
+		status  int
+		body    string
+	}{
+		"waits for control":  {"/once/x", held, func(fx *fixture) { fx.feed.viewFunc = func() *ctrl.View { return &ctrl.View{} } }, 503, ""},
+		"waits for a permit": {"/once/x", held, limitAll, 503, ""},
+		"at its endpoint":    {"/once/x", held, nil, 504, ""},
+		"may be repeated":    {"/safe/x", held, nil, 504, ""},
+		"stream not begun":   {"/stream/x", held, nil, 504, ""},
+		"response buffered":  {"/once/x", half, nil, 504, ""},
+		"stream begun":       {"/stream/x", half, nil, 200, eventA + eventB},
+	} {
+		t.Run(name, func(t *testing.T) {
+			waits, rest := make(chan struct{}, 10), make(chan struct{})
+			fx := newFixtureWith(t, pass.Config{Backend: backendFunc(func(ctx context.Context, _ *pass.Send) (*pass.Reply, error) {
+				if c.half {
+					return &pass.Reply{Status: 200, Sealed: true, Header: http.Header{}, Body: &heldBody{ctx, eventA, eventB, waits, rest}}, nil
+				}
+				waits <- struct{}{}
+				<-ctx.Done()
+				return nil, pass.Lost.New("cancelled")
+			})})
+			if c.prepare != nil {
+				c.prepare(fx)
+			}
+			type result struct {
+				status    int
+				body, end string
+			}
+			answered := make(chan result, 1)
+			at := fx.serveHTTP(t)
+			go func() {
+				status, body, end := readResponse(t, at, "1.1", c.path)
+				answered <- result{status, body, end}
+			}()
+			if c.status == 503 {
+				check.Eventually(t, "in progress", func() bool { return fx.entry.InFlight() == 1 })
+			} else {
+				<-waits
+			}
+			fx.entry.EndRequests()
+			if c.body != "" {
+				close(rest)
+			}
+			got := <-answered
+			check.Equal(t, "status and end", []any{got.status, got.end}, []any{c.status, endCounted})
+			if c.body != "" {
+				check.Equal(t, "body", got.body, c.body)
+			}
+		})
+	}
+}
+
+// limitAll gives all endpoints of a fixture limits, and no permits.
+func limitAll(fx *fixture) {
+	for _, to := range fx.feed.list.Endpoints {
+		fx.feed.rates[limit.EndpointRun{ID: to.ID, Born: to.Born}] = 100
+	}
+}
--- a/pass/pass_test.go
+++ b/pass/pass_test.go
@@ -130,7 +130,10 @@
 		others: map[string]int{}, where: map[string][]block.Holder{},
 		rates: map[limit.EndpointRun]float64{}, permits: map[limit.EndpointRun]int{},
 	}}
-	c.View, c.Backend = fx.feed, fx.backend
+	c.View = fx.feed
+	if c.Backend == nil {
+		c.Backend = fx.backend
+	}
 	c.Decode = func([]byte) (*board.Set, error) { return set, nil }
 	c.RetryLimiter = limit.RetryLimiterConfig{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}
 	fx.entry = pass.New(c)
--- a/pass/serve.go
+++ b/pass/serve.go
@@ -89,6 +89,8 @@
 	j, out := &job{call: c, step: stageAdmission}, &answer{ResponseWriter: w}
 	defer func() { e.ensureAnswer(j, out, recover()) }()
 	w = out
+	ctx, end := e.untilEnd(ctx, out)
+	defer end()
 	j, f := e.admitWhenReady(ctx, c)
 	if f != nil {
 		e.recordFailure(j, f)
@@ -196,6 +198,9 @@
 			e.recordClientLeft(j, out)
 			return nil
 		}
+		if context.Cause(ctx) == errEnding {
+			return j.finalFailure(reasonTimeout, fullRetryAfter)
+		}
 		c, f := e.next(ctx, j)
 		if f != nil {
 			if out.headerSent {
