platform, pass: a request that no other endpoint may run outlasts its endpoint's silence

Callers got 502, or a stream that had begun was cut, where a sound endpoint was silent for a second or so and went on; its run was broken off well before the deadline.

Cause: every connection to an endpoint has TCP_USER_TIMEOUT of 800 ms. The kernel ends it when sent bytes stay unacknowledged for so long, and also when the window stays closed, that is while a live endpoint doesn't read a long body; both before the response and within it. Giving up early helps only a request that another endpoint may run then.

Change: pass.Send says whether another attempt may follow.

Not measured here: silence without acknowledgements itself, which loopback doesn't show without privileges; a request at a dead endpoint that may not be repeated now ends with 504 at its deadline in place of 502 after 0.8 s, and counts twice for outlier detection.

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -40,6 +40,8 @@
 func (e *Entry) attempt(ctx context.Context, j *job, c *placement, out *relay) (retry bool, f *failure) {
 	to := c.to
 	send := e.newSend(j, c, out.lastEventID)
+	send.Repeatable = j.route.Repeatable() && j.possibleRuns+1 < j.route.Attempts
+	send.Silent = func() { e.recordSilent(to) }
 	e.config.Events.Emit(event.Placed, "id", j.call.ID, "route", j.route.Name, "endpoint", to.ID, "tried", len(j.tried), "urgency", c.urgency,
 		"expected", c.predictedFirstToken.Milliseconds(), "ahead", c.tokensAhead, "compute", c.computeTokens, "moved", c.fetchTokens, "weights", c.version)
 	began := time.Now()
--- a/pass/lost_test.go
+++ b/pass/lost_test.go
@@ -263,3 +263,38 @@
 		fx.feed.rates[limit.EndpointRun{ID: to.ID, Born: to.Born}] = 100
 	}
 }
+
+// TestRepeatableAttempts guards against requests that are given up while their endpoint is silent though no other may run them.
+func TestRepeatableAttempts(t *testing.T) {
+	for path, want := range map[string][]bool{
+		"/once/x": {false}, "/stream/x": {false}, "/safe/x": {true, false}, "/resume/x": {true, false},
+	} {
+		t.Run(path, func(t *testing.T) {
+			fx := newFixture(t, lost)
+			fx.backend.life = member.Running
+			fx.call(path, "k")
+			var got []bool
+			for _, s := range fx.backend.sends {
+				got = append(got, s.Repeatable)
+			}
+			check.Equal(t, "repeatable", got, want)
+		})
+	}
+}
+
+// TestSilentEndpointGetsRequests guards against requests that are sent to an endpoint that has acknowledged none for some time, while
+// those wait.
+func TestSilentEndpointGetsRequests(t *testing.T) {
+	const silences = 3
+	fx := newFixture(t, func(s *pass.Send) (*pass.Reply, error) {
+		if s.To.ID == "w0" {
+			s.Silent()
+		}
+		return respondWith(200, "ok")(s)
+	})
+	for i := range 60 {
+		got, _ := fx.call("/once/x", "k", func(c *pass.Call) { c.ID = fmt.Sprint(i) })
+		check.Equal(t, "status", got.Code, 200)
+	}
+	check.Equal(t, "requests at the silent endpoint", fx.backend.sendsTo()["w0"], silences)
+}
