--- a/pass/pass_test.go
+++ b/pass/pass_test.go
@@ -99,9 +99,8 @@
 	return newFixtureWith(t, pass.Config{RolloutTimeout: time.Hour}, responses...)
 }
 
-// newFixtureWith is newFixture with some of the entry's configuration set.
-func newFixtureWith(t *testing.T, c pass.Config, responses ...func(*pass.Send) (*pass.Reply, error)) *fixture {
-	t.Helper()
+// fixtureDraft returns a fixture's tables.
+func fixtureDraft() board.Draft {
 	ranks := map[string]int{"/once/": 1}
 	route := func(prefix string, kind board.Kind, attempts int) board.Route {
 		return board.Route{
@@ -110,14 +109,20 @@
 			NamesPromptParts: kind == board.Stream, Public: prefix == "/public/", Rank: ranks[prefix],
 		}
 	}
-	set, err := board.New(board.Draft{
+	return board.Draft{
 		Number: 1, RequireKeys: true, Pools: []board.Pool{{Name: "p", Engine: &board.Engine{Tokens: 90000, TokenBytes: 1000}}},
 		Accounts: []board.Account{{Name: "a", Keys: []string{"k", "k-secret"}}, {Name: "iso", Keys: []string{"i"}, Isolated: true}},
 		Routes: []board.Route{
 			route("/safe/", board.Idempotent, 2), route("/once/", board.AtMostOnce, 1), route("/stream/", board.Stream, 1),
 			route("/resume/", board.Stream, 2), route("/public/", board.Idempotent, 1), route("/urgent/", board.AtMostOnce, 1),
 		},
-	})
+	}
+}
+
+// newFixtureWith is newFixture with some of the entry's configuration set.
+func newFixtureWith(t *testing.T, c pass.Config, responses ...func(*pass.Send) (*pass.Reply, error)) *fixture {
+	t.Helper()
+	set, err := board.New(fixtureDraft())
 	check.NoError(t, err)
 	var endpoints []member.Endpoint
 	for i := range 4 {
@@ -130,11 +135,17 @@
 		others: map[string]int{}, where: map[string][]block.Holder{},
 		rates: map[limit.EndpointRun]float64{}, permits: map[limit.EndpointRun]int{},
 	}}
-	c.View = fx.feed
+	if changing, ok := c.View.(*changingView); ok {
+		changing.feed = fx.feed
+	} else {
+		c.View = fx.feed
+	}
 	if c.Backend == nil {
 		c.Backend = fx.backend
 	}
-	c.Decode = func([]byte) (*board.Set, error) { return set, nil }
+	if c.Decode == nil {
+		c.Decode = func([]byte) (*board.Set, error) { return set, nil }
+	}
 	c.RetryLimiter = limit.RetryLimiterConfig{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}
 	fx.entry = pass.New(c)
 	t.Cleanup(fx.entry.Close)
