conns: tracking of client connections in a package of its own

Both request paths need it; the code and its tests move from pass unchanged but for names (pass.LimitConns is conns.Track, pass's answer is conns.Response) and for connections under TLS, which are found by NetConn.

--- a/pass/conns.go
+++ b/conns/conns.go
@@ -1,4 +1,8 @@
-package pass
+// Package conns tracks the client connections of an HTTP server, so that no request is lost where one is closed.
+//
+// It owns the limits on connections, which may change while the server runs, and the way in which a server stops: what has begun
+// to arrive is served.
+package conns
 
 import (
 	"context"
@@ -41,9 +45,9 @@
 // connKey is the context key of a client's net.Conn.
 type connKey struct{}
 
-// LimitConns applies limits to the connections of a server that doesn't serve yet. The limits
+// Track applies limits to the connections of a server that doesn't serve yet. The limits
 // may change later, and none may be zero.
-func LimitConns(s *http.Server, limits func() board.Limits) *Conns {
+func Track(s *http.Server, limits func() board.Limits) *Conns {
 	c := &Conns{limits: limits}
 	s.ReadHeaderTimeout, s.IdleTimeout, s.MaxHeaderBytes = maxHeaderTime, maxIdleTime, maxHeaderBytes
 	s.ConnState = c.trackState
@@ -98,6 +102,9 @@
 // tracked returns the state of a connection.
 func (c *Conns) tracked(raw net.Conn) *conn {
 	own, ok := raw.(*conn)
+	if t, encrypted := raw.(interface{ NetConn() net.Conn }); encrypted && !ok {
+		own, ok = t.NetConn().(*conn)
+	}
 	if !ok {
 		own = &conn{Conn: raw}
 	}
--- a/pass/conns_test.go
+++ b/conns/conns_test.go
@@ -1,4 +1,4 @@
-package pass_test
+package conns_test
 
 import (
 	"bufio"
@@ -16,7 +16,7 @@
 	"egretshunt/board"
 	"egretshunt/body"
 	"egretshunt/check"
-	"egretshunt/pass"
+	"egretshunt/conns"
 )
 
 // limitedServer serves requests under limits that a test may change.
@@ -35,7 +35,7 @@
 		time.Sleep(b.delay)
 		io.WriteString(w, "served")
 	})}
-	pass.LimitConns(s, func() board.Limits { return *b.limits.Load() })
+	conns.Track(s, func() board.Limits { return *b.limits.Load() })
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	check.NoError(t, err)
 	b.addr = l.Addr().String()
@@ -154,13 +154,13 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })}
-			conns := pass.LimitConns(s, func() board.Limits {
+			tracked := conns.Track(s, func() board.Limits {
 				return board.Limits{Header: 1 << 10, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
 			})
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			check.NoError(t, err)
-			tracked := conns.Listener(l)
-			body.Serve(s, tracked)
+			own := tracked.Listener(l)
+			body.Serve(s, own)
 			t.Cleanup(func() { s.Close() })
 			client, err := net.Dial("tcp", l.Addr().String())
 			check.NoError(t, err)
@@ -172,24 +172,92 @@
 			}
 			_, err = io.WriteString(client, c.sent)
 			check.NoError(t, err)
-			check.Eventually(t, "the connection is known", func() bool { return conns.CloseIdle(time.Time{}) == 1 })
-			conns.Drain()
-			check.NoError(t, tracked.Close())
+			check.Eventually(t, "the connection is known", func() bool { return tracked.CloseIdle(time.Time{}) == 1 })
+			tracked.Drain()
+			check.NoError(t, own.Close())
 			// Bytes that are on their way are lost by any close.
 			time.Sleep(100 * time.Millisecond)
 			later := time.Now().Add(time.Minute)
 			if c.status == 0 {
-				check.Eventually(t, "it is closed", func() bool { return conns.CloseIdle(later) == 0 })
+				check.Eventually(t, "it is closed", func() bool { return tracked.CloseIdle(later) == 0 })
 				checkClosed(t, in)
 				return
 			}
-			check.Equal(t, "open after a quiet time", conns.CloseIdle(later), 1)
+			check.Equal(t, "open after a quiet time", tracked.CloseIdle(later), 1)
 			_, err = io.WriteString(client, half[len(c.sent):]+rest)
 			check.NoError(t, err)
 			r, err := http.ReadResponse(in, nil)
 			check.NoError(t, err)
 			check.Equal(t, "status and end of the connection", []any{r.StatusCode, r.Close}, []any{c.status, true})
-			check.Eventually(t, "no connection is open", func() bool { return conns.CloseIdle(time.Now()) == 0 })
+			check.Eventually(t, "no connection is open", func() bool { return tracked.CloseIdle(time.Now()) == 0 })
+		})
+	}
+}
+
+// lateListener accepts connections on which one more request has been read when they are closed.
+type lateListener struct {
+	net.Listener
+	request string
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return &lateConn{Conn: c, request: l.request}, err
+}
+
+type lateConn struct {
+	net.Conn
+	request string
+	sent    atomic.Bool
+}
+
+func (c *lateConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, net.ErrClosed) && c.sent.CompareAndSwap(false, true) {
+		return copy(p, c.request), nil
+	}
+	return n, err
+}
+
+// TestRequestOnClosedConnIsServed guards against requests that were run although the timer of an idle connection, or of a new one, had
+// closed their connection while they were read.
+func TestRequestOnClosedConnIsServed(t *testing.T) {
+	const shortLimit = 50 * time.Millisecond
+	for name, c := range map[string]struct {
+		limits board.Limits
+		first  bool
+	}{
+		"kept": {board.Limits{Header: 1 << 10, HeaderTimeout: time.Minute, IdleTimeout: shortLimit}, true},
+		"new":  {board.Limits{Header: 1 << 10, HeaderTimeout: shortLimit, IdleTimeout: time.Minute}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var late atomic.Int64
+			served := make(chan struct{}, 1)
+			s := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/late" {
+					late.Add(1)
+				}
+			})}
+			conns.Track(s, func() board.Limits { return c.limits })
+			track := s.ConnState
+			s.ConnState = func(raw net.Conn, state http.ConnState) {
+				track(raw, state)
+				if state == http.StateClosed {
+					served <- struct{}{}
+				}
+			}
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			check.NoError(t, err)
+			go s.Serve(&lateListener{l, "GET /late HTTP/1.1\r\nHost: a\r\n\r\n"})
+			t.Cleanup(func() { s.Close() })
+			conn, err := net.Dial("tcp", l.Addr().String())
+			check.NoError(t, err)
+			defer conn.Close()
+			if c.first {
+				check.Equal(t, "status", request(t, conn, bufio.NewReader(conn), ""), http.StatusOK)
+			}
+			<-served
+			check.Equal(t, "requests served on a closed connection", late.Load(), int64(0))
 		})
 	}
 }
--- a/pass/answer.go
+++ b/pass/answer.go
@@ -5,34 +5,11 @@
 	"errors"
 	"net/http"
 	"runtime/debug"
-	"sync/atomic"
 
+	"egretshunt/conns"
 	"egretshunt/event"
 )
 
-// answer is the response to one client request. It records whether the final status has been sent.
-type answer struct {
-	http.ResponseWriter
-	begun atomic.Bool
-}
-
-// WriteHeader implements http.ResponseWriter.
-func (a *answer) WriteHeader(status int) {
-	a.ResponseWriter.WriteHeader(status)
-	if status >= http.StatusOK {
-		a.begun.Store(true)
-	}
-}
-
-// Write implements http.ResponseWriter.
-func (a *answer) Write(p []byte) (int, error) {
-	a.begun.Store(true)
-	return a.ResponseWriter.Write(p)
-}
-
-// Unwrap lets an http.ResponseController find the server's own writer.
-func (a *answer) Unwrap() http.ResponseWriter { return a.ResponseWriter }
-
 // errEnding is the cause with which requests are cancelled that get their final answer because the process ends.
 var errEnding = errors.New("the process ends")
 
@@ -40,10 +17,10 @@
 func (e *Entry) EndRequests() { e.endRequests() }
 
 // untilEnd returns a context that ends with EndRequests unless the response has begun by then.
-func (e *Entry) untilEnd(ctx context.Context, out *answer) (context.Context, context.CancelFunc) {
+func (e *Entry) untilEnd(ctx context.Context, out *conns.Response) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	stop := context.AfterFunc(e.ending, func() {
-		if !out.begun.Load() {
+		if !out.Begun() {
 			cancel(errEnding)
 		}
 	})
@@ -75,14 +52,14 @@
 
 // ensureAnswer answers a request whose handler ends without an answer, unless its client has left, and logs the request; failed is the panic
 // that ends it, or nil.
-func (e *Entry) ensureAnswer(j *job, out *answer, failed any) {
+func (e *Entry) ensureAnswer(j *job, out *conns.Response, failed any) {
 	if failed != nil && failed != http.ErrAbortHandler {
-		e.config.Events.Emit(event.Fault, "id", j.call.ID, "why", "panic", "stage", j.stage(out.begun.Load()), "err", failed, "stack", string(debug.Stack()))
+		e.config.Events.Emit(event.Fault, "id", j.call.ID, "why", "panic", "stage", j.stage(out.Begun()), "err", failed, "stack", string(debug.Stack()))
 	}
 	switch {
-	case out.begun.Load() && failed == nil:
+	case out.Begun() && failed == nil:
 		return
-	case out.begun.Load(), j.clientLeft:
+	case out.Begun(), j.clientLeft:
 		// net/http answers 200 for a handler that returns without a response.
 		panic(http.ErrAbortHandler)
 	}
--- a/pass/lost_test.go
+++ b/pass/lost_test.go
@@ -9,11 +9,9 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
-	"egretshunt/board"
 	"egretshunt/check"
 	"egretshunt/ctrl"
 	"egretshunt/limit"
@@ -91,74 +89,6 @@
 	check.Equal(t, "no response", errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF), true)
 }
 
-// lateListener accepts connections on which one more request has been read when they are closed.
-type lateListener struct {
-	net.Listener
-	request string
-}
-
-func (l *lateListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	return &lateConn{Conn: c, request: l.request}, err
-}
-
-type lateConn struct {
-	net.Conn
-	request string
-	sent    atomic.Bool
-}
-
-func (c *lateConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if errors.Is(err, net.ErrClosed) && c.sent.CompareAndSwap(false, true) {
-		return copy(p, c.request), nil
-	}
-	return n, err
-}
-
-// TestRequestOnClosedConnIsServed guards against requests that were run although the timer of an idle connection, or of a new one, had
-// closed their connection while they were read.
-func TestRequestOnClosedConnIsServed(t *testing.T) {
-	const shortLimit = 50 * time.Millisecond
-	for name, c := range map[string]struct {
-		limits board.Limits
-		first  bool
-	}{
-		"kept": {board.Limits{Header: 1 << 10, HeaderTimeout: time.Minute, IdleTimeout: shortLimit}, true},
-		"new":  {board.Limits{Header: 1 << 10, HeaderTimeout: shortLimit, IdleTimeout: time.Minute}, false},
-	} {
-		t.Run(name, func(t *testing.T) {
-			var late atomic.Int64
-			served := make(chan struct{}, 1)
-			s := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-				if r.URL.Path == "/late" {
-					late.Add(1)
-				}
-			})}
-			pass.LimitConns(s, func() board.Limits { return c.limits })
-			track := s.ConnState
-			s.ConnState = func(raw net.Conn, state http.ConnState) {
-				track(raw, state)
-				if state == http.StateClosed {
-					served <- struct{}{}
-				}
-			}
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			check.NoError(t, err)
-			go s.Serve(&lateListener{l, "GET /late HTTP/1.1\r\nHost: a\r\n\r\n"})
-			t.Cleanup(func() { s.Close() })
-			conn, err := net.Dial("tcp", l.Addr().String())
-			check.NoError(t, err)
-			defer conn.Close()
-			if c.first {
-				check.Equal(t, "status", request(t, conn, bufio.NewReader(conn), ""), http.StatusOK)
-			}
-			<-served
-			check.Equal(t, "requests served on a closed connection", late.Load(), int64(0))
-		})
-	}
-}
-
 // backendFunc is a backend that sees the context of its requests.
 type backendFunc func(ctx context.Context, s *pass.Send) (*pass.Reply, error)
 
--- a/pass/serve.go
+++ b/pass/serve.go
@@ -12,6 +12,7 @@
 
 	"egretshunt/board"
 	"egretshunt/clock"
+	"egretshunt/conns"
 	"egretshunt/event"
 	"egretshunt/limit"
 	"egretshunt/member"
@@ -86,7 +87,7 @@
 	defer e.open.Add(-1)
 	// Before it was read, the request waited about as long as any work here.
 	c.Arrived = c.Arrived.Add(-e.waitForProcessor())
-	j, out := &job{call: c, step: stageAdmission}, &answer{ResponseWriter: w}
+	j, out := &job{call: c, step: stageAdmission}, conns.NewResponse(w)
 	defer func() { e.ensureAnswer(j, out, recover()) }()
 	w = out
 	ctx, end := e.untilEnd(ctx, out)
--- a/pass/unsized_test.go
+++ b/pass/unsized_test.go
@@ -15,6 +15,7 @@
 
 	"egretshunt/board"
 	"egretshunt/check"
+	"egretshunt/conns"
 	"egretshunt/limit"
 	"egretshunt/pass"
 )
@@ -44,7 +45,7 @@
 			ID: "id", Host: "h", Method: r.Method, Path: r.URL.Path, Target: r.URL.Path, Header: http.Header{}, APIKey: "k", Arrived: time.Now(), ClientTimeout: 5 * time.Second,
 		}, w)
 	}))
-	pass.LimitConns(s.Config, func() board.Limits {
+	conns.Track(s.Config, func() board.Limits {
 		return board.Limits{Header: 1 << 16, Body: 1 << 16, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
 	})
 	s.Start()
