node, entry: a stopping entry of the agents' path answers the requests that it has read

Callers of entries whose endpoints have agents lost requests in the same two ways as on the platform: read around the close of the listener, and open at the end of the grace.

Cause: Process.Stop called Server.Shutdown, which drops requests that are being read, and Server.Close at the end.

Change: the entry's connections are tracked by conns, as on the platform; 400 ms before the end EndRequests ends each request without a response. Its answer is 503 shutting_down, whose ran says what is known.

What remains: bookings that are still open at the end get no answer. Ending them would revoke what runs; a resend learns their outcome.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -128,6 +128,9 @@
 	if ctx.Err() != nil && time.Now().After(j.deadline) {
 		return newFailure(http.StatusGatewayTimeout, CodeDeadlineExceeded, j.ran, "the request took longer than its route allows")
 	}
+	if context.Cause(ctx) == errEnding {
+		return newFailure(http.StatusServiceUnavailable, CodeShuttingDown, j.ran, "this entry shuts down").withRetryAfter(time.Second)
+	}
 	retry := max(last.retry, time.Second)
 	switch last.code {
 	case CodeNoEndpoint:
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -18,6 +19,7 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"egretshunt/conns"
 	"egretshunt/ctrl"
 	"egretshunt/event"
 	"egretshunt/limit"
@@ -78,6 +80,9 @@
 	endpointStates *endpointStates
 	draining       atomic.Bool
 	openRequests   atomic.Int64
+	// ending ends with endRequests, when open requests must get their final answers.
+	ending      context.Context
+	endRequests context.CancelFunc
 
 	// plans holds the compiled routes of one table revision.
 	plans atomic.Pointer[planCache]
@@ -146,6 +151,7 @@
 		hints: value.NewCache[uint64, prefixHint](maxPrefixHints), decisions: value.NewCache[string, Decision](maxDecisions),
 		admissions: map[string]*routeAdmission{}, openByAccount: map[string]int{}, random: rand.New(rand.NewPCG(c.Seed, 7)),
 	}
+	e.ending, e.endRequests = context.WithCancel(ctx)
 	e.endpointStates = newEndpointStates(ctx, c.AgentConns, &e.goroutines)
 	return e
 }
@@ -343,6 +349,27 @@
 // StartDraining starts draining: new requests are rejected, and /readyz tells the load balancer.
 func (e *Entry) StartDraining() { e.draining.Store(true) }
 
+// errEnding is the cause with which requests are cancelled that get their final answer because the process ends.
+var errEnding = errors.New("the process ends")
+
+// EndRequests ends the requests whose response hasn't begun: each gets its final answer. Those that run at most once go on: their
+// outcome is yet to be recorded.
+func (e *Entry) EndRequests() { e.endRequests() }
+
+// untilEnd returns a context that ends with EndRequests unless the response has begun by then.
+func (e *Entry) untilEnd(ctx context.Context, w *conns.Response) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(e.ending, func() {
+		if !w.Begun() {
+			cancel(errEnding)
+		}
+	})
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // OpenRequests returns the number of requests in flight.
 func (e *Entry) OpenRequests() int { return int(e.openRequests.Load()) }
 
--- a/entry/request.go
+++ b/entry/request.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"egretshunt/block"
+	"egretshunt/conns"
 	"egretshunt/ledger"
 	"egretshunt/route"
 	"egretshunt/table"
@@ -189,6 +190,12 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
+	if response := conns.NewResponse(w); !j.atMostOnce {
+		var end context.CancelFunc
+		ctx, end = e.untilEnd(ctx, response)
+		defer end()
+		w = response
+	}
 	w.Header().Set("X-Request-Id", j.id)
 	out := newResponseSink(w, j.stream, e.config.WriteTimeout)
 	var f *Failure
--- a/node/process.go
+++ b/node/process.go
@@ -21,8 +21,10 @@
 
 	"egretshunt/admin"
 	"egretshunt/agent"
+	"egretshunt/board"
 	"egretshunt/body"
 	"egretshunt/conf"
+	"egretshunt/conns"
 	"egretshunt/ctrl"
 	"egretshunt/disk"
 	"egretshunt/entry"
@@ -55,20 +57,23 @@
 	client     *ctrl.Client
 	metrics    *metrics.Set
 
-	entry         *entry.Entry
-	keyring       *entry.Keyring
-	callerServer  *http.Server
-	agent         *agent.Agent
-	store         *store.Store
-	blockStore    *store.Service
-	member        *ctrl.Node
-	peers         *ctrl.Peers
-	controlServer *ctrl.Server
-	commandIssuer *ctrl.CommandIssuer
-	adminAPI      *admin.API
-	adminServer   *http.Server
-	opsServer     *http.Server
-	stopReaper    context.CancelFunc
+	entry        *entry.Entry
+	keyring      *entry.Keyring
+	callerServer *http.Server
+	// callerConns and callerListener are those of callerServer.
+	callerConns    *conns.Conns
+	callerListener net.Listener
+	agent          *agent.Agent
+	store          *store.Store
+	blockStore     *store.Service
+	member         *ctrl.Node
+	peers          *ctrl.Peers
+	controlServer  *ctrl.Server
+	commandIssuer  *ctrl.CommandIssuer
+	adminAPI       *admin.API
+	adminServer    *http.Server
+	opsServer      *http.Server
+	stopReaper     context.CancelFunc
 }
 
 // Start starts a process with all roles of the settings. It writes log lines to out.
@@ -343,10 +348,9 @@
 		Owner: ctrl.ClaimOwner(p.settings.Node, p.follower.Incarnation()), Keys: p.keyring, Follower: p.follower, Control: p.client, AgentConns: p.peerPool, Events: p.events,
 		MaxBody: s.Body, MaxOpenRequests: s.Open, MaxOpenPerAccount: s.Share, WriteTimeout: s.Write.Duration, Seed: uint64(time.Now().UnixNano()),
 	})
-	p.callerServer = &http.Server{
-		Handler: body.ResetAborted(p.entry.Handler()), ReadHeaderTimeout: s.Header.Duration, ReadTimeout: s.Read.Duration,
-		IdleTimeout: time.Minute, MaxHeaderBytes: 64 << 10,
-	}
+	p.callerServer = &http.Server{Handler: p.entry.Handler(), ReadTimeout: s.Read.Duration}
+	limits := board.Limits{Header: maxCallerHeaderBytes, HeaderTimeout: s.Header.Duration, IdleTimeout: time.Minute}
+	p.callerConns = conns.Track(p.callerServer, func() board.Limits { return limits })
 	if s.CertFile != "" {
 		cert, err := tls.LoadX509KeyPair(s.CertFile, s.KeyFile)
 		if err != nil {
@@ -354,9 +358,22 @@
 		}
 		p.callerServer.TLSConfig = &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{cert}}
 	}
-	return serveHTTP(p.callerServer, s.Listen, "callers")
+	l, err := net.Listen("tcp", s.Listen.String())
+	if err != nil {
+		return Failed.Wrap(err, "listen for callers")
+	}
+	p.callerListener = p.callerConns.Listener(l)
+	l = p.callerListener
+	if p.callerServer.TLSConfig != nil {
+		l = tls.NewListener(l, p.callerServer.TLSConfig)
+	}
+	body.Serve(p.callerServer, l)
+	return nil
 }
 
+// maxCallerHeaderBytes bounds the headers of a caller's request.
+const maxCallerHeaderBytes = 64 << 10
+
 // serveHTTP serves s in the background. It listens before it returns, so that an
 // address already in use makes the start fail.
 func serveHTTP(s *http.Server, addr netip.AddrPort, clients string) error {
@@ -364,9 +381,6 @@
 	if err != nil {
 		return Failed.Wrap(err, "listen for %s", clients)
 	}
-	if s.TLSConfig != nil {
-		l = tls.NewListener(l, s.TLSConfig)
-	}
 	body.Serve(s, l)
 	return nil
 }
--- a/node/stop.go
+++ b/node/stop.go
@@ -60,15 +60,12 @@
 	}
 	if p.entry != nil {
 		p.entry.StartDraining()
+		p.callerConns.Drain()
 		select {
 		case <-time.After(p.settings.Entry.DrainDelay.Duration):
 		case <-ctx.Done():
 		}
-		// Shutdown closes idle connections and waits for the others.
-		if err := p.callerServer.Shutdown(ctx); err != nil {
-			aborted += p.entry.OpenRequests()
-		}
-		aborted += p.entry.Drain(ctx)
+		aborted += p.stopCallers(ctx)
 	}
 	p.closeAll()
 	p.events.Emit(event.Stopped, "cut", aborted)
@@ -76,6 +73,34 @@
 	return aborted
 }
 
+const (
+	// answerMargin is how long before the end of a shutdown the requests without a response get their final answer.
+	answerMargin = 400 * time.Millisecond
+	// closePollInterval is how often idle connections are looked for in a shutdown.
+	closePollInterval = 20 * time.Millisecond
+)
+
+// stopCallers serves the requests that callers have begun to send, until ctx ends, and returns how many are still open then.
+func (p *Process) stopCallers(ctx context.Context) int {
+	// Server.Shutdown would drop the requests that are being read. An error means that the listener is closed.
+	_ = p.callerListener.Close()
+	if end, ok := ctx.Deadline(); ok {
+		t := time.AfterFunc(time.Until(end)-answerMargin, p.entry.EndRequests)
+		defer t.Stop()
+	}
+	t := time.NewTicker(closePollInterval)
+	defer t.Stop()
+	for p.callerConns.CloseIdle(time.Now()) > 0 {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return p.entry.OpenRequests()
+		}
+	}
+	// Bookings go on after their caller has left.
+	return p.entry.Drain(ctx)
+}
+
 // Kill stops the process at once, like a crash except that it releases the sockets.
 func (p *Process) Kill() {
 	p.closeAll()
