entry: a panic ends its request with an answer on the agents' path too

Callers had their connection closed without an answer where a handler panicked, as on the platform's path: for example by an endpoint's response with status 99.

Evidence: TestPanicEndsRequestWithoutAnswer run on the handler without the change: status 0 in place of 502, before the response and for such a status.

Change: the entry's handler answers 502 with ran=unknown unless the response has begun, and logs the panic with its stack.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -172,7 +172,7 @@
 	r.MethodNotAllowed(func(w http.ResponseWriter, _ *http.Request) {
 		newFailure(http.StatusMethodNotAllowed, CodeUnknownPath, No, "this path does not take that method").write(w)
 	})
-	return r
+	return e.ensureAnswer(r)
 }
 
 // serveReady tells the load balancer whether to send requests to this entry.
