pass, platform: the deadline of a request counts from its arrival, not from an estimate

Cause: every request counts as having arrived earlier by limit.Lag, how late a timer of the process last ran. That holds for those that lay unread meanwhile, and not for those that came after it, while the last measured lag still stands.

Evidence: TestLagEndsFreshRequest, with the change to Serve taken back: 503 in place of 200 for a request that has just come to an entry with a lag of 4 s.

--- a/pass/call.go
+++ b/pass/call.go
@@ -50,9 +50,10 @@
 	Body   []byte
 	// APIKey is the client's API key. It is never forwarded.
 	APIKey string
-	// Arrived is when the request was read, ClientTimeout how long the client waits from then on.
-	// Zero ClientTimeout means no limit.
+	// Arrived is when the request was read, or, with ArrivalKnown, when it arrived, ClientTimeout how long the client
+	// waits from its arrival on. Zero ClientTimeout means no limit.
 	Arrived       time.Time
+	ArrivalKnown  bool
 	ClientTimeout time.Duration
 	// Left reports whether the client has closed its connection, even if ctx isn't canceled yet; nil
 	// means that only ctx tells.
--- a/pass/overload_test.go
+++ b/pass/overload_test.go
@@ -30,6 +30,14 @@
 	check.Equal(t, "Retry-After set", got.Header().Get("Retry-After") != "", true)
 }
 
+// TestLagEndsFreshRequest guards against requests that end before their deadline because the process was busy before they came: the lag is
+// only for those whose arrival isn't known.
+func TestLagEndsFreshRequest(t *testing.T) {
+	fx := newFixtureWith(t, pass.Config{RolloutTimeout: time.Hour, Wait: func() time.Duration { return 4 * time.Second }}, respondWith(200, eventA))
+	got, _ := fx.call("/once/x", "k", func(c *pass.Call) { c.ClientTimeout, c.ArrivalKnown = 3*time.Second, true })
+	check.Equal(t, "status", got.Code, 200)
+}
+
 // A request whose client has closed the connection must not be sent, although nothing has canceled
 // it yet, neither first nor again.
 func TestRequestOfGoneClientIsNotSent(t *testing.T) {
--- a/pass/serve.go
+++ b/pass/serve.go
@@ -85,8 +85,10 @@
 func (e *Entry) Serve(ctx context.Context, c *Call, w http.ResponseWriter) {
 	e.open.Add(1)
 	defer e.open.Add(-1)
-	// Before it was read, the request waited about as long as any work here.
-	c.Arrived = c.Arrived.Add(-e.waitForProcessor())
+	if !c.ArrivalKnown {
+		// Before it was read, the request waited about as long as any work here.
+		c.Arrived = c.Arrived.Add(-e.waitForProcessor())
+	}
 	j, out := &job{call: c, step: stageAdmission}, conns.NewResponse(w)
 	defer func() { e.ensureAnswer(j, out, recover()) }()
 	w = out
