--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -40,6 +40,8 @@
 func (e *Entry) attempt(ctx context.Context, j *job, c *placement, out *relay) (retry bool, f *failure) {
 	to := c.to
 	send := e.newSend(j, c, out.lastEventID)
+	send.Repeatable = j.route.Repeatable() && j.possibleRuns+1 < j.route.Attempts
+	send.Silent = func() { e.recordSilent(to) }
 	e.config.Events.Emit(event.Placed, "id", j.call.ID, "route", j.route.Name, "endpoint", to.ID, "tried", len(j.tried), "urgency", c.urgency,
 		"expected", c.predictedFirstToken.Milliseconds(), "ahead", c.tokensAhead, "compute", c.computeTokens, "moved", c.fetchTokens, "weights", c.version)
 	began := time.Now()
@@ -96,6 +98,9 @@
 // endOf returns why a request's context has ended; nil if it hasn't. The timer of a deadline that is over may not
 // have fired yet: a response that is lost meanwhile is late, and shows nothing about its endpoint.
 func endOf(ctx context.Context) error {
+	if context.Cause(ctx) == errEnding {
+		return context.DeadlineExceeded
+	}
 	if err := ctx.Err(); err != nil {
 		return err
 	}
@@ -296,16 +301,21 @@
 }
 
 func (e *Entry) recordClientClosed(j *job, to *member.Endpoint, out *relay) {
-	first := int64(-1)
+	j.clientLeft = true
+	why, first := "connection closed", int64(-1)
+	if out.clientGone {
+		why = "write failed"
+	}
 	if !j.firstByteAt.IsZero() {
 		first = j.firstByteAt.Sub(j.call.Arrived).Milliseconds()
 	}
-	e.config.Events.Emit(event.ClientClosed, "id", j.call.ID, "route", j.route.Name, "endpoint", to.ID, "took", time.Since(j.call.Arrived).Milliseconds(),
+	e.config.Events.Emit(event.ClientClosed, "id", j.call.ID, "route", j.route.Name, "endpoint", to.ID, "why", why, "took", time.Since(j.call.Arrived).Milliseconds(),
 		"first", first, "last", out.lastEventID, "bytes", out.sentBytes, "expected", j.predictedFirstToken.Milliseconds(), "urgency", j.urgency, "print", j.fingerprint())
 	e.meters.outcome(j.route.Name, "left")
 }
 
 func (e *Entry) recordAttempt(j *job, to *member.Endpoint, outcome, next string, status int) {
+	j.lastOutcome = outcome
 	fingerprint, parts := "", ""
 	switch outcome {
 	case outcomeLost, outcomeBrokenOff, outcomeTimeout, outcomeFailed:
--- a/pass/call.go
+++ b/pass/call.go
@@ -50,9 +50,10 @@
 	Body   []byte
 	// APIKey is the client's API key. It is never forwarded.
 	APIKey string
-	// Arrived is when the request was read, ClientTimeout how long the client waits from then on.
-	// Zero ClientTimeout means no limit.
+	// Arrived is when the request was read, or, with ArrivalKnown, when it arrived, ClientTimeout how long the client
+	// waits from its arrival on. Zero ClientTimeout means no limit.
 	Arrived       time.Time
+	ArrivalKnown  bool
 	ClientTimeout time.Duration
 	// Left reports whether the client has closed its connection, even if ctx isn't canceled yet; nil
 	// means that only ctx tells.
@@ -98,6 +99,11 @@
 	FetchDeadlineMs int64
 	// LastEventID is the ID of the last event that the client has received.
 	LastEventID string
+	// Repeatable reports that another attempt may follow this one if its response is lost. Then it should be given up soon if
+	// the endpoint falls silent.
+	Repeatable bool
+	// Silent is called if the endpoint has acknowledged nothing for some time and the attempt isn't given up; it may be nil.
+	Silent func()
 }
 
 // Reply is an endpoint's response.
--- a/pass/unsized_test.go
+++ b/pass/unsized_test.go
@@ -15,6 +15,7 @@
 
 	"egretshunt/board"
 	"egretshunt/check"
+	"egretshunt/conns"
 	"egretshunt/limit"
 	"egretshunt/pass"
 )
@@ -31,13 +32,20 @@
 
 // serveHTTP serves the fixture's entry on a socket and returns the address.
 func (fx *fixture) serveHTTP(t *testing.T) string {
+	t.Helper()
+	return fx.serveHTTPWith(t, func(*http.Request) {})
+}
+
+// serveHTTPWith is serveHTTP with a function that sees each request first.
+func (fx *fixture) serveHTTPWith(t *testing.T, see func(*http.Request)) string {
 	t.Helper()
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		see(r)
 		fx.entry.Serve(r.Context(), &pass.Call{
 			ID: "id", Host: "h", Method: r.Method, Path: r.URL.Path, Target: r.URL.Path, Header: http.Header{}, APIKey: "k", Arrived: time.Now(), ClientTimeout: 5 * time.Second,
 		}, w)
 	}))
-	pass.LimitConns(s.Config, func() board.Limits {
+	conns.Track(s.Config, func() board.Limits {
 		return board.Limits{Header: 1 << 16, Body: 1 << 16, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
 	})
 	s.Start()
