Logs name the build of each attempt's endpoint, and the stream that a client resumes

`placed` has both now (build, resumes), which tells a stream that the entry continues elsewhere within a response from one that its client resumes at another entry. No decision uses them yet.

--- a/member/list.go
+++ b/member/list.go
@@ -18,6 +18,8 @@
 	WarmupLeft time.Duration `json:"cold,omitempty"`
 	// Born identifies the incarnation among several starts under one ID.
 	Born int64 `json:"born,omitempty"`
+	// Build is the version of the endpoint's software.
+	Build string `json:"build,omitempty"`
 	// Weights are the loaded model versions, by model.
 	Weights map[string]uint64 `json:"weights,omitempty"`
 	// Loading is true while a command of this system changes the weights.
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -41,7 +41,8 @@
 	to := c.to
 	send := e.newSend(j, c, out.lastEventID)
 	e.config.Events.Emit(event.Placed, "id", j.call.ID, "route", j.route.Name, "endpoint", to.ID, "tried", len(j.tried), "urgency", c.urgency,
-		"expected", c.predictedFirstToken.Milliseconds(), "ahead", c.tokensAhead, "compute", c.computeTokens, "moved", c.fetchTokens, "weights", c.version)
+		"expected", c.predictedFirstToken.Milliseconds(), "ahead", c.tokensAhead, "compute", c.computeTokens, "moved", c.fetchTokens, "weights", c.version,
+		"build", to.Build, "resumes", j.call.Resumes)
 	began := time.Now()
 	out.first = func() { e.settleFirstToken(j, c, time.Since(began), true) }
 	out.onData = func() {
--- a/pass/call.go
+++ b/pass/call.go
@@ -59,6 +59,8 @@
 	Left func() bool
 	// LastEventID is the ID of the last event that a resuming client has received.
 	LastEventID string
+	// Resumes is the ID of the client attempt that brought the first event of the stream that a resuming client goes on with.
+	Resumes string
 	// Model, Parts and MaxOutputTokens describe a prompt. The last part is the request's own,
 	// MaxOutputTokens the most tokens it may generate.
 	Model           string
