A stream goes on only at the build that began it

Cause: an entry knew neither the version of an endpoint's software nor where a stream had begun; a stream was resumed at whichever endpoint was placed. Class: what must hold over all tries of a client was known, if at all, only while one of them ran.

Now each resumable stream is tied to a build, the version of the endpoint's software (package origin). Within a response the entry goes on only at endpoints of that build. A resuming client's stream is looked up by the attempt that began it: the leader knows, since - the builds that the list shows are replicated before entries get a list with them, so that a pool which has had one build in two minutes answers for all its streams, after any loss; - while a pool has several, entries report the start of each stream when its request is sent to the endpoint, before which nothing can have come; the leader replicates these reports together each 20 ms. Streams that run when a second build appears are reported then. What nobody knows is rejected, not guessed: 503, not run. No response is held back for it. An endpoint that has ended gets no resumable stream until the list can show what runs there now; an entry that reads the list itself begins none at builds that control doesn't know of.

--- a/ctrl/feed.go
+++ b/ctrl/feed.go
@@ -64,6 +64,7 @@
 	config  FeedConfig
 	crashes *crashGuard
 	rates   *rateGuard
+	streams *streamGuard
 	cancel  context.CancelFunc
 	running sync.WaitGroup
 	changed *notifier
@@ -83,6 +84,10 @@
 	confirmedAt atomic.Int64
 	engineClock atomic.Int64
 	entries     atomic.Int64
+	// syncedWith is the leader that has answered last; nil before the first. groupClock is the offset of the group time
+	// from clock.Now, in nanoseconds; zero if unknown.
+	syncedWith atomic.Pointer[netip.AddrPort]
+	groupClock atomic.Int64
 	// otherWork is the work that the other entries have in flight at each endpoint, in units of
 	// WorkUnitTokens.
 	otherWork atomic.Pointer[tally.Snapshot]
@@ -105,13 +110,14 @@
 	if c.Events == nil {
 		c.Events = event.Discard()
 	}
-	f := &Feed{config: c, crashes: newCrashGuard(c.Node, c.Events), rates: newRateGuard(c.Events), changed: newNotifier(), catalog: block.NewCatalog(), sums: tally.NewReader(), members: value.SetOf[string](), used: value.SetOf[string]()}
+	f := &Feed{config: c, crashes: newCrashGuard(c.Node, c.Events), rates: newRateGuard(c.Events), streams: newStreamGuard(), changed: newNotifier(), catalog: block.NewCatalog(), sums: tally.NewReader(), members: value.SetOf[string](), used: value.SetOf[string]()}
 	f.view.Store(&View{Suspects: limit.NewSuspects()})
 	f.stale.Store(true)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
 	f.running.Go(func() { f.run(ctx) })
 	f.running.Go(func() { f.reportFreshness(ctx) })
+	f.running.Go(func() { f.reportStreams(ctx) })
 	return f
 }
 
@@ -246,6 +252,7 @@
 	// The leader's state was current when the hold ended. That was at began plus held or later, so
 	// the earliest such moment counts.
 	f.confirmedAt.Store(int64(began + held - age))
+	f.syncedWith.Store(&to)
 	return true, nil
 }
 
@@ -307,7 +314,11 @@
 		f.engineClock.Store(ms - clock.Now().Milliseconds())
 	}
 	f.entries.Store(int64(reply.GetEntries()))
+	if us := reply.GetGroupUs(); us != 0 {
+		f.groupClock.Store(us*int64(time.Microsecond) - int64(clock.Now()))
+	}
 	f.rates.install(reply, f.isListed)
+	f.reportAtSeveralBuilds()
 	return f.installWork(reply, own)
 }
 
--- a/ctrl/hub.go
+++ b/ctrl/hub.go
@@ -32,8 +32,9 @@
 	changed *notifier
 
 	// state is replaced when this member becomes leader.
-	state atomic.Pointer[LeaderState]
-	views packCache[*View]
+	state  atomic.Pointer[LeaderState]
+	views  packCache[*View]
+	starts startBatcher
 }
 
 // LeaderState is the state that a leader has collected in its current term. It is not replicated.
--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -257,6 +256,7 @@
 			latest, err := lt.tasks.config.Platform.Endpoints(callCtx)
 			cancel()
 			if err == nil {
+				lt.replicateBuilds(ctx, latest)
 				lt.termMu.Lock()
 				lt.endpoints = latest
 				lt.termMu.Unlock()
@@ -282,7 +282,7 @@
 	if lt.endpoints == nil {
 		return
 	}
-	published := slices.Clone(lt.endpoints)
+	published := lt.withKnownBuilds(lt.endpoints)
 	votes, entries := lt.EjectionVotes()
 	for i := range published {
 		e := &published[i]
--- a/ctrl/machine.go
+++ b/ctrl/machine.go
@@ -19,6 +19,7 @@
 
 	"egretshunt/ledger"
 	"egretshunt/limit"
+	"egretshunt/origin"
 	"egretshunt/quorum"
 	"egretshunt/table"
 )
@@ -57,6 +58,10 @@
 	// PartCrashes does the same for parts of prompts at endpoints with an agent, whose quarantines are part of
 	// the view.
 	PartCrashes *limit.CrashCommand `json:"partcrashes,omitempty"`
+	// Builds are the builds of endpoints' software that the list shows.
+	Builds *Builds `json:"builds,omitempty"`
+	// Starts are streams that began, by build.
+	Starts []origin.Starts `json:"starts,omitempty"`
 	// JoinGroup is a control VM's request to become a member; it is never an entry of the log.
 	JoinGroup *quorum.Member `json:"meet,omitempty"`
 }
@@ -95,6 +100,11 @@
 	Endpoints []string `json:"endpoints"`
 }
 
+// Builds replaces the set of builds that the platform's list shows.
+type Builds struct {
+	Listed []origin.Build `json:"listed"`
+}
+
 // Result is the result of a command; the field of the command's kind is set.
 type Result struct {
 	Change  *table.Result `json:"change,omitempty"`
@@ -118,6 +128,8 @@
 	Set *TableSetDocument `json:"set,omitempty"`
 	// Weights holds the latest target version of each model.
 	Weights map[string]Weights `json:"weights,omitempty"`
+	// Builds holds the builds of endpoints' software; nil before the list was first read.
+	Builds *origin.History `json:"builds,omitempty"`
 }
 
 // UnmarshalJSON decodes a view; one without suspects has an empty list of them.
@@ -145,6 +157,8 @@
 	nodes  map[string]NodeRegistration
 	// crashes is no part of the view: only the fingerprints refused are sent to entries.
 	crashes *limit.CrashTracker
+	// origins is no part of the view: the leader answers for single streams.
+	origins *origin.Register
 	config  ledger.Config
 }
 
@@ -157,6 +171,7 @@
 		view:    &View{Suspects: limit.NewSuspects()},
 		nodes:   map[string]NodeRegistration{},
 		crashes: limit.NewCrashTracker(),
+		origins: origin.NewRegister(),
 	}
 }
 
@@ -187,6 +202,12 @@
 		m.crashes = m.crashes.Apply(*c.Crashes, m.now)
 	case c.PartCrashes != nil:
 		m.applyPartCrashes(index, *c.PartCrashes)
+	case c.Builds != nil:
+		next := *m.view
+		next.Builds = m.view.Builds.Observe(c.Builds.Listed, m.now)
+		m.publishView(index, &next)
+	case len(c.Starts) > 0:
+		m.origins.Record(c.Starts, m.now)
 	}
 	for _, j := range c.RegisterNodes {
 		m.nodes[j.Node] = j
@@ -291,11 +312,12 @@
 	Owner   Epoch                       `json:"owner"`
 	Nodes   map[string]NodeRegistration `json:"nodes"`
 	Crashes *limit.CrashTracker         `json:"crashes"`
+	Origins *origin.Register            `json:"origins"`
 }
 
 // Save encodes the complete state.
 func (m *Machine) Save() ([]byte, error) {
-	data, err := json.Marshal(machineSnapshot{m.now, m.tables, m.ledger, m.view, m.owner, m.nodes, m.crashes})
+	data, err := json.Marshal(machineSnapshot{m.now, m.tables, m.ledger, m.view, m.owner, m.nodes, m.crashes, m.origins})
 	if err != nil {
 		return nil, Malformed.Wrap(err, "write snapshot")
 	}
@@ -313,6 +335,7 @@
 	*m = Machine{
 		now: v.Now, owner: v.Owner, config: m.config, nodes: v.Nodes,
 		tables: cmp.Or(v.Tables, empty.tables), ledger: cmp.Or(v.Ledger, empty.ledger), view: cmp.Or(v.View, empty.view), crashes: cmp.Or(v.Crashes, empty.crashes),
+		origins: cmp.Or(v.Origins, empty.origins),
 	}
 	if m.nodes == nil {
 		m.nodes = empty.nodes
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -15,6 +15,7 @@
 	"egretshunt/event"
 	"egretshunt/ledger"
 	"egretshunt/limit"
+	"egretshunt/origin"
 	"egretshunt/quorum"
 	"egretshunt/ring"
 	"egretshunt/table"
@@ -83,6 +84,7 @@
 	view    atomic.Pointer[View]
 	nodes   atomic.Pointer[map[string]NodeRegistration]
 	crashes atomic.Pointer[limit.CrashTracker]
+	origins atomic.Pointer[origin.Register]
 	status  atomic.Pointer[quorum.Status]
 	failure atomic.Pointer[error]
 	// leaderClock is the group clock of this member's last leadership.
@@ -346,6 +348,7 @@
 		n.crashes.Store(c)
 		updated = true
 	}
+	n.origins.Store(n.machine.origins)
 	if updated {
 		n.changed.announce()
 	}
--- a/ctrl/server.go
+++ b/ctrl/server.go
@@ -61,6 +61,10 @@
 		if s.config.Hub != nil {
 			s.config.Hub.Handle(ctx, stream, body.Sync)
 		}
+	case *wire.Frame_Origins:
+		if s.config.Hub != nil {
+			s.config.Hub.serveOrigins(ctx, stream, body.Origins)
+		}
 	}
 }
 
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -45,6 +45,7 @@
 	CrashesCleared   = declare(227, "cleared", "info", "An endpoint ran a request to the end that crashes had been attributed to; they no longer count.")
 	Skipped          = declare(228, "skipped", "error", "An entry of the replicated log could not be read or applied and was skipped; every member does the same. Report it with this line.")
 	SyncUnreadable   = declare(229, "syncbad", "warn", "A response to a sync with control could not be read or doesn't continue what this entry holds. The entry asks for a whole.")
+	BuildsListed     = declare(230, "builds", "info", "The builds of endpoints' software that the platform's list shows have changed.")
 	Settled          = declare(213, "settled", "info", "An operator settled a request whose outcome was unknown.")
 )
 
@@ -69,6 +70,7 @@
 	CrashReported   = declare(317, "reported", "info", "An endpoint ended while it ran a request and control is told; print is the request's fingerprint.")
 	CrashTrial      = declare(318, "trial", "info", "A quarantined request is run once, to find out whether it still crashes endpoints.")
 	BadLimit        = declare(320, "limitbad", "warn", "An endpoint's answer named a limit that can't be read; it is ignored.")
+	OriginUnknown   = declare(321, "unresumed", "warn", "A client resumes a stream of which nobody knows at which build of its endpoint's software it began, or control couldn't be asked. The request is rejected.")
 	EndpointLimited = declare(319, "limited", "info", "An endpoint named a limit for the requests of all entries together, changed it or, with limited=false, ended it.")
 	Fenced          = declare(307, "fenced", "warn", "A command with an old epoch was rejected.")
 )
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -39,6 +39,7 @@
 // attempt sends the request to one endpoint. It returns true if another attempt should follow.
 func (e *Entry) attempt(ctx context.Context, j *job, c *placement, out *relay) (retry bool, f *failure) {
 	to := c.to
+	e.beginStream(j, to)
 	send := e.newSend(j, c, out.lastEventID)
 	e.config.Events.Emit(event.Placed, "id", j.call.ID, "route", j.route.Name, "endpoint", to.ID, "tried", len(j.tried), "urgency", c.urgency,
 		"expected", c.predictedFirstToken.Milliseconds(), "ahead", c.tokensAhead, "compute", c.computeTokens, "moved", c.fetchTokens, "weights", c.version,
@@ -181,6 +182,9 @@
 			e.endAttempt(to, true, began)
 			e.recordEnded(to)
 		}
+		if errorx.IsOfType(err, Refused) {
+			e.recordRestart(to)
+		}
 		e.recordAttempt(j, to, outcomeNotSent, "again", 0)
 		if endOf(ctx) == context.Canceled {
 			e.recordClientClosed(j, to, out)
@@ -331,6 +335,7 @@
 }
 
 func (e *Entry) recordServed(j *job, to *member.Endpoint, reply *Reply, out *relay) {
+	j.stream.completed = true
 	first := j.firstByteAt.Sub(j.call.Arrived)
 	e.config.Events.Emit(event.Served, "id", j.call.ID, "route", j.route.Name, "endpoint", to.ID, "status", reply.Status, "tried", len(j.tried),
 		"first", first.Milliseconds(), "took", time.Since(j.call.Arrived).Milliseconds(), "fetched", j.fetched, "saved", j.saved, "weights", j.version, "urgency", j.urgency, "expected", j.predictedFirstToken.Milliseconds(),
--- a/pass/call.go
+++ b/pass/call.go
@@ -25,6 +25,8 @@
 	namespace = errorx.NewNamespace("pass")
 	// NotSent is the type of errors of attempts of which no byte reached the endpoint.
 	NotSent = namespace.NewType("notsent")
+	// Refused is the subtype of NotSent for endpoints at whose address nothing listens.
+	Refused = NotSent.NewSubtype("refused")
 	// Lost is the type of errors of attempts that may have run and whose response did not
 	// arrive completely.
 	Lost = namespace.NewType("lost")
--- a/pass/ended.go
+++ b/pass/ended.go
@@ -14,6 +14,13 @@
 // recordRunning records that an endpoint responds. One that started again may be listed as the former incarnation for some time.
 func (e *Entry) recordRunning(to *member.Endpoint) { e.setEnded(to, false) }
 
+// recordRestart records that nothing listens at an endpoint's address, so that the process that does so next is another one.
+func (e *Entry) recordRestart(to *member.Endpoint) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.endpointState(to).endedAt = time.Now()
+}
+
 func (e *Entry) setEnded(to *member.Endpoint, ended bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -16,6 +16,7 @@
 	"egretshunt/event"
 	"egretshunt/limit"
 	"egretshunt/member"
+	"egretshunt/origin"
 	"egretshunt/tally"
 	"egretshunt/value"
 )
@@ -54,6 +55,13 @@
 	PermitCount(run limit.EndpointRun) int
 	TakePermit(run limit.EndpointRun) bool
 	Permitted() <-chan struct{}
+	// BeginStream records that a resumable stream begins at a build, or goes on there, and EndStream that it ended: completed, or
+	// broken off.
+	BeginStream(key origin.Key, b origin.Build)
+	EndStream(key origin.Key, completed bool)
+	// Origin returns the build at which a stream of a pool began; false if nobody knows. An error says that control couldn't be
+	// asked.
+	Origin(ctx context.Context, key origin.Key, pool string) (b origin.Build, known bool, err error)
 	// IsSuspected reports whether requests with the fingerprint are rejected after one more crash.
 	IsSuspected(fingerprint func() string) bool
 }
@@ -165,6 +173,8 @@
 	fullUntil time.Time
 	// ended is set while this entry knows that the endpoint's process has ended.
 	ended bool
+	// endedAt is when nothing last listened at the endpoint's address; zero if something always did.
+	endedAt time.Time
 	// leavingAt is when the endpoint said that it is leaving; zero if it hasn't.
 	leavingAt time.Time
 	// replaced is set once another endpoint has responded at the address.
--- a/pass/failure.go
+++ b/pass/failure.go
@@ -37,6 +37,10 @@
 	reasonUncounted = "endpoints ended under it, which control has yet to count"
 	// reasonLastEndpoint: it is kept from the last endpoint of its pool that runs.
 	reasonLastEndpoint = "endpoints ended under it, and only one is left"
+	// reasonOriginUnknown: its stream may go on only at the build of the software that began it.
+	reasonOriginUnknown = "where its stream began isn't known"
+	// reasonBuildGone: no endpoint of that build is listed.
+	reasonBuildGone = "no endpoint runs the software that began its stream"
 )
 
 // notRun reports whether the failure's status says that the request has not run and won't.
--- a/pass/feed_test.go
+++ b/pass/feed_test.go
@@ -1,6 +1,7 @@
 package pass_test
 
 import (
+	"context"
 	"net/netip"
 	"slices"
 	"sync"
@@ -11,6 +12,7 @@
 	"egretshunt/ctrl"
 	"egretshunt/limit"
 	"egretshunt/member"
+	"egretshunt/origin"
 	"egretshunt/tally"
 	"egretshunt/value"
 )
@@ -39,6 +41,12 @@
 	// rates and permits are those of endpoints that have named limits.
 	rates   map[limit.EndpointRun]float64
 	permits map[limit.EndpointRun]int
+	// origins are the builds at which former streams began, started and ended those of the entry's own; noOrigins is set while
+	// control can't be asked.
+	origins   map[origin.Key]origin.Build
+	started   []origin.Build
+	ended     []bool
+	noOrigins bool
 	// uncounted makes control have all requests' crashes yet to count.
 	uncounted bool
 }
@@ -104,6 +112,31 @@
 	return 0
 }
 
+// BeginStream implements pass.View.
+func (f *feed) BeginStream(_ origin.Key, b origin.Build) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.started = append(f.started, b)
+}
+
+// EndStream implements pass.View.
+func (f *feed) EndStream(_ origin.Key, completed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ended = append(f.ended, completed)
+}
+
+// Origin implements pass.View.
+func (f *feed) Origin(_ context.Context, key origin.Key, _ string) (origin.Build, bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.noOrigins {
+		return origin.Build{}, false, ctrl.Unreachable.New("no leader")
+	}
+	b, ok := f.origins[key]
+	return b, ok, nil
+}
+
 // RecordRate implements pass.View.
 func (f *feed) RecordRate(run limit.EndpointRun, rate value.Option[float64], _ time.Time) {
 	f.mu.Lock()
--- a/pass/place.go
+++ b/pass/place.go
@@ -85,6 +85,9 @@
 		if all.full {
 			reason = reasonFull
 		}
+		if build, ok := j.stream.build.Get(); ok && !t.serves(j.pool, build) {
+			return nil, j.finalFailure(reasonBuildGone, limit.MinRestartTime), false
+		}
 		return nil, j.finalFailure(reason, e.timeUntilFree(j.pool, now)), false
 	}
 	if c, f = e.choose(j, t, eligible, now); f != nil {
@@ -131,13 +134,14 @@
 func (e *Entry) eligible(j *job, t *topology, now time.Time) eligibility {
 	got := eligibility{onlyPermits: true, candidates: e.scratch.eligible[:0]}
 	ejected := e.scratch.ejected[:0]
-	required := e.requiredVersion(j, now)
+	required, builds := e.requiredVersion(j, now), e.config.View.View().Builds
 	for _, c := range t.pools[j.pool] {
 		to, s := c.to, c.state
 		run := runOf(to)
 		limited := e.isLimited(run)
 		up := !to.Down && s.health.Fit(now)
 		switch {
+		case !j.mayGoOnAt(to, s, builds, now):
 		case s.isAvoided(to) || slices.Contains(j.tried, to.ID):
 		case required > 0 && s.version(to, j.call.Model) < required:
 		case now.Before(s.fullUntil):
--- a/pass/report.go
+++ b/pass/report.go
@@ -66,7 +66,10 @@
 // the list can show the end.
 // ended reports whether the endpoint's process has ended, or may have.
 func (e *Entry) recordBrokenRun(ctx context.Context, j *job, to *member.Endpoint) (ended bool) {
-	if e.config.Backend.Probe(ctx, to) == member.Running {
+	switch e.config.Backend.Probe(ctx, to) {
+	case member.Ended:
+		e.recordRestart(to)
+	case member.Running:
 		ended = time.Since(j.heardAt) >= limit.MinRestartTime
 		if ended {
 			e.addUnanswered(j, to, true)
--- a/pass/serve.go
+++ b/pass/serve.go
@@ -69,6 +69,8 @@
 	// first token.
 	urgency             int
 	predictedFirstToken time.Duration
+	// stream is what a resumable stream is tied to.
+	stream streamOrigin
 	// contentHash is the fingerprint once it was needed.
 	contentHash string
 }
@@ -87,7 +89,11 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
-	if f = e.dispatch(ctx, j, w); f != nil {
+	defer e.endStream(j)
+	if f = e.findOrigin(ctx, j); f == nil {
+		f = e.dispatch(ctx, j, w)
+	}
+	if f != nil {
 		e.recordFailure(j, f)
 		f.write(w)
 	}
@@ -161,7 +167,7 @@
 		}
 		j.account, j.isolated, j.rank = a.Name, a.Isolated, a.Rank.Or(j.route.Rank)
 	}
-	j.pool = j.route.Pick(route.UniformHash(c.ID))
+	j.pool = j.route.Pick(route.UniformHash(j.originID()))
 	wait := j.route.Timeout
 	if c.ClientTimeout > 0 && c.ClientTimeout < wait {
 		wait = c.ClientTimeout
@@ -321,7 +327,7 @@
 	}
 	e.config.Events.Emit(kind, "id", j.call.ID, "route", route, "pool", j.pool, "account", j.account, "status", f.status, "why", f.reason,
 		"set", number, "age", e.config.View.Age().Milliseconds(), "tried", len(j.tried), "ran", ranText(j),
-		"took", time.Since(j.call.Arrived).Milliseconds(), "after", f.retryAfter.Milliseconds())
+		"took", time.Since(j.call.Arrived).Milliseconds(), "after", f.retryAfter.Milliseconds(), "resumes", j.call.Resumes, "build", j.stream.build.Or(""))
 	e.meters.outcome(route, outcome)
 	e.meters.refusal(f.reason)
 }
