A stream may begin at another build until its client has had an event

Cause: the start is reported when the request is sent, and a report couldn't be taken back: a second one at another build might be lost with its entry, and the first would name the wrong build.

Starts are numbered by attempt, and the highest holds. Where an attempt is at another build than the one before, its first event waits until control has its start (300 ms at most, then the attempt counts as lost); all other events go out as before.

TestStreamGoesOnAtAnotherBuild/no event has been sent failed before (503, with endpoints of other builds free) and passes, with and without control; TestOriginOfStreams/a later attempt elsewhere, TestRegister.

--- a/ctrl/origin.go
+++ b/ctrl/origin.go
@@ -156,11 +156,11 @@
 func encodeStarts(starts []origin.Start) []*wire.Start {
 	var encoded []*wire.Start
 	for _, g := range origin.Encode(starts) {
-		encoded = append(encoded, &wire.Start{Pool: g.Pool, Build: g.Name, Keys: g.Keys})
+		encoded = append(encoded, &wire.Start{Pool: g.Pool, Build: g.Name, Starts: g.Encoded})
 	}
 	return encoded
 }
 
 func decodeStarts(w *wire.Start) []origin.Start {
-	return origin.Starts{Build: origin.Build{Pool: w.GetPool(), Name: w.GetBuild()}, Keys: w.GetKeys()}.Decode()
+	return origin.Starts{Build: origin.Build{Pool: w.GetPool(), Name: w.GetBuild()}, Encoded: w.GetStarts()}.Decode()
 }
--- a/ctrl/streams.go
+++ b/ctrl/streams.go
@@ -38,35 +38,63 @@
 }
 
 // trackedStream is a stream that is open, or broke off at endedAt. reportedAt is when control last confirmed its start; zero if it
-// hasn't. Both are by clock.Now.
+// hasn't. Both are by clock.Now. confirmed is closed then, and replaced for a later attempt.
 type trackedStream struct {
-	build               origin.Build
+	origin.Start
 	open                int
 	endedAt, reportedAt time.Duration
+	confirmed           chan struct{}
 }
 
 func newStreamGuard() *streamGuard {
 	return &streamGuard{news: make(chan struct{}, 1), streams: map[origin.Key]*trackedStream{}, pending: map[origin.Key]bool{}}
 }
 
-// BeginStream records that a resumable stream begins at a build, or goes on there. It is called before an endpoint is sent the
-// request, whose work gives control time to learn of it before the client has the first event.
-func (f *Feed) BeginStream(key origin.Key, b origin.Build) {
+// BeginStream records that a resumable stream is about to begin at a build, or goes on there. It is called before an endpoint is
+// sent the request, whose work gives control time to learn of it before the client has the first event.
+func (f *Feed) BeginStream(start origin.Start) {
 	g := f.streams
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	s := g.streams[start.Key]
+	switch {
+	case s == nil && len(g.streams) >= maxStreams:
+		return
+	case s == nil:
+		s = &trackedStream{Start: start, confirmed: make(chan struct{})}
+		g.streams[start.Key] = s
+	case start.Attempt > s.Attempt && start.Build != s.Build:
+		s.Start, s.reportedAt, s.confirmed = start, 0, make(chan struct{})
+	}
+	if start.Attempt <= 1 {
+		s.open++
+	}
+	if s.reportedAt == 0 && f.hasSeveralBuilds(s.Build.Pool) {
+		g.report(start.Key)
+	}
+}
+
+// AwaitStart waits until control has replicated the latest start of a stream. It returns an error of type Unreachable if ctx ends
+// before.
+func (f *Feed) AwaitStart(ctx context.Context, key origin.Key) error {
+	g := f.streams
+	g.mu.Lock()
 	s := g.streams[key]
 	if s == nil {
-		if len(g.streams) >= maxStreams {
-			return
-		}
-		s = &trackedStream{build: b}
-		g.streams[key] = s
+		g.mu.Unlock()
+		return Unreachable.New("the start of the stream isn't recorded")
 	}
-	s.open++
-	if s.reportedAt == 0 && f.hasSeveralBuilds(b.Pool) {
+	confirmed := s.confirmed
+	if s.reportedAt == 0 {
 		g.report(key)
 	}
+	g.mu.Unlock()
+	select {
+	case <-confirmed:
+		return nil
+	case <-ctx.Done():
+		return Unreachable.Wrap(ctx.Err(), "wait for the start of the stream to be replicated")
+	}
 }
 
 // EndStream records that a stream has ended: completed, or broken off so that its client may resume it.
@@ -122,10 +150,11 @@
 		if s.reportedAt != 0 || g.pending[key] {
 			continue
 		}
-		if _, known := several[s.build.Pool]; !known {
-			several[s.build.Pool] = f.hasSeveralBuilds(s.build.Pool)
+		pool := s.Build.Pool
+		if _, known := several[pool]; !known {
+			several[pool] = f.hasSeveralBuilds(pool)
 		}
-		if several[s.build.Pool] {
+		if several[pool] {
 			g.report(key)
 		}
 	}
@@ -202,7 +231,7 @@
 			delete(g.pending, key)
 			continue
 		}
-		if starts = append(starts, origin.Start{Key: key, Build: s.build}); len(starts) == maxReportedStreams {
+		if starts = append(starts, s.Start); len(starts) == maxReportedStreams {
 			break
 		}
 	}
@@ -214,10 +243,19 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, start := range starts {
+		s := g.streams[start.Key]
+		if s != nil && s.Start != start {
+			// A later attempt began meanwhile.
+			continue
+		}
 		delete(g.pending, start.Key)
-		if s := g.streams[start.Key]; s != nil {
-			s.reportedAt = now
+		if s == nil {
+			continue
+		}
+		if s.reportedAt == 0 {
+			close(s.confirmed)
 		}
+		s.reportedAt = now
 	}
 }
 
@@ -275,7 +313,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if s := g.streams[key]; s != nil {
-		return s.build, true
+		return s.Build, true
 	}
 	return origin.Build{}, false
 }
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -110,7 +110,15 @@
 		record(r, time.Minute, origin.Start{Key: a, Build: older})
 		find(t, r, a, origin.Build{})
 	})
-	t.Run("too older", func(t *testing.T) {
+	t.Run("a later attempt elsewhere", func(t *testing.T) {
+		r := origin.NewRegister()
+		record(r, 0, origin.Start{Key: a, Build: older, Attempt: 1})
+		record(r, time.Minute, origin.Start{Key: a, Build: newer, Attempt: 2})
+		find(t, r, a, newer)
+		record(r, time.Minute, origin.Start{Key: a, Build: older, Attempt: 1}, origin.Start{Key: a, Build: newer})
+		find(t, r, a, newer)
+	})
+	t.Run("too old", func(t *testing.T) {
 		r := origin.NewRegister()
 		record(r, 0, origin.Start{Key: a, Build: older})
 		record(r, 2*origin.MaxAge, origin.Start{Key: b, Build: older})
@@ -124,7 +132,7 @@
 	r, random := origin.NewRegister(), rand.New(rand.NewPCG(1, 2))
 	var starts []origin.Start
 	for i := range 5000 {
-		s := origin.Start{Key: origin.Key(random.Uint64N(4000)), Build: []origin.Build{older, newer, other}[random.IntN(3)]}
+		s := origin.Start{Key: origin.Key(random.Uint64N(4000)), Build: []origin.Build{older, newer, other}[random.IntN(3)], Attempt: uint8(random.IntN(3))}
 		starts = append(starts, s)
 		record(r, time.Duration(i)*20*time.Millisecond, s)
 	}
@@ -150,7 +158,7 @@
 	data, err := json.Marshal(r)
 	check.NoError(f, err)
 	f.Add(data)
-	f.Add([]byte(`[{"builds":[],"starts":"AAAAAAAAAAEB"}]`))
+	f.Add([]byte(`[{"builds":[],"starts":"AAAAAAAAAAEBAA=="}]`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		r := origin.NewRegister()
 		if json.Unmarshal(data, r) != nil {
--- a/origin/register.go
+++ b/origin/register.go
@@ -25,8 +25,8 @@
 	maxStarts = 1 << 20
 	// maxSpanBuilds bounds the builds of one span, whose numbers have one byte.
 	maxSpanBuilds = 254
-	// keyBytes is the length of an encoded key.
-	keyBytes = 8
+	// startBytes is the length of an encoded start: its key and its attempt. A saved one has the number of its build, too.
+	startBytes, savedBytes = 9, 10
 )
 
 // Key identifies the client attempt that began a stream. Different attempts don't have the same by chance.
@@ -38,37 +38,40 @@
 	return Key(binary.BigEndian.Uint64(sum[:]))
 }
 
-// Start is the begin of a stream at a build.
+// Start says that a stream is about to begin at a build. Attempt counts the endpoints that its request is sent to, from one: until one of
+// them has brought an event, the stream may begin at the next, and the report of the highest attempt holds. Zero stands for a stream that
+// goes on where it began.
 type Start struct {
-	Key   Key
-	Build Build
+	Key     Key
+	Build   Build
+	Attempt uint8
 }
 
 // Starts are starts at one build, encoded for the log.
 type Starts struct {
 	Build
-	// Keys holds the keys in big-endian order of bytes, one after the other.
-	Keys []byte `json:"keys"`
+	// Encoded holds for each start its key, in big-endian order of bytes, and its attempt.
+	Encoded []byte `json:"starts"`
 }
 
 // Encode groups starts by build.
 func Encode(starts []Start) []Starts {
-	keys := map[Build][]byte{}
+	encoded := map[Build][]byte{}
 	for _, s := range starts {
-		keys[s.Build] = binary.BigEndian.AppendUint64(keys[s.Build], uint64(s.Key))
+		encoded[s.Build] = append(binary.BigEndian.AppendUint64(encoded[s.Build], uint64(s.Key)), s.Attempt)
 	}
 	var groups []Starts
-	for _, b := range slices.SortedFunc(maps.Keys(keys), Build.Compare) {
-		groups = append(groups, Starts{Build: b, Keys: keys[b]})
+	for _, b := range slices.SortedFunc(maps.Keys(encoded), Build.Compare) {
+		groups = append(groups, Starts{Build: b, Encoded: encoded[b]})
 	}
 	return groups
 }
 
-// Decode returns the starts; bytes that are no whole key are ignored.
+// Decode returns the starts; bytes that are no whole start are ignored.
 func (s Starts) Decode() []Start {
-	starts := make([]Start, 0, len(s.Keys)/keyBytes)
-	for keys := s.Keys; len(keys) >= keyBytes; keys = keys[keyBytes:] {
-		starts = append(starts, Start{Key(binary.BigEndian.Uint64(keys)), s.Build})
+	starts := make([]Start, 0, len(s.Encoded)/startBytes)
+	for rest := s.Encoded; len(rest) >= startBytes; rest = rest[startBytes:] {
+		starts = append(starts, Start{Key: Key(binary.BigEndian.Uint64(rest)), Build: s.Build, Attempt: rest[startBytes-1]})
 	}
 	return starts
 }
@@ -81,38 +84,41 @@
 	spans []*span
 }
 
-// span holds the starts that were reported in one spanLength. The builds are numbered from one; zero stands for contradicting
-// reports.
+// span holds the starts that were reported in one spanLength. Its builds are numbered from one.
 type span struct {
 	from   time.Time
 	builds []Build
-	starts map[Key]uint8
+	starts map[Key]numbered
 }
 
-// contradicted is the number of no build.
+// numbered is a start at the build with a number, or at contradicted.
+type numbered struct{ number, attempt uint8 }
+
+// contradicted is the number of no build: equal attempts were reported at different ones.
 const contradicted = 0
 
 // NewRegister returns an empty register.
 func NewRegister() *Register { return &Register{} }
 
-// Record adds starts that were reported at the group time now. A stream that was reported at another build before counts as
-// unknown from then on.
+// Record adds starts that were reported at the group time now. A stream of which one attempt was reported at two builds counts as
+// unknown.
 func (r *Register) Record(groups []Starts, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expire(now)
 	if len(r.spans) == 0 || now.Sub(r.spans[len(r.spans)-1].from) >= spanLength {
-		r.spans = append(r.spans, &span{from: now, starts: map[Key]uint8{}})
+		r.spans = append(r.spans, &span{from: now, starts: map[Key]numbered{}})
 	}
 	latest := r.spans[len(r.spans)-1]
 	for _, g := range groups {
-		number := latest.number(g.Build)
 		for _, s := range g.Decode() {
-			if before, ok := r.find(s.Key); ok && before != s.Build {
-				latest.starts[s.Key] = contradicted
-			} else {
-				latest.starts[s.Key] = number
+			if before, ok := r.find(s.Key); ok && before.Attempt >= s.Attempt {
+				if before.Attempt == s.Attempt && before.Build != s.Build {
+					before.Build = Build{}
+				}
+				s = before
 			}
+			latest.starts[s.Key] = numbered{latest.number(s.Build), s.Attempt}
 		}
 	}
 }
@@ -129,8 +135,11 @@
 	}
 }
 
-// number returns the number of a build in the span; contradicted if it has too many.
+// number returns the number of a build in the span; contradicted for none, or if it has too many.
 func (s *span) number(b Build) uint8 {
+	if b == (Build{}) {
+		return contradicted
+	}
 	at := slices.Index(s.builds, b)
 	if at < 0 {
 		if len(s.builds) >= maxSpanBuilds {
@@ -146,21 +155,22 @@
 func (r *Register) Find(key Key) (Build, bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	b, ok := r.find(key)
-	return b, ok && b != Build{}
+	s, ok := r.find(key)
+	return s.Build, ok && s.Build != Build{}
 }
 
-// find returns the build of the latest report, the zero Build if reports contradict each other. The caller holds mu.
-func (r *Register) find(key Key) (Build, bool) {
+// find returns the start of a stream by its latest report, with the zero Build if reports contradict each other. The caller holds mu.
+func (r *Register) find(key Key) (Start, bool) {
 	for _, s := range slices.Backward(r.spans) {
-		if number, ok := s.starts[key]; ok {
-			if number == contradicted {
-				return Build{}, true
+		if n, ok := s.starts[key]; ok {
+			start := Start{Key: key, Attempt: n.attempt}
+			if n.number != contradicted {
+				start.Build = s.builds[n.number-1]
 			}
-			return s.builds[number-1], true
+			return start, true
 		}
 	}
-	return Build{}, false
+	return Start{}, false
 }
 
 // Len returns the number of starts in the register.
@@ -174,7 +184,7 @@
 	return total
 }
 
-// savedSpan is the encoded form of a span; Starts has a key and a number for each.
+// savedSpan is the encoded form of a span; Starts has a key, the number of a build and an attempt for each.
 type savedSpan struct {
 	From   time.Time `json:"from"`
 	Builds []Build   `json:"builds"`
@@ -187,9 +197,10 @@
 	defer r.mu.RUnlock()
 	saved := make([]savedSpan, 0, len(r.spans))
 	for _, s := range r.spans {
-		data := make([]byte, 0, len(s.starts)*(keyBytes+1))
+		data := make([]byte, 0, len(s.starts)*savedBytes)
 		for _, key := range slices.Sorted(maps.Keys(s.starts)) {
-			data = append(binary.BigEndian.AppendUint64(data, uint64(key)), s.starts[key])
+			n := s.starts[key]
+			data = append(binary.BigEndian.AppendUint64(data, uint64(key)), n.number, n.attempt)
 		}
 		saved = append(saved, savedSpan{s.from, s.builds, data})
 	}
@@ -204,13 +215,13 @@
 	}
 	var spans []*span
 	for _, v := range saved {
-		s := &span{from: v.From, builds: v.Builds, starts: map[Key]uint8{}}
-		for rest := v.Starts; len(rest) > keyBytes; rest = rest[keyBytes+1:] {
-			number := rest[keyBytes]
-			if int(number) > len(s.builds) {
-				return Malformed.New("decode the starts of streams: one has the build %d of %d", number, len(s.builds))
+		s := &span{from: v.From, builds: v.Builds, starts: map[Key]numbered{}}
+		for rest := v.Starts; len(rest) >= savedBytes; rest = rest[savedBytes:] {
+			n := numbered{rest[savedBytes-2], rest[savedBytes-1]}
+			if int(n.number) > len(s.builds) {
+				return Malformed.New("decode the starts of streams: one has the build %d of %d", n.number, len(s.builds))
 			}
-			s.starts[Key(binary.BigEndian.Uint64(rest))] = number
+			s.starts[Key(binary.BigEndian.Uint64(rest))] = n
 		}
 		spans = append(spans, s)
 	}
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -52,6 +52,9 @@
 	}
 	j.attemptAt, j.heardAt, j.attemptBegun = began, began, false
 	out.begun = func() { e.recordBegun(j) }
+	if j.isResumable() {
+		out.bind = func() error { return e.bindStream(ctx, j) }
+	}
 	defer e.settleFirstToken(j, c, 0, false)
 	defer e.releaseMemory(j, c)
 	reply, err := e.config.Backend.Send(ctx, send)
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -55,9 +55,10 @@
 	PermitCount(run limit.EndpointRun) int
 	TakePermit(run limit.EndpointRun) bool
 	Permitted() <-chan struct{}
-	// BeginStream records that a resumable stream begins at a build, or goes on there, and EndStream that it ended: completed, or
-	// broken off.
-	BeginStream(key origin.Key, b origin.Build)
+	// BeginStream records that a resumable stream is about to begin at a build, or goes on there, and EndStream that it ended:
+	// completed, or broken off. AwaitStart waits until control has recorded the latest start; an error says that it hasn't.
+	BeginStream(start origin.Start)
+	AwaitStart(ctx context.Context, key origin.Key) error
 	EndStream(key origin.Key, completed bool)
 	// Origin returns the build at which a stream of a pool began; false if nobody knows. An error says that control couldn't be
 	// asked.
--- a/pass/feed_test.go
+++ b/pass/feed_test.go
@@ -47,6 +47,8 @@
 	started   []origin.Build
 	ended     []bool
 	noOrigins bool
+	// awaited counts the starts that were waited for.
+	awaited int
 	// uncounted makes control have all requests' crashes yet to count.
 	uncounted bool
 }
@@ -113,10 +115,21 @@
 }
 
 // BeginStream implements pass.View.
-func (f *feed) BeginStream(_ origin.Key, b origin.Build) {
+func (f *feed) BeginStream(s origin.Start) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.started = append(f.started, b)
+	f.started = append(f.started, s.Build)
+}
+
+// AwaitStart implements pass.View.
+func (f *feed) AwaitStart(context.Context, origin.Key) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.awaited++
+	if f.noOrigins {
+		return ctrl.Unreachable.New("no leader")
+	}
+	return nil
 }
 
 // EndStream implements pass.View.
--- a/pass/origin.go
+++ b/pass/origin.go
@@ -13,15 +13,25 @@
 	"egretshunt/value"
 )
 
-// maxOriginWait bounds how long a request waits until control has said where its stream began.
-const maxOriginWait = 500 * time.Millisecond
+const (
+	// maxOriginWait bounds how long a request waits until control has said where its stream began.
+	maxOriginWait = 500 * time.Millisecond
+	// maxStartWait bounds how long the first event of a stream waits for its start to be recorded, if a former one was elsewhere.
+	maxStartWait = 300 * time.Millisecond
+	// maxStarts bounds the attempts at one stream, which are counted by a byte.
+	maxStarts = 255
+)
 
-// streamOrigin ties a resumable stream to the build that began it: all its attempts run there, at this entry and at others that its
+// streamOrigin ties a resumable stream to the build that began it, which all further attempts run at: at this entry, and at others that its
 // client resumes it at.
 type streamOrigin struct {
-	// build is the name of the build, once it is known. begun is set once the stream is recorded, completed once it has ended whole.
-	build            value.Option[string]
-	begun, completed bool
+	// build is the name of the build, once the client has had an event from there.
+	build value.Option[string]
+	// starts counts the attempts, the latest of which is at the build at.
+	starts int
+	at     string
+	// moved is set if the latest attempt is at another build than the one before. completed is set once the stream has ended whole.
+	moved, completed bool
 }
 
 // isResumable reports whether the request's response is a stream that may go on at another endpoint.
@@ -65,17 +75,43 @@
 	return nil
 }
 
-// beginStream ties a resumable stream to the build of the endpoint that is about to get its request.
+// beginStream records that a resumable stream is about to begin, or to go on, at an endpoint that is about to get its request.
 func (e *Entry) beginStream(j *job, to *member.Endpoint) {
-	if j.stream.begun || !j.isResumable() {
+	if !j.isResumable() {
+		return
+	}
+	s := &j.stream
+	s.moved = s.starts > 0 && s.at != to.Build
+	if s.starts > 0 && !s.moved {
 		return
 	}
-	j.stream.begun, j.stream.build = true, value.Some(to.Build)
-	e.config.View.BeginStream(j.originKey(), origin.Build{Pool: to.Pool, Name: to.Build})
+	s.starts++
+	s.at = to.Build
+	start := origin.Start{Key: j.originKey(), Build: origin.Build{Pool: to.Pool, Name: to.Build}}
+	if !j.resumes() {
+		start.Attempt = uint8(s.starts)
+	}
+	e.config.View.BeginStream(start)
+}
+
+// bindStream ties a resumable stream to the build of its latest attempt, whose first event is about to go to the client. Where a former
+// attempt was at another build, control must know of the latest before: it would take the former one for the stream's origin.
+func (e *Entry) bindStream(ctx context.Context, j *job) error {
+	s := &j.stream
+	if s.moved {
+		ctx, cancel := context.WithTimeout(ctx, maxStartWait)
+		defer cancel()
+		if err := e.config.View.AwaitStart(ctx, j.originKey()); err != nil {
+			return Lost.Wrap(err, "begin a stream at another build than that of the attempt before")
+		}
+		s.moved = false
+	}
+	s.build = value.Some(s.at)
+	return nil
 }
 
 func (e *Entry) endStream(j *job) {
-	if j.stream.begun {
+	if j.stream.starts > 0 {
 		e.config.View.EndStream(j.originKey(), j.stream.completed)
 	}
 }
@@ -97,6 +133,9 @@
 	if build, ok := j.stream.build.Get(); ok {
 		return to.Build == build
 	}
+	if j.stream.starts >= maxStarts {
+		return to.Build == j.stream.at
+	}
 	return known == nil || known.Has(origin.Build{Pool: to.Pool, Name: to.Build})
 }
 
--- a/pass/origin_test.go
+++ b/pass/origin_test.go
@@ -55,6 +55,19 @@
 		check.Equal(t, "sends", len(fx.backend.sends), 1)
 		check.Equal(t, "ends, as completed", fx.feed.ended, []bool{false})
 	})
+	t.Run("no event has been sent", func(t *testing.T) {
+		for name, first := range map[string]func(*pass.Send) (*pass.Reply, error){
+			"not sent": notSent, "not run": notRun(503, ""), "lost": lost, "broken off in the first event": respondTruncated("id: 1\nda"),
+		} {
+			for _, recorded := range []bool{true, false} {
+				fx := withBuilds(newFixture(t, first, respondWith(200, eventA)), "v1", "v2", "v3", "v4")
+				fx.feed.noOrigins = !recorded
+				got, _ := fx.call("/resume/x", "k")
+				check.Equal(t, name+", begins elsewhere once that is recorded", got.Code == 200 && got.Body.String() == eventA, recorded)
+				check.Equal(t, name+", waits for that", fx.feed.awaited > 0, true)
+			}
+		}
+	})
 	t.Run("a stream that completes", func(t *testing.T) {
 		fx := withBuilds(newFixture(t, respondWith(200, eventA)), "v1")
 		fx.call("/resume/x", "k")
--- a/pass/relay.go
+++ b/pass/relay.go
@@ -28,6 +28,8 @@
 	// first is called at the first data of each response, begun before its first complete output is sent,
 	// onData whenever response data arrives.
 	first, begun, onData func()
+	// bind is called before the first event of a response is sent; its error ends the response. Nil means that nothing is to be done.
+	bind func() error
 }
 
 func newRelay(w http.ResponseWriter, stream bool) *relay { return &relay{w: w, stream: stream} }
@@ -144,6 +146,12 @@
 				*first = time.Now()
 			}
 			r.notifyBegun()
+			if r.bind != nil {
+				if failed := r.bind(); failed != nil {
+					return failed
+				}
+				r.bind = nil
+			}
 			r.head(reply)
 			if failed := r.write(pending[:end]); failed != nil {
 				return failed
