--- a/pass/call.go
+++ b/pass/call.go
@@ -25,6 +25,8 @@
 	namespace = errorx.NewNamespace("pass")
 	// NotSent is the type of errors of attempts of which no byte reached the endpoint.
 	NotSent = namespace.NewType("notsent")
+	// Refused is the subtype of NotSent for endpoints at whose address nothing listens.
+	Refused = NotSent.NewSubtype("refused")
 	// Lost is the type of errors of attempts that may have run and whose response did not
 	// arrive completely.
 	Lost = namespace.NewType("lost")
@@ -60,6 +62,8 @@
 	Left func() bool
 	// LastEventID is the ID of the last event that a resuming client has received.
 	LastEventID string
+	// Resumes is the ID of the client attempt that brought the first event of the stream that a resuming client goes on with.
+	Resumes string
 	// Model, Parts and MaxOutputTokens describe a prompt. The last part is the request's own,
 	// MaxOutputTokens the most tokens it may generate.
 	Model           string
