A begun response to a booking isn't ended or continued by a verdict

What callers saw: of a response of more than 1 MiB whose connection was lost past all resumes, a part with the sign that it was complete (HTTP's last chunk); or, if the agent's verdict was that the attempt never ran, the whole response of another endpoint's run behind that part. The verdict "never" after a response has begun takes a restarted agent whose service knows nothing of the key any more.

Cause: claimRun.applyVerdict acts on a verdict as if nothing had been sent to the caller. responseSink.reset drops what is buffered, not what was sent.

Evidence, before the change (go test ./entry -run TestBegunBooking): FAIL: TestBegunBookingIsCut/done: counted as complete after 1572764 bytes of 1572864 FAIL: TestBegunBookingIsCut/never: counted as complete after 3145628 bytes of 1572864; bytes of another run: want 0, got 1572864 Its cases "lost" and "no longer kept", and those where nothing had been sent, passed before.

Change: once a part was sent the request ends as cut, which closes the caller's connection. A verdict "done" is still recorded, so that a resend gets the whole response; after "never" the outcome is recorded as unknown.

The tests of entry pass five times of five, those of fleet on bookings once.

--- a/entry/claim.go
+++ b/entry/claim.go
@@ -391,10 +391,18 @@
 		}
 		switch v.GetState() {
 		case "never":
+			if c.out.started {
+				// The response that has begun contradicts it, and no other run may go on with that.
+				c.recordUnknown()
+				return newFailure(http.StatusBadGateway, CodeResponseCut, Yes, "the endpoint broke off its answer"), true
+			}
 			return c.retryRevoked(ctx)
 		case "done":
 			a := ledgerResponse(v)
 			f := c.recordResponse(a)
+			if c.out.started {
+				return newFailure(http.StatusBadGateway, CodeResponseCut, Yes, "the connection to the endpoint was lost; a resend gets the whole answer"), true
+			}
 			if a.BodyDropped {
 				return newFailure(http.StatusConflict, CodeResponseGone, Yes, "the request has run; its answer is no longer kept"), true
 			}
