A response that an agent no longer keeps isn't an empty one

What callers saw: a resend of a booking got 200 with an empty body, and the ledger kept that for later ones, where the response was longer than 2 MiB and its connection had been lost near its end.

Cause: an agent releases the beginning of a long response once it was sent, and its verdict then had the status without the body. entry.ledgerResponse counts a body as dropped only if the verdict has neither, since a response may be empty.

Evidence, before the change (go test ./agent -run TestReleased): FAIL: TestReleasedResponseIsNoEmptyOne/released: has a head: want false, got true

Change: the verdict on a released response is "done" with neither; the resend gets 409 answer_gone, as the entry has it for that case. Agents and entries of before and after understand each other's verdicts.

The tests of agent and entry pass three times of three.

--- a/agent/exchange.go
+++ b/agent/exchange.go
@@ -142,8 +142,8 @@
 	return x.end != nil || x.failure != nil
 }
 
-// complete returns the complete response, or false if it isn't complete. The body
-// is nil if its start is no longer retained.
+// complete returns the complete response, or false if it isn't complete. Both parts are nil if
+// the start of the body is no longer retained.
 func (x *exchange) complete() (*wire.Head, []byte, bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -151,7 +151,7 @@
 		return nil, nil, false
 	}
 	if x.dataOffset > 0 {
-		return x.head, nil, true
+		return nil, nil, true
 	}
 	return x.head, x.data, true
 }
