platform, event: unreadable entries of the list are reported

Operators: an entry that was skipped left no line, so that nobody could tell why an endpoint got no requests.

Cause: decodeEndpoint returned false and its callers went on.

--- a/event/fields.go
+++ b/event/fields.go
@@ -16,6 +16,7 @@
 		{"age", "Time since control last confirmed what this process holds, in milliseconds."},
 		{"ahead", "Prompt tokens estimated to be prefilled by the endpoint before this request's."},
 		{"as", "ID under which a control VM requests to join."},
+		{"at", "Address that a document with an unreadable row is from."},
 		{"begun", "Whether the client has received part of the response."},
 		{"block", "Cached KV block, by its hash."},
 		{"blocks", "Number of cached KV blocks found on disk."},
