board: the sum of large weights doesn't overflow

A route whose weights sum to 2^63 or more was rejected, as if they summed to zero or less; with three such weights it was accepted and its shares were wrong.

Cause: the sum of the weights is an int.

Evidence, on the parent: TestWeightsOverflow: board.invalid: route deep: the sum of the weights must be positive.

Change: the sum is a float64, both in the check and in Pick. Sums below 2^53 are exact, as before.

--- a/board/board.go
+++ b/board/board.go
@@ -213,7 +213,7 @@
 	if r.Timeout <= 0 {
 		return Invalid.New("route %s: the timeout must be positive", r.Name)
 	}
-	total := 0
+	total := 0.0
 	for _, share := range r.Split {
 		if s.pools[share.Pool] == nil {
 			return Invalid.New("route %s: pool %q does not exist", r.Name, share.Pool)
@@ -221,7 +221,7 @@
 		if share.Weight < 0 {
 			return Invalid.New("route %s: a weight is negative", r.Name)
 		}
-		total += share.Weight
+		total += float64(share.Weight)
 	}
 	if total <= 0 {
 		return Invalid.New("route %s: the sum of the weights must be positive", r.Name)
@@ -253,11 +253,12 @@
 // Pick returns the name of the pool for a request, in proportion to the weights; draw is uniform
 // in [0, 1).
 func (r *Route) Pick(draw float64) string {
-	total := 0
+	// A sum of integers might overflow.
+	total := 0.0
 	for _, share := range r.Split {
-		total += share.Weight
+		total += float64(share.Weight)
 	}
-	position := draw * float64(total)
+	position := draw * total
 	for _, share := range r.Split {
 		if position < float64(share.Weight) {
 			return share.Pool
--- a/board/board_test.go
+++ b/board/board_test.go
@@ -1,6 +1,7 @@
 package board_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -79,3 +80,18 @@
 	check.Equal(t, "account of the key", s.Account("k2").Name, "x")
 	check.Equal(t, "no account for an unknown key", s.Account("k4") == nil, true)
 }
+
+// TestWeightsOverflow guards against weights whose sum overflows, so that a valid set is rejected or its pools get no requests.
+func TestWeightsOverflow(t *testing.T) {
+	for _, weight := range []int{1 << 40, math.MaxInt/2 + 1, math.MaxInt} {
+		d := newDraft()
+		d.Routes[1].Split = []board.WeightedPool{{Pool: "a", Weight: weight}, {Pool: "b", Weight: weight}, {Pool: "a", Weight: 0}}
+		s, err := board.New(d)
+		check.NoError(t, err)
+		counts := map[string]int{}
+		for i := range 1000 {
+			counts[s.Match("h.example", "/p/q/").Pick(float64(i)/1000)]++
+		}
+		check.Equal(t, "requests by pool", counts, map[string]int{"a": 500, "b": 500})
+	}
+}
