--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -45,7 +45,7 @@
 	CrashesCleared   = declare(227, "cleared", "info", "An endpoint ran a request to the end that crashes had been attributed to; they no longer count.")
 	Skipped          = declare(228, "skipped", "error", "An entry of the replicated log could not be read or applied and was skipped; every member does the same. Report it with this line.")
 	SyncUnreadable   = declare(229, "syncbad", "warn", "A response to a sync with control could not be read or doesn't continue what this entry holds. The entry asks for a whole.")
-	RowUnreadable    = declare(230, "oddrow", "warn", "An entry of the platform's list of endpoints, the token of its next page or a row of a store's or engine's list could not be read and was skipped; the others hold. Each is reported once, 16 a minute at most.")
+	RowUnreadable    = declare(231, "oddrow", "warn", "An entry of the platform's list of endpoints, the token of its next page or a row of a store's or engine's list could not be read and was skipped; the others hold. Each is reported once, 16 a minute at most.")
 	Settled          = declare(213, "settled", "info", "An operator settled a request whose outcome was unknown.")
 )
 
