pass: an odd Token-Count doesn't move an engine's memory

Callers: none reported. A prompt whose Token-Count named -2^62 output tokens made its engine's memory seem free for as long as it ran, to this entry and, as the amount is reported, to all others; one with 2^63-1 overflowed.

Cause: the number is any integer that the client sends, and was added up as it came.

Change: it counts as 0 to 2^28 tokens.

--- a/pass/place.go
+++ b/pass/place.go
@@ -56,7 +56,13 @@
 }
 
 // maxMemoryTokens returns the most tokens that the request can occupy in an engine's memory.
-func (j *job) maxMemoryTokens() int { return j.call.Tokens() + j.call.MaxOutputTokens }
+func (j *job) maxMemoryTokens() int {
+	return j.call.Tokens() + min(max(j.call.MaxOutputTokens, 0), maxOutputTokens)
+}
+
+// maxOutputTokens bounds the output tokens that a client's number counts as. Sums over the requests in flight don't
+// overflow.
+const maxOutputTokens = 1 << 28
 
 // place chooses the endpoint of the next attempt and reserves capacity there. limited reports that only endpoints with limits are
 // left, for which the request needs a permit; permitted is set once it has waited for one.
