block: a part larger than its store doesn't close it

Callers: none reported. One row of another writer with more tokens than its store holds made the store accept no new parts, until it was listed under another leader; a negative one made it seem to have room.

Cause: a store accepts parts while there is room for two of the largest size seen, and any size was taken over.

Change: parts below zero or above the store's capacity are left out of its index. A store without a capacity is as before.

--- a/block/store_index.go
+++ b/block/store_index.go
@@ -155,6 +155,9 @@
 	s.parts, s.listedTokens = map[string]*partEntry{}, 0
 	changes := []CatalogChange{{Store: s.config.Store}}
 	for _, h := range list {
+		if !s.fits(h) {
+			continue
+		}
 		part := &partEntry{tokens: h.Tokens, lastUsed: now}
 		if previous, ok := old[h.Name]; ok {
 			part.lastUsed, part.withdrawnAt = previous.lastUsed, previous.withdrawnAt
@@ -180,7 +183,7 @@
 			if old.withdrawnAt == 0 {
 				changes = append(changes, CatalogChange{Store: s.config.Store, Name: e.Name})
 			}
-		case !e.Removed && !ok:
+		case !e.Removed && !ok && s.fits(e.Held):
 			s.parts[e.Name] = &partEntry{tokens: e.Tokens, lastUsed: now}
 			s.listedTokens += roundUpTokens(e.Tokens)
 			s.largestTokens = max(s.largestTokens, e.Tokens)
@@ -190,6 +193,12 @@
 	return changes
 }
 
+// fits reports whether the store can hold a part. Others are left out: the largest part decides how much room must be
+// left for a store to accept new ones.
+func (s *StoreIndex) fits(h Held) bool {
+	return h.Tokens >= 0 && (s.config.Tokens <= 0 || h.Tokens <= s.config.Tokens)
+}
+
 func (s *StoreIndex) removePart(name string) {
 	s.listedTokens -= roundUpTokens(s.parts[name].tokens)
 	delete(s.parts, name)
