block: a part that a store lists twice counts once

Callers: none reported. Each repetition of a part in a store's list was added to the tokens that it holds, and only one was taken off when the part was removed, so that the store seemed fuller until it was listed again.

Cause: the sum was counted by rows, the index by names.

Evidence, on the parent: TestOddPartClosesStore, case "listed twice, listed": tokens listed: want 160, got 320.

Change: the first row of a name holds.

--- a/block/odd_parts_test.go
+++ b/block/odd_parts_test.go
@@ -10,7 +10,7 @@
 )
 
 // TestOddPartClosesStore guards against a part of another writer that is larger than its store, for which the store
-// accepts no parts.
+// accepts no parts. One that is listed twice counts once.
 func TestOddPartClosesStore(t *testing.T) {
 	const capacity = 10_000
 	sound := block.Held{Name: "s/a", Tokens: 160}
@@ -18,6 +18,7 @@
 		"larger than the store": {Name: "s/x", Tokens: capacity + 1},
 		"far larger":            {Name: "s/x", Tokens: 1 << 40},
 		"negative":              {Name: "s/x", Tokens: -1 << 40},
+		"listed twice":          sound,
 	} {
 		for _, how := range []string{"listed", "added"} {
 			t.Run(name+", "+how, func(t *testing.T) {
--- a/block/store_index.go
+++ b/block/store_index.go
@@ -155,7 +155,7 @@
 	s.parts, s.listedTokens = map[string]*partEntry{}, 0
 	changes := []CatalogChange{{Store: s.config.Store}}
 	for _, h := range list {
-		if !s.fits(h) {
+		if _, ok := s.parts[h.Name]; ok || !s.fits(h) {
 			continue
 		}
 		part := &partEntry{tokens: h.Tokens, lastUsed: now}
