conf: an endless prefill rate is rejected

Evidence, on the parent: TestEndlessPrefillRate: inf is rejected: want true, got false.

Change: the rate must be finite. Other settings that are no number are rejected as before.

--- a/conf/conf.go
+++ b/conf/conf.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"os"
 	"strings"
@@ -226,7 +227,7 @@
 	c.requireValid("agent.chain", a.Kind != "model" || len(a.BlockNameSecret) >= 16, "must have at least 16 bytes if kind is model")
 	c.requireValid("agent.slots", a.MaxRunning > 0, "must be positive")
 	c.requireValid("agent.waiting", a.MaxQueued > 0, "must be positive")
-	c.requireValid("agent.prefill", a.PrefillRate > 0, "must be positive")
+	c.requireValid("agent.prefill", a.PrefillRate > 0 && !math.IsInf(a.PrefillRate, 1), "must be positive and finite")
 }
 
 func (s *Store) check(c *checker, data string) {
