node: an odd VM of the platform's list costs only itself

One VM whose name or state isn't text made the list of VMs an error, and no VM was known to be leaving any more.

Cause: the entries were decoded with the list.

Evidence, on the parent: TestOddVMFailsWholeList: parse the platform's list, cause: json: cannot unmarshal number into Go struct field .vms of type struct.

Change: they are decoded one by one. Names that are missing or empty are left out.

What remains: an entry nested deeper than 10,000 still makes this list an error, and skipped entries aren't reported.

--- a/node/ops.go
+++ b/node/ops.go
@@ -130,17 +130,19 @@
 			return nil, Failed.Wrap(err, "read the platform's list")
 		}
 		var list struct {
-			VMs []struct {
-				Name  string `json:"name"`
-				State string `json:"state"`
-			} `json:"vms"`
+			VMs []json.RawMessage `json:"vms"`
 		}
 		if err := json.Unmarshal(body, &list); err != nil {
 			return nil, Failed.Wrap(err, "parse the platform's list")
 		}
 		draining := []string{}
-		for _, vm := range list.VMs {
-			if vm.State == "leaving" {
+		for _, raw := range list.VMs {
+			var vm struct {
+				Name  string `json:"name"`
+				State string `json:"state"`
+			}
+			// An odd entry names no VM; the others hold.
+			if json.Unmarshal(raw, &vm) == nil && vm.Name != "" && vm.State == "leaving" {
 				draining = append(draining, vm.Name)
 			}
 		}
