ctrl: a name that no sync can carry isn't recorded

Cause: Feed.RecordUse took any name, and a sync with text that isn't UTF-8 fails with its connection.

Evidence, on the parent: TestOddPartNameStopsSyncs: condition not met within 60 s: the unresponsive engine marked down.

Change: RecordUse ignores such names.

--- a/ctrl/feed.go
+++ b/ctrl/feed.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"egretshunt/block"
 	"egretshunt/clock"
@@ -372,8 +373,11 @@
 	return sorted
 }
 
-// RecordUse records that a request uses a cached part.
+// RecordUse records that a request uses a cached part. A name that isn't UTF-8 is ignored: no sync could carry it.
 func (f *Feed) RecordUse(name string) {
+	if !utf8.ValidString(name) {
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.used.Add(name)
