conns: closing a listener doesn't wait for the server that serves on it

Callers saw nothing of it yet: a process that is ended while it takes in a connection, as by Process.Kill, could hang for good, and an entry whose listener had failed would hang when stopped, until it is killed.

Cause: the Close of the listener waits until the server has learned of it. Server.Close calls it with the server's lock held, which the server needs to take in a connection that it has just accepted. And a server whose Accept fails for another reason than a close never accepts again, so that nothing ends the wait; its own deferred Close waits as well.

Evidence: TestServerCloseHangs failed before: 'condition not met within 60 s: the server is closed'. TestStopHangsAfterAcceptFails calls a new method; the same steps with the listener's Close failed before: it had not returned after 10 s.

Change: Close only closes. The wait ends with each error after which net/http accepts no more.

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -38,6 +38,7 @@
 type Conns struct {
 	limits   func() board.Limits
 	draining atomic.Bool
+	listener *listener
 	// open maps each open net.Conn of the server to its *conn.
 	open sync.Map
 }
@@ -62,9 +63,18 @@
 	return c
 }
 
-// Listener returns the listener that the server is to serve on, with which Conns also sees when a request begins to arrive.
+// Listener returns the listener that the server is to serve on, with which Conns also sees when a request begins to arrive. It is
+// called once.
 func (c *Conns) Listener(l net.Listener) net.Listener {
-	return &listener{Listener: l, ended: make(chan struct{})}
+	c.listener = &listener{Listener: l, ended: make(chan struct{})}
+	return c.listener
+}
+
+// StopAccepting closes the listener of a server that serves on it. When it returns, Conns knows all connections that were accepted.
+func (c *Conns) StopAccepting() {
+	// An error means that the listener is closed.
+	_ = c.listener.Close()
+	<-c.listener.ended
 }
 
 // Drain makes the responses that haven't begun yet end their connections.
@@ -164,7 +174,7 @@
 // listener accepts the connections of one server.
 type listener struct {
 	net.Listener
-	// ended is closed once the server has learned that the listener is closed.
+	// ended is closed once the server has learned that the listener accepts no more.
 	ended chan struct{}
 	once  sync.Once
 }
@@ -175,19 +185,14 @@
 	if err == nil {
 		return &conn{Conn: raw}, nil
 	}
-	if errors.Is(err, net.ErrClosed) {
+	// net/http accepts again only after a temporary error.
+	var temporary interface{ Temporary() bool }
+	if !errors.As(err, &temporary) || !temporary.Temporary() {
 		l.once.Do(func() { close(l.ended) })
 	}
 	return nil, err
 }
 
-// Close implements net.Listener. When it returns, Conns knows all connections that were accepted.
-func (l *listener) Close() error {
-	err := l.Listener.Close()
-	<-l.ended
-	return err
-}
-
 // conn is one client connection and its timeout.
 type conn struct {
 	net.Conn
--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -159,8 +160,7 @@
 			})
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			check.NoError(t, err)
-			own := tracked.Listener(l)
-			body.Serve(s, own)
+			body.Serve(s, tracked.Listener(l))
 			t.Cleanup(func() { s.Close() })
 			client, err := net.Dial("tcp", l.Addr().String())
 			check.NoError(t, err)
@@ -174,7 +174,7 @@
 			check.NoError(t, err)
 			check.Eventually(t, "the connection is known", func() bool { return tracked.CloseIdle(time.Time{}) == 1 })
 			tracked.Drain()
-			check.NoError(t, own.Close())
+			tracked.StopAccepting()
 			// Bytes that are on their way are lost by any close.
 			time.Sleep(100 * time.Millisecond)
 			later := time.Now().Add(time.Minute)
@@ -261,3 +261,68 @@
 		})
 	}
 }
+
+// scriptedListener is a listener whose Accept returns what a test says.
+type scriptedListener struct {
+	net.Listener
+	accepted chan net.Conn
+	err      error
+	closed   func()
+}
+
+func (l *scriptedListener) Accept() (net.Conn, error) {
+	if c, ok := <-l.accepted; ok {
+		return c, nil
+	}
+	return nil, l.err
+}
+
+func (l *scriptedListener) Close() error {
+	l.closed()
+	return nil
+}
+
+// checkEnds checks that f returns.
+func checkEnds(t *testing.T, what string, f func()) {
+	t.Helper()
+	ended := make(chan struct{})
+	go func() {
+		f()
+		close(ended)
+	}()
+	check.Eventually(t, what, func() bool {
+		select {
+		case <-ended:
+			return true
+		default:
+			return false
+		}
+	})
+}
+
+// TestServerCloseHangs guards against a server whose Close waited, with the server's lock held, for its listener, and that for the
+// server to take in the last connection.
+func TestServerCloseHangs(t *testing.T) {
+	client, last := net.Pipe()
+	defer client.Close()
+	s := &http.Server{Handler: http.NotFoundHandler()}
+	tracked := conns.Track(s, func() board.Limits {
+		return board.Limits{Header: 1 << 10, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+	})
+	accepted := make(chan net.Conn, 1)
+	body.Serve(s, tracked.Listener(&scriptedListener{accepted: accepted, err: net.ErrClosed, closed: sync.OnceFunc(func() {
+		accepted <- last
+		close(accepted)
+	})}))
+	checkEnds(t, "the server is closed", func() { s.Close() })
+}
+
+// TestStopHangsAfterAcceptFails guards against a stop that waited for a server that had ended because its listener failed.
+func TestStopHangsAfterAcceptFails(t *testing.T) {
+	s := &http.Server{Handler: http.NotFoundHandler()}
+	tracked := conns.Track(s, func() board.Limits { return board.Limits{} })
+	accepted := make(chan net.Conn)
+	close(accepted)
+	body.Serve(s, tracked.Listener(&scriptedListener{accepted: accepted, err: errors.New("no buffers"), closed: func() {}}))
+	checkEnds(t, "no connection is accepted", tracked.StopAccepting)
+}
--- a/node/process.go
+++ b/node/process.go
@@ -60,20 +60,19 @@
 	entry        *entry.Entry
 	keyring      *entry.Keyring
 	callerServer *http.Server
-	// callerConns and callerListener are those of callerServer.
-	callerConns    *conns.Conns
-	callerListener net.Listener
-	agent          *agent.Agent
-	store          *store.Store
-	blockStore     *store.Service
-	member         *ctrl.Node
-	peers          *ctrl.Peers
-	controlServer  *ctrl.Server
-	commandIssuer  *ctrl.CommandIssuer
-	adminAPI       *admin.API
-	adminServer    *http.Server
-	opsServer      *http.Server
-	stopReaper     context.CancelFunc
+	// callerConns are those of callerServer.
+	callerConns   *conns.Conns
+	agent         *agent.Agent
+	store         *store.Store
+	blockStore    *store.Service
+	member        *ctrl.Node
+	peers         *ctrl.Peers
+	controlServer *ctrl.Server
+	commandIssuer *ctrl.CommandIssuer
+	adminAPI      *admin.API
+	adminServer   *http.Server
+	opsServer     *http.Server
+	stopReaper    context.CancelFunc
 }
 
 // Start starts a process with all roles of the settings. It writes log lines to out.
@@ -362,8 +361,7 @@
 	if err != nil {
 		return Failed.Wrap(err, "listen for callers")
 	}
-	p.callerListener = p.callerConns.Listener(l)
-	l = p.callerListener
+	l = p.callerConns.Listener(l)
 	if p.callerServer.TLSConfig != nil {
 		l = tls.NewListener(l, p.callerServer.TLSConfig)
 	}
--- a/node/stop.go
+++ b/node/stop.go
@@ -82,8 +82,8 @@
 
 // stopCallers serves the requests that callers have begun to send, until ctx ends, and returns how many are still open then.
 func (p *Process) stopCallers(ctx context.Context) int {
-	// Server.Shutdown would drop the requests that are being read. An error means that the listener is closed.
-	_ = p.callerListener.Close()
+	// Server.Shutdown would drop the requests that are being read.
+	p.callerConns.StopAccepting()
 	if end, ok := ctx.Deadline(); ok {
 		t := time.AfterFunc(time.Until(end)-answerMargin, p.entry.EndRequests)
 		defer t.Stop()
