pass: a request's end doesn't reset the state of its endpoint's next incarnation

Callers: requests went on to an endpoint that had said that it is leaving, or that it is full, and an endpoint that had started again got less than its share, for as long as a request waited at its former process.

Cause: an entry keeps one state for an ID and replaces it when asked for another incarnation. The end of a request asks for the incarnation that the request was sent to, so that the state of the running one was dropped, and the next choice replaced it again. The requests in flight were carried along, and counted as load of the new process.

Evidence: TestFormerEndpointResetsState failed in its four cases before: 'sends until it is leaving (-want +got): 1, 0'.

Change: a state links to those of former incarnations while they have requests, and each request acts on its own. Counts of requests in flight are no longer carried along.

Run: go test ./pass; go test -race ./pass -run TestFormerEndpointResetsState. The whole of ./pass under -race reports races of five tests with their own stand-in feed, before this change as well.

--- a/pass/entry.go
+++ b/pass/entry.go
@@ -153,6 +153,8 @@
 type endpointState struct {
 	incarnation int64
 	inFlight    int
+	// former is the state of an earlier incarnation, to which requests may still be open; nil if there is none.
+	former *endpointState
 	// pendingTokens are the prompt tokens sent whose first output token is outstanding, by
 	// level of urgency.
 	pendingTokens [limit.UrgencyLevels]int
@@ -256,7 +258,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for id, s := range e.endpointStates {
-		if s.inFlight == 0 && (list == nil || list.Find(id) == nil) && now.Sub(s.leavingAt) > leavingMemory {
+		s.dropFormer()
+		if s.inFlight == 0 && s.former == nil && (list == nil || list.Find(id) == nil) && now.Sub(s.leavingAt) > leavingMemory {
 			delete(e.endpointStates, id)
 			e.generation++
 		}
@@ -326,22 +329,31 @@
 // InFlight returns the number of requests in progress.
 func (e *Entry) InFlight() int64 { return e.open.Load() }
 
-// endpointState returns the state of an endpoint, and resets it if the endpoint has restarted.
-// The caller holds mu.
+// endpointState returns the state of an endpoint's incarnation. The caller holds mu.
 func (e *Entry) endpointState(to *member.Endpoint) *endpointState {
-	s, ok := e.endpointStates[to.ID]
-	if !ok || s.incarnation != to.Born && to.Born != 0 {
-		inFlight := 0
-		if ok {
-			inFlight = s.inFlight
+	current := e.endpointStates[to.ID]
+	for s := current; s != nil; s = s.former {
+		if s.incarnation == to.Born || to.Born == 0 {
+			return s
 		}
-		s = &endpointState{incarnation: to.Born, inFlight: inFlight, versions: map[string]timedVersion{}}
-		e.endpointStates[to.ID] = s
-		e.generation++
 	}
+	s := &endpointState{incarnation: to.Born, former: current, versions: map[string]timedVersion{}}
+	e.endpointStates[to.ID] = s
+	e.generation++
 	return s
 }
 
+// dropFormer drops the states of earlier incarnations without requests.
+func (s *endpointState) dropFormer() {
+	for s.former != nil {
+		if s.former.inFlight == 0 {
+			s.former = s.former.former
+		} else {
+			s = s.former
+		}
+	}
+}
+
 // retryBudget returns the retry budget of a pool. The caller holds mu.
 func (e *Entry) retryBudget(pool string) *limit.RetryLimiter {
 	b, ok := e.retryBudgets[pool]
--- a/pass/leaving_test.go
+++ b/pass/leaving_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"sync/atomic"
 	"testing"
 
 	"egretshunt/check"
@@ -72,3 +73,51 @@
 		})
 	}
 }
+
+// TestFormerEndpointResetsState guards against the state of an endpoint that was lost when a request ended that had been sent to its
+// former incarnation. Requests wait for silent endpoints until their deadline.
+func TestFormerEndpointResetsState(t *testing.T) {
+	const calls = 40
+	for name, end := range map[string]func(*pass.Send) (*pass.Reply, error){
+		"answered": respondWith(200, "ok"), "lost": lost, "not run": notRun(503, ""), "never sent": notSent,
+	} {
+		t.Run(name, func(t *testing.T) {
+			held, release := make(chan string, 1), make(chan struct{})
+			former := ""
+			fx := newFixture(t, func(s *pass.Send) (*pass.Reply, error) {
+				held <- s.To.ID
+				<-release
+				return end(s)
+			}, func(s *pass.Send) (*pass.Reply, error) {
+				r, err := respondWith(200, "ok")(s)
+				r.Leaving = s.To.ID == former
+				return r, err
+			})
+			var list atomic.Pointer[member.List]
+			list.Store(fx.feed.list)
+			fx.feed.listFunc = list.Load
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				fx.call("/once/x", "k")
+			}()
+			former = <-held
+			restarted := &member.List{Endpoints: append([]member.Endpoint(nil), fx.feed.list.Endpoints...)}
+			for i := range restarted.Endpoints {
+				restarted.Endpoints[i].Born++
+			}
+			list.Store(restarted.Index())
+			for i := range calls {
+				fx.call("/once/x", "k", func(c *pass.Call) { c.ID = fmt.Sprint("before-", i) })
+			}
+			check.Equal(t, "sends until it is leaving", fx.backend.countSends(former, 1), 1)
+			close(release)
+			<-ended
+			first := len(fx.backend.sends)
+			for i := range calls {
+				fx.call("/once/x", "k", func(c *pass.Call) { c.ID = fmt.Sprint("after-", i) })
+			}
+			check.Equal(t, "sends to the leaving endpoint", fx.backend.countSends(former, first), 0)
+		})
+	}
+}
