pass: responses don't wait while a request decodes a table set

Callers beside a change of the configuration: responses that were ready, and retries, waited while a request decoded the new table set, and so did all placements.

Cause: the set is decoded with the lock held under which each attempt begins and ends.

Evidence: TestDecodingHoldsUpResponses failed before: 'condition not met within 60 s: the first request is answered', while the decoding was held back.

Change: decoding has a lock of its own. Requests that come meanwhile wait for the new set as before.

Run: go test ./pass; go test -race ./pass -run 'TestDecodingHoldsUpResponses|TestChange'.

--- a/pass/change_test.go
+++ b/pass/change_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -218,3 +219,45 @@
 		})
 	}
 }
+
+// TestDecodingHoldsUpResponses guards against responses that waited while a request decoded a table set that had just arrived.
+func TestDecodingHoldsUpResponses(t *testing.T) {
+	held, release := make(chan struct{}), make(chan struct{})
+	decoding, decoded := make(chan struct{}), make(chan struct{})
+	set, err := board.New(fixtureDraft())
+	check.NoError(t, err)
+	var decodes atomic.Int64
+	decode := func([]byte) (*board.Set, error) {
+		if decodes.Add(1) == 2 {
+			close(decoding)
+			<-decoded
+		}
+		return set, nil
+	}
+	fx := newFixtureWith(t, pass.Config{Decode: decode}, func(s *pass.Send) (*pass.Reply, error) {
+		close(held)
+		<-release
+		return respondWith(200, "first")(s)
+	}, respondWith(200, "second"))
+	var view atomic.Pointer[ctrl.View]
+	view.Store(fx.feed.view)
+	fx.feed.viewFunc = view.Load
+	endDecoding := sync.OnceFunc(func() { close(decoded) })
+	t.Cleanup(endDecoding)
+	first, second := make(chan int, 1), make(chan int, 1)
+	go func() {
+		got, _ := fx.call("/once/x", "k")
+		first <- got.Code
+	}()
+	<-held
+	view.Store(&ctrl.View{Set: &ctrl.TableSetDocument{Number: 2}})
+	go func() {
+		got, _ := fx.call("/safe/x", "k")
+		second <- got.Code
+	}()
+	<-decoding
+	close(release)
+	check.Eventually(t, "the first request is answered", func() bool { return len(first) == 1 })
+	endDecoding()
+	check.Equal(t, "statuses", []int{<-first, <-second}, []int{200, 200})
+}
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -100,6 +100,8 @@
 
 	// set is the decoded table set in force.
 	set atomic.Pointer[decodedSet]
+	// decoding is held while a table set is decoded.
+	decoding sync.Mutex
 	// fallback is the list that this entry read itself while control was unreachable.
 	fallback atomic.Pointer[fallbackList]
 	// open is the number of requests in progress.
@@ -285,8 +287,8 @@
 	if a := e.set.Load(); a != nil && a.document == doc {
 		return a.set
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	e.decoding.Lock()
+	defer e.decoding.Unlock()
 	a := e.set.Load()
 	if a != nil && (a.document == doc || a.document.Number >= doc.Number) {
 		return a.set
