conns: a stopping entry takes no request that it can't serve to its end

Cause: since a stopping entry closes only connections that have been without a request for half a second. One whose response had begun before the stop doesn't announce its end, and its client's next request, sent as soon as it had the response, was taken however late.

TestRequestLongAfterStopIsServed fails with the change to conns taken back ('condition not met within 60 s: the connection is closed') and passes; soon after the stop the next request is still served.

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -38,7 +38,9 @@
 type Conns struct {
 	limits   func() board.Limits
 	draining atomic.Bool
-	listener *listener
+	// finishing is set once connections are closed as soon as they are without a request.
+	finishing atomic.Bool
+	listener  *listener
 	// open maps each open net.Conn of the server to its *conn.
 	open sync.Map
 }
@@ -80,11 +82,23 @@
 // Drain makes the responses that haven't begun yet end their connections.
 func (c *Conns) Drain() { c.draining.Store(true) }
 
+// Finish makes each connection end as soon as it is without a request: a further one could no longer be served to its end.
+func (c *Conns) Finish() { c.finishing.Store(true) }
+
+// quiet returns how long a connection must have been without a request to be closed.
+func (c *Conns) quiet() time.Duration {
+	if c.finishing.Load() {
+		return 0
+	}
+	return minQuiet
+}
+
 // CloseIdle closes the connections that have been without a request for some time, and returns how many
 // others are open.
 func (c *Conns) CloseIdle(now time.Time) (open int) {
+	quiet := c.quiet()
 	c.open.Range(func(_, tracked any) bool {
-		if !tracked.(*conn).closeIdle(now) {
+		if !tracked.(*conn).closeIdle(now, quiet) {
 			open++
 		}
 		return true
@@ -103,6 +117,9 @@
 		tracked.begin()
 	case http.StateIdle:
 		tracked.await(c.idleTime, c.headerTime)
+		if c.finishing.Load() {
+			tracked.closeIdle(time.Now(), 0)
+		}
 	case http.StateClosed, http.StateHijacked:
 		tracked.begin()
 		c.open.Delete(raw)
@@ -274,10 +291,10 @@
 }
 
 // closeIdle closes the connection if it has been without a request for some time, and reports whether it is closed.
-func (c *conn) closeIdle(now time.Time) bool {
+func (c *conn) closeIdle(now time.Time, quiet time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.closed && c.timer != nil && now.Sub(c.since) >= minQuiet && !c.hasRequest() {
+	if !c.closed && c.timer != nil && now.Sub(c.since) >= quiet && !c.hasRequest() {
 		c.close()
 	}
 	return c.closed
--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -326,3 +326,60 @@
 	body.Serve(s, tracked.Listener(&scriptedListener{accepted: accepted, err: errors.New("no buffers"), closed: func() {}}))
 	checkEnds(t, "no connection is accepted", tracked.StopAccepting)
 }
+
+// TestRequestLongAfterStopIsServed: on a connection whose response had begun before the stop, a stopping server took the next request, however
+// late, and gave it up at the end of its grace.
+func TestRequestLongAfterStopIsServed(t *testing.T) {
+	for name, finish := range map[string]bool{"soon after": false, "later": true} {
+		t.Run(name, func(t *testing.T) {
+			begun, release, served := make(chan struct{}, 2), make(chan struct{}), 0
+			s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				served++
+				w.Header().Set("Content-Length", "1")
+				check.NoError(t, http.NewResponseController(w).Flush())
+				begun <- struct{}{}
+				<-release
+				_, _ = io.WriteString(w, "a")
+			})}
+			tracked := conns.Track(s, func() board.Limits {
+				return board.Limits{Header: 1 << 10, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+			})
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			check.NoError(t, err)
+			body.Serve(s, tracked.Listener(l))
+			t.Cleanup(func() { s.Close() })
+			client, err := net.Dial("tcp", l.Addr().String())
+			check.NoError(t, err)
+			defer client.Close()
+			check.NoError(t, client.SetReadDeadline(time.Now().Add(10*time.Second)))
+			in := bufio.NewReader(client)
+			const text = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+			_, err = io.WriteString(client, text)
+			check.NoError(t, err)
+			<-begun
+			tracked.Drain()
+			tracked.StopAccepting()
+			if finish {
+				tracked.Finish()
+			}
+			close(release)
+			r, err := http.ReadResponse(in, nil)
+			check.NoError(t, err)
+			_, err = io.ReadAll(r.Body)
+			check.NoError(t, err)
+			if finish {
+				check.Eventually(t, "the connection is closed", func() bool { return tracked.CloseIdle(time.Time{}) == 0 })
+			}
+			// It may be on its way when the connection is closed.
+			_, _ = io.WriteString(client, text)
+			r, err = http.ReadResponse(in, nil)
+			check.Equal(t, "answered", err == nil, !finish)
+			if err == nil {
+				_, err = io.ReadAll(r.Body)
+				check.NoError(t, err)
+			}
+			check.NoError(t, s.Close())
+			check.Equal(t, "served", served, map[bool]int{false: 2, true: 1}[finish])
+		})
+	}
+}
