platform, pass: an attempt is given up at a silent endpoint only if another follows

Cause: left the kernel's time-out of 0.8 s to requests that may be repeated. Whether another attempt follows is decided after the first is lost, by the retries left, the endpoints that run and, for a stream that has begun, its build: where none followed, the attempt had been given up for nothing, and a resumed stream was cut.

Now no request's connection has that time-out. Where an endpoint has taken nothing more of a request between 0.4 and 0.8 s, the entry is asked whether another attempt follows; only then, with the retry charged, the attempt is lost. Else the silence counts against the endpoint, as before.

TestSilentAttemptIsGivenUpForNothing takes the place of TestRepeatableAttempts, whose four cases it has; three more are new: few endpoints, no retries left, a begun stream whose build is alone. On the code before, all three would be given up (Send.Repeatable was set for them).

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -41,8 +41,8 @@
 	to := c.to
 	e.beginStream(j, to)
 	send := e.newSend(j, c, out.lastEventID)
-	send.Repeatable = j.route.Repeatable() && j.possibleRuns+1 < j.route.Attempts
-	send.Silent = func() { e.recordSilent(to) }
+	watch := e.watchSilence(j, to)
+	send.Silent = watch.isGivenUp
 	e.config.Events.Emit(event.Placed, "id", j.call.ID, "route", j.route.Name, "endpoint", to.ID, "tried", len(j.tried), "urgency", c.urgency,
 		"expected", c.predictedFirstToken.Milliseconds(), "ahead", c.tokensAhead, "compute", c.computeTokens, "moved", c.fetchTokens, "weights", c.version,
 		"build", to.Build, "resumes", j.call.Resumes)
@@ -60,6 +60,7 @@
 	defer e.settleFirstToken(j, c, 0, false)
 	defer e.releaseMemory(j, c)
 	reply, err := e.config.Backend.Send(ctx, send)
+	j.givenUp = err != nil && watch.givenUp.Load()
 	if err != nil {
 		return e.handleSendError(ctx, j, to, out, err, began)
 	}
@@ -170,7 +171,7 @@
 	if outcome == outcomeLost || outcome == outcomeBrokenOff {
 		endangers = e.recordBrokenRun(ctx, j, to) && !e.canLoseMore(j.pool, to)
 	}
-	if !endangers && j.route.Repeatable() && j.possibleRuns < j.route.Attempts && e.allowRetry(j.pool) {
+	if j.givenUp || !endangers && j.route.Repeatable() && j.possibleRuns < j.route.Attempts && e.allowRetry(j.pool) {
 		e.recordAttempt(j, to, outcome, "again", status)
 		return true, nil
 	}
--- a/pass/call.go
+++ b/pass/call.go
@@ -103,11 +103,9 @@
 	FetchDeadlineMs int64
 	// LastEventID is the ID of the last event that the client has received.
 	LastEventID string
-	// Repeatable reports that another attempt may follow this one if its response is lost. Then it should be given up soon if
-	// the endpoint falls silent.
-	Repeatable bool
-	// Silent is called if the endpoint has acknowledged nothing for some time and the attempt isn't given up; it may be nil.
-	Silent func()
+	// Silent is called if the endpoint takes nothing more of the request for some time before it responds; acknowledges says whether it still
+	// acknowledges what it has taken. It returns whether the attempt is to be given up, as lost: another follows. It may be nil.
+	Silent func(acknowledges bool) (giveUp bool)
 }
 
 // Reply is an endpoint's response.
--- a/pass/lost_test.go
+++ b/pass/lost_test.go
@@ -194,31 +194,56 @@
 	}
 }
 
-// TestRepeatableAttempts guards against requests that are given up while their endpoint is silent though no other may run them.
-func TestRepeatableAttempts(t *testing.T) {
-	for path, want := range map[string][]bool{
-		"/once/x": {false}, "/stream/x": {false}, "/safe/x": {true, false}, "/resume/x": {true, false},
+// TestSilentAttemptIsGivenUpForNothing guards against requests that are given up while their endpoint is silent though no other runs them:
+// they may not be repeated, no retry is left, or there is no endpoint for one.
+func TestSilentAttemptIsGivenUpForNothing(t *testing.T) {
+	for name, c := range map[string]struct {
+		path   string
+		change func(fx *fixture)
+		want   []bool
+	}{
+		"may run once":              {"/once/x", nil, []bool{false}},
+		"can't be resumed":          {"/stream/x", nil, []bool{false}},
+		"safe":                      {"/safe/x", nil, []bool{true, false}},
+		"resumable":                 {"/resume/x", nil, []bool{true, false}},
+		"few endpoints":             {"/safe/x", func(fx *fixture) { fx.feed.list = (&member.List{Endpoints: fx.feed.list.Endpoints[:3]}).Index() }, []bool{false, false}},
+		"begun, its build is alone": {"/resume/y", func(fx *fixture) { withBuilds(fx, "v1", "v2", "v3", "v4") }, []bool{true, false}},
+		"retries are used up":       {"/safe/x", func(fx *fixture) { fx.useUpRetries() }, []bool{false}},
 	} {
-		t.Run(path, func(t *testing.T) {
-			fx := newFixture(t, lost)
-			fx.backend.life = member.Running
-			fx.call(path, "k")
+		t.Run(name, func(t *testing.T) {
 			var got []bool
-			for _, s := range fx.backend.sends {
-				got = append(got, s.Repeatable)
+			fx := newFixture(t, func(s *pass.Send) (*pass.Reply, error) {
+				got = append(got, s.Silent(true))
+				return lost(s)
+			})
+			fx.backend.life = member.Running
+			if c.change != nil {
+				c.change(fx)
 			}
-			check.Equal(t, "repeatable", got, want)
+			got = nil
+			fx.call(c.path, "k")
+			check.Equal(t, "given up", got, c.want)
 		})
 	}
 }
 
+// useUpRetries makes requests until none is retried any more.
+func (fx *fixture) useUpRetries() {
+	for range 100 {
+		before := len(fx.backend.sends)
+		if fx.call("/safe/x", "k"); len(fx.backend.sends) == before+1 {
+			return
+		}
+	}
+}
+
 // TestSilentEndpointGetsRequests guards against requests that are sent to an endpoint that has acknowledged none for some time, while
 // those wait.
 func TestSilentEndpointGetsRequests(t *testing.T) {
 	const silences = 3
 	fx := newFixture(t, func(s *pass.Send) (*pass.Reply, error) {
 		if s.To.ID == "w0" {
-			s.Silent()
+			check.Equal(t, "given up", s.Silent(false), false)
 		}
 		return respondWith(200, "ok")(s)
 	})
--- a/pass/report.go
+++ b/pass/report.go
@@ -53,17 +53,6 @@
 	}
 }
 
-// recordSilent records that an endpoint doesn't acknowledge a request, which goes on waiting: further ones should go to others.
-func (e *Entry) recordSilent(to *member.Endpoint) {
-	now := time.Now()
-	e.mu.Lock()
-	ejected := e.endpointState(to).health.RecordOutcome(now, true)
-	e.mu.Unlock()
-	if ejected {
-		e.config.Events.Emit(event.Unfit, "endpoint", to.ID, "pool", to.Pool)
-	}
-}
-
 // recordBegun records that an endpoint has begun to respond to a prompt, so that none of its parts crashes it.
 func (e *Entry) recordBegun(j *job) {
 	j.attemptBegun = true
--- a/pass/serve.go
+++ b/pass/serve.go
@@ -53,6 +53,8 @@
 	step string
 	// clientLeft is set once the client has been found to have closed its connection.
 	clientLeft bool
+	// givenUp is set if the latest attempt was given up at a silent endpoint, and its retry is charged.
+	givenUp bool
 	// lastOutcome is how the last attempt that failed did so; "" if none has.
 	lastOutcome string
 
