body: an aborted response is reset on a connection that is wrapped more than once

Since entries track connections themselves, a TLS connection holds one of theirs around the socket, which takes no linger time: a response without length and chunks that is aborted was closed as a complete one is. TLS shows the truncation to clients that look.

The socket is found through all wrappers. TestAbortedResponseIsClosed failed before ('the end looks complete: want false, got true').

--- a/body/serve.go
+++ b/body/serve.go
@@ -65,8 +65,13 @@
 		// net/http closes the connection.
 		return
 	}
-	if tls, ok := c.(interface{ NetConn() net.Conn }); ok {
-		c = tls.NetConn()
+	for {
+		// A connection under TLS may be wrapped itself.
+		outer, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		c = outer.NetConn()
 	}
 	if l, ok := c.(interface{ SetLinger(seconds int) error }); ok {
 		// Closing with a linger time of zero sends a reset; should it fail, the connection is closed all the same.
