--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -136,6 +136,23 @@
 	})
 }
 
+// serveTracked serves on a new listener whose connections are tracked, with limits that aren't reached, and returns a connection to it.
+func serveTracked(t *testing.T, s *http.Server) (tracked *conns.Conns, client net.Conn, in *bufio.Reader) {
+	t.Helper()
+	tracked = conns.Track(s, func() board.Limits {
+		return board.Limits{Header: 1 << 10, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	check.NoError(t, err)
+	body.Serve(s, tracked.Listener(l))
+	t.Cleanup(func() { s.Close() })
+	client, err = net.Dial("tcp", l.Addr().String())
+	check.NoError(t, err)
+	t.Cleanup(func() { client.Close() })
+	check.NoError(t, client.SetReadDeadline(time.Now().Add(10*time.Second)))
+	return tracked, client, bufio.NewReader(client)
+}
+
 // TestClosingIdleConnsDropsRequests guards against requests lost where a server that stops closes connections by their state: a
 // request may have begun to arrive.
 func TestClosingIdleConnsDropsRequests(t *testing.T) {
@@ -155,22 +172,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })}
-			tracked := conns.Track(s, func() board.Limits {
-				return board.Limits{Header: 1 << 10, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
-			})
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			check.NoError(t, err)
-			body.Serve(s, tracked.Listener(l))
-			t.Cleanup(func() { s.Close() })
-			client, err := net.Dial("tcp", l.Addr().String())
-			check.NoError(t, err)
-			defer client.Close()
-			check.NoError(t, client.SetReadDeadline(time.Now().Add(10*time.Second)))
-			in := bufio.NewReader(client)
+			tracked, client, in := serveTracked(t, s)
 			if c.kept {
 				check.Equal(t, "status before", request(t, client, in, ""), http.StatusOK)
 			}
-			_, err = io.WriteString(client, c.sent)
+			_, err := io.WriteString(client, c.sent)
 			check.NoError(t, err)
 			check.Eventually(t, "the connection is known", func() bool { return tracked.CloseIdle(time.Time{}) == 1 })
 			tracked.Drain()
@@ -341,20 +347,9 @@
 				<-release
 				_, _ = io.WriteString(w, "a")
 			})}
-			tracked := conns.Track(s, func() board.Limits {
-				return board.Limits{Header: 1 << 10, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
-			})
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			check.NoError(t, err)
-			body.Serve(s, tracked.Listener(l))
-			t.Cleanup(func() { s.Close() })
-			client, err := net.Dial("tcp", l.Addr().String())
-			check.NoError(t, err)
-			defer client.Close()
-			check.NoError(t, client.SetReadDeadline(time.Now().Add(10*time.Second)))
-			in := bufio.NewReader(client)
+			tracked, client, in := serveTracked(t, s)
 			const text = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
-			_, err = io.WriteString(client, text)
+			_, err := io.WriteString(client, text)
 			check.NoError(t, err)
 			<-begun
 			tracked.Drain()
