A stream that moved to another build waits for its start also where it is tried there again

A stream's first event waits until control has its start if an attempt before was at another build. Where the attempt that moved had failed, and the next was at the same build, nothing was waited for, though the start might still be on its way: with its entry lost at that moment the stream would have been taken for one of the first build.

Cause: whether the stream moved was judged against the attempt before, not against what control knows.

TestStreamGoesOnAtAnotherBuild/no event has been sent, twice at the second build failed before ('waits for the start to be recorded: want true, got false').

--- a/pass/origin.go
+++ b/pass/origin.go
@@ -30,7 +30,8 @@
 	// starts counts the attempts, the latest of which is at the build at.
 	starts int
 	at     string
-	// moved is set if the latest attempt is at another build than the one before. completed is set once the stream has ended whole.
+	// moved is set while control may not know that the latest attempt is at another build than a former one. completed is set once the
+	// stream has ended whole.
 	moved, completed bool
 }
 
@@ -81,10 +82,10 @@
 		return
 	}
 	s := &j.stream
-	s.moved = s.starts > 0 && s.at != to.Build
-	if s.starts > 0 && !s.moved {
+	if s.starts > 0 && s.at == to.Build {
 		return
 	}
+	s.moved = s.starts > 0
 	s.starts++
 	s.at = to.Build
 	start := origin.Start{Key: j.originKey(), Build: origin.Build{Pool: to.Pool, Name: to.Build}}
--- a/pass/origin_test.go
+++ b/pass/origin_test.go
@@ -1,7 +1,9 @@
 package pass_test
 
 import (
+	"fmt"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -68,6 +70,22 @@
 			}
 		}
 	})
+	t.Run("no event has been sent, twice at the second build", func(t *testing.T) {
+		moves := 0
+		for i := range 40 {
+			fx := withBuilds(newFixture(t, notSent, notSent, respondWith(200, eventA)), "v1", "v2", "v2", "v2")
+			fx.call("/resume/x", "k", func(c *pass.Call) { c.ID, c.Parts[1].ID = fmt.Sprint(i), fmt.Sprint(i) })
+			var builds []string
+			for _, s := range fx.backend.sends {
+				builds = append(builds, s.To.Build)
+			}
+			if slices.Equal(builds, []string{"v1", "v2", "v2"}) {
+				moves++
+				check.Equal(t, "waits for the start to be recorded", fx.feed.awaited > 0, true)
+			}
+		}
+		check.Equal(t, "streams that moved", moves > 0, true)
+	})
 	t.Run("a stream that completes", func(t *testing.T) {
 		fx := withBuilds(newFixture(t, respondWith(200, eventA)), "v1")
 		fx.call("/resume/x", "k")
