ctrl: a stream whose first attempt wasn't tracked is dropped like others

Where the first attempt of one found no room and a later attempt did, its requests were counted from zero and ended at minus one, and the stream was never dropped: in an entry that stays full the room would shrink.

Cause: requests were counted by the number of the attempt, not by whether the stream was tracked.

TestStreamIsTrackedForever failed before ('known long after: want false, got true').

--- a/ctrl/builds_test.go
+++ b/ctrl/builds_test.go
@@ -1,9 +1,11 @@
 package ctrl
 
 import (
+	"net/netip"
 	"testing"
 
 	"egretshunt/check"
+	"egretshunt/clock"
 	"egretshunt/event"
 	"egretshunt/fake"
 	"egretshunt/member"
@@ -36,3 +38,16 @@
 	check.Equal(t, "entries of the log for an unchanged list", n.View().Rev, revision)
 	check.Equal(t, "a build of another pool", n.View().Builds.Has(origin.Build{Pool: "q", Name: "v1"}), false)
 }
+
+// TestStreamIsTrackedForever: a stream whose first attempt found no room among those tracked, and whose second one did, was never dropped.
+func TestStreamIsTrackedForever(t *testing.T) {
+	f := NewFeed(FeedConfig{Node: "e", Seeds: func() []netip.AddrPort { return nil }})
+	t.Cleanup(f.Close)
+	f.BeginStream(origin.Start{Key: 1, Build: origin.Build{Pool: "p", Name: "v1"}, Attempt: 2})
+	f.EndStream(1, false)
+	_, known := f.streams.find(1)
+	check.Equal(t, "known once it has broken off", known, true)
+	f.streams.refresh(clock.Now() + origin.MaxAge)
+	_, known = f.streams.find(1)
+	check.Equal(t, "known long after", known, false)
+}
--- a/ctrl/streams.go
+++ b/ctrl/streams.go
@@ -37,7 +37,7 @@
 	pending map[origin.Key]bool
 }
 
-// trackedStream is a stream that is open, or broke off at endedAt. reportedAt is when control last confirmed its start; zero if it
+// trackedStream is a stream that open requests are for, or that broke off at endedAt. reportedAt is when control last confirmed its start; zero if it
 // hasn't. Both are by clock.Now. confirmed is closed then, and replaced for a later attempt.
 type trackedStream struct {
 	origin.Start
@@ -61,14 +61,14 @@
 	case s == nil && len(g.streams) >= maxStreams:
 		return
 	case s == nil:
-		s = &trackedStream{Start: start, confirmed: make(chan struct{})}
+		s = &trackedStream{Start: start, open: 1, confirmed: make(chan struct{})}
 		g.streams[start.Key] = s
+	case start.Attempt <= 1:
+		// Another request for the same stream.
+		s.open++
 	case start.Attempt > s.Attempt && start.Build != s.Build:
 		s.Start, s.reportedAt, s.confirmed = start, 0, make(chan struct{})
 	}
-	if start.Attempt <= 1 {
-		s.open++
-	}
 	if s.reportedAt == 0 && f.hasSeveralBuilds(s.Build.Pool) {
 		g.report(start.Key)
 	}
