--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -18,10 +18,12 @@
 	id, service, zone, app string
 	addr                   string
 	born                   int64
-	slots, queue           int
+	slots, queue, index    int
 	// answer writes the answer to a request that runs.
 	answer func(s *server, w http.ResponseWriter, r *http.Request, body []byte)
 	http   *http.Server
+	// cache is set for engines.
+	cache *kvCache
 
 	mu   sync.Mutex
 	open int
@@ -50,6 +52,9 @@
 	h.Set("Instance-Id", s.id)
 	id := r.Header.Get("Request-Id")
 	if id == "" {
+		if s.cache != nil && s.serveCalls(w, r) {
+			return
+		}
 		// A call of the system, such as a health check.
 		if r.URL.Path != "/health" {
 			w.WriteHeader(http.StatusNotFound)
@@ -118,9 +123,13 @@
 		defer s.mu.Unlock()
 		entries := []map[string]any{}
 		for _, e := range s.all {
-			entries = append(entries, map[string]any{
+			entry := map[string]any{
 				"Id": e.id, "Service": e.service, "Address": e.addr, "Zone": e.zone, "Version": "v1", "Slots": e.slots, "State": "ready", "ColdLeftMs": 0, "born": e.born,
-			})
+			}
+			if e.cache != nil {
+				entry["Stage"], entry["Models"] = "unified", []map[string]any{{"Name": "m0", "Version": 1, "Adapters": []string{}}}
+			}
+			entries = append(entries, entry)
 		}
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(map[string]any{"Instances": entries, "NextToken": nil})
