--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -18,7 +18,7 @@
 	id, service, zone, app string
 	addr                   string
 	born                   int64
-	slots, queue, index    int
+	slots, queue           int
 	// answer writes the answer to a request that runs.
 	answer func(s *server, w http.ResponseWriter, r *http.Request, body []byte)
 	http   *http.Server
