--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -14,11 +14,11 @@
 // server is one server of a service: it checks Expect-Instance, works on slots requests at once, names the request in its
 // answers and refuses with Not-Executed what it has no room for.
 type server struct {
-	lab                    *lab
-	id, service, zone, app string
-	addr                   string
-	born                   int64
-	slots, queue           int
+	lab               *lab
+	id, service, zone string
+	addr              string
+	born              int64
+	slots, queue      int
 	// answer writes the answer to a request that runs.
 	answer func(s *server, w http.ResponseWriter, r *http.Request, body []byte)
 	http   *http.Server
