--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -29,7 +29,7 @@
 const limit = 115 * time.Second
 
 // cases are the scripted cases by name.
-var cases = map[string]func(l *lab) (int, error){"joined": runJoined, "voters": runVoters, "walls": runWalls}
+var cases = map[string]func(l *lab) (int, error){"joined": runJoined, "voters": runVoters, "attempts": runAttempts}
 
 // lab is one run of a case.
 type lab struct {
