quorum: a control VM that was replaced while it stood still joins again

Nothing is wrong until the next loss that the deployment is to tolerate; from then on no request is served and the acknowledged configuration can't be read, for good.

Cause: the new VM took the place of the voter that had been silent for longest when it asked to join, which was the frozen one. The frozen VM was never told: the leader sends nothing to VMs that are no members, and a VM asked to join only if its own copy of the group left it out. The VM that had left for good stayed a voter.

Change: a member that hears of no leader for a second asks the leader to join, which does nothing for a member. Which voter gives way is decided when the learner has caught up, not when it asks. A learner waits while one voter more would raise the majority beside a voter that doesn't respond. The leader maintains the group itself (quorum.Upkeep). The leader logs and exports how many losses the group bears (spare, member_spare).

Why it works: a removal by silence is no longer final for a VM that runs. Ruled out: lost connections, refused requests to join.

Tests: the simulation TestGroupRecoversFromOverlappingDisruptions fails after 41 runs, and TestFrozenMemberIsReplacedAndReturns in both cases, if members don't ask; TestSuccessorReplacesSilentVoter fails without the wait. All pass; 1,000 runs of the simulation.

--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -42,7 +42,9 @@
 type NodeConfig struct {
 	ID      quorum.ID
 	Members quorum.Members
-	FS      disk.FS
+	// Voters is the number of voters that the leader maintains by itself; zero leaves the group to operators.
+	Voters int
+	FS     disk.FS
 	// Transport carries messages to other members.
 	Transport         Transport
 	Events            *event.Log
@@ -76,6 +78,9 @@
 	// announcedLeader is the sender of the last message from a leader. A new member may
 	// find the leader's address nowhere else.
 	announcedLeader quorum.Member
+	// loggedSpare is what the group bore when it was last logged, at loggedSpareAt.
+	loggedSpare   int
+	loggedSpareAt time.Duration
 
 	changed *notifier
 
@@ -93,6 +98,9 @@
 	electedAt atomic.Pointer[time.Time]
 	// leaseEnd is when the current lease ends, in nanoseconds since started; zero without a lease.
 	leaseEnd atomic.Int64
+	// needsToJoin and spare are results of the core's functions of these names; spare is nil while another member leads.
+	needsToJoin atomic.Bool
+	spare       atomic.Pointer[int]
 }
 
 // input is one item for the event loop: a message, a proposal or a function to run.
@@ -155,7 +163,7 @@
 		return nil, err
 	}
 	core, err := quorum.New(quorum.Options{
-		ID: c.ID, Members: c.Members, ElectionTimeout: c.ElectionTimeout, HeartbeatInterval: c.HeartbeatInterval, Seed: uint64(time.Now().UnixNano()),
+		ID: c.ID, Members: c.Members, ElectionTimeout: c.ElectionTimeout, HeartbeatInterval: c.HeartbeatInterval, Upkeep: upkeep(c.Voters), Seed: uint64(time.Now().UnixNano()),
 		HardState: recovered.hardState, Snapshot: recovered.snapshot, Entries: recovered.entries,
 	})
 	if err != nil {
@@ -357,6 +365,7 @@
 		n.nodes.Store(&nodes)
 	}
 	now := n.now()
+	n.publishMembership(now)
 	status := n.core.Status(now)
 	n.status.Store(&status)
 	if !status.HasLease {
@@ -386,6 +395,8 @@
 	n.failure.Store(&err)
 	n.electedAt.Store(nil)
 	n.leaseEnd.Store(0)
+	n.needsToJoin.Store(false)
+	n.spare.Store(nil)
 	n.status.Store(&quorum.Status{ID: n.config.ID, Role: "failed"})
 	kind := event.Fault
 	if errorx.IsOfType(err, disk.Full) || errorx.IsOfType(err, disk.Failed) {
--- a/ctrl/server.go
+++ b/ctrl/server.go
@@ -24,9 +24,6 @@
 	Lease    time.Duration
 	// Hub serves the syncs of entries; nil when entries only follow the tables.
 	Hub *Hub
-	// Voters is the target number of voting members; it decides whether a control VM that
-	// asks to join replaces another one.
-	Voters int
 }
 
 // Server serves the streams that other processes open to one control VM.
@@ -154,10 +151,7 @@
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	if c.JoinGroup != nil {
-		if err := s.config.Node.JoinGroup(ctx, *c.JoinGroup, s.config.Voters); err != nil {
-			return &wire.Result{Code: resultCode(err), Text: err.Error(), Leader: addrText(s.leaderAddr())}
-		}
-		return &wire.Result{Body: []byte("{}")}
+		return s.membershipResult(s.config.Node.JoinGroup(ctx, *c.JoinGroup))
 	}
 	r, err := s.config.Node.Propose(ctx, c)
 	if err != nil {
@@ -170,6 +164,14 @@
 	return &wire.Result{Body: body}
 }
 
+// membershipResult returns the response to a request for a change of the group.
+func (s *Server) membershipResult(err error) *wire.Result {
+	if err != nil {
+		return &wire.Result{Code: resultCode(err), Text: err.Error(), Leader: addrText(s.leaderAddr())}
+	}
+	return &wire.Result{Body: []byte("{}")}
+}
+
 func resultCode(err error) string {
 	switch {
 	case errorx.IsOfType(err, NotLeader) || errorx.IsOfType(err, quorum.NotLeader):
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -35,6 +35,8 @@
 	Members           Members
 	ElectionTimeout   time.Duration
 	HeartbeatInterval time.Duration
+	// Upkeep applies while this member leads.
+	Upkeep Upkeep
 	// Seed seeds the randomized election timeouts.
 	Seed uint64
 
@@ -49,6 +51,7 @@
 	id                ID
 	electionTimeout   time.Duration
 	heartbeatInterval time.Duration
+	upkeep            Upkeep
 	random            *rand.Rand
 
 	// Persistent state, and which of it the driver has not yet made durable.
@@ -112,7 +115,7 @@
 		o.HeartbeatInterval = DefaultHeartbeatInterval
 	}
 	c := &Core{
-		id: o.ID, electionTimeout: o.ElectionTimeout, heartbeatInterval: o.HeartbeatInterval,
+		id: o.ID, electionTimeout: o.ElectionTimeout, heartbeatInterval: o.HeartbeatInterval, upkeep: o.Upkeep,
 		random:    rand.New(rand.NewPCG(o.Seed, hashID(o.ID))),
 		hardState: o.HardState, snapshot: o.Snapshot,
 	}
@@ -181,6 +184,7 @@
 		c.broadcast(now, true)
 	}
 	c.promoteLearner(now)
+	c.maintainGroup(now)
 }
 
 // hasQuorumContact reports whether a majority acknowledged messages sent within span, or
--- a/quorum/membership.go
+++ b/quorum/membership.go
@@ -79,7 +79,7 @@
 }
 
 // promoteLearner makes the next membership change for a learner that has caught up: it removes
-// the voter that the learner replaces, and in a later call makes the learner a voter.
+// the voter that the learner replaces, if there is one, and in a later call makes the learner a voter.
 func (c *Core) promoteLearner(now time.Duration) {
 	if c.checkReconfigurable() != nil {
 		return
@@ -89,9 +89,20 @@
 		if !ok || p.matchIndex == 0 || p.matchIndex+maxPromotionLag < c.log.lastIndex() || now-p.ackedSentAt > c.electionTimeout {
 			continue
 		}
+		replaced := l.Replaces
+		if !c.members.HasVoter(replaced) {
+			replaced = ""
+		}
+		if replaced == "" && c.upkeep.Voters > 0 {
+			replaced = c.VoterToReplace(now, l.Member, c.upkeep.Voters, c.upkeep.ReplaceAfter)
+			if replaced == "" && len(c.members.Voters) >= c.upkeep.Voters && len(c.SilentVoters(now, c.electionTimeout)) > 0 {
+				// One more voter raises the majority, while a voter that may be gone still counts.
+				continue
+			}
+		}
 		next := c.members.clone()
-		if l.Replaces != "" && c.members.HasVoter(l.Replaces) {
-			next = next.without(l.Replaces)
+		if replaced != "" {
+			next = next.without(replaced)
 		} else {
 			next.Learners = slices.Delete(next.Learners, i, i+1)
 			next.Voters = append(next.Voters, l.Member)
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -33,8 +33,12 @@
 	now            time.Duration
 	members        map[quorum.ID]*member
 	initialMembers quorum.Members
-	inFlight       []quorum.Message
-	isolated       map[quorum.ID]bool
+	// options are those of each member that aren't its own.
+	options  quorum.Options
+	inFlight []quorum.Message
+	isolated map[quorum.ID]bool
+	// frozen holds the messages for members that stand still, which get them when they go on.
+	frozen map[quorum.ID][]quorum.Message
 	// committed is every entry that any member applied, by index: the oracle.
 	committed map[uint64]string
 	// leaderByTerm is the leader of each term.
@@ -42,7 +46,7 @@
 }
 
 func newCluster(t rapid.TB, n int) *cluster {
-	g := &cluster{t: t, members: map[quorum.ID]*member{}, isolated: map[quorum.ID]bool{}, committed: map[uint64]string{}, leaderByTerm: map[uint64]quorum.ID{}}
+	g := &cluster{t: t, members: map[quorum.ID]*member{}, isolated: map[quorum.ID]bool{}, frozen: map[quorum.ID][]quorum.Message{}, committed: map[uint64]string{}, leaderByTerm: map[uint64]quorum.ID{}}
 	for i := range n {
 		g.initialMembers.Voters = append(g.initialMembers.Voters, quorum.Member{ID: quorum.ID(fmt.Sprintf("m%d", i))})
 	}
@@ -56,7 +60,10 @@
 // start starts a member from the state on its disk.
 func (g *cluster) start(id quorum.ID, initial quorum.Members) {
 	m := g.members[id]
-	core, err := quorum.New(quorum.Options{ID: id, Members: initial, Seed: uint64(len(id)) + uint64(g.now), HardState: m.hard, Snapshot: m.snapshot, Entries: m.entries})
+	o := g.options
+	o.ID, o.Members, o.Seed = id, initial, uint64(len(id))+uint64(g.now)
+	o.HardState, o.Snapshot, o.Entries = m.hard, m.snapshot, m.entries
+	core, err := quorum.New(o)
 	if err != nil {
 		g.t.Fatalf("boot %s: %v", id, err)
 	}
@@ -131,6 +138,9 @@
 	for range n {
 		g.now += tickInterval
 		for _, id := range g.ids() {
+			if _, frozen := g.frozen[id]; frozen {
+				continue
+			}
 			if m := g.members[id]; !m.down {
 				m.core.Tick(g.now)
 				m.core.Flush(g.now)
@@ -152,6 +162,10 @@
 		if !ok || to.down || g.isolated[m.From] != g.isolated[m.To] || (keep != nil && !keep(m)) {
 			continue
 		}
+		if held, frozen := g.frozen[m.To]; frozen {
+			g.frozen[m.To] = append(held, m)
+			continue
+		}
 		to.core.Step(g.now, m)
 		to.core.Flush(g.now)
 		g.processReady(m.To)
@@ -162,6 +176,9 @@
 func (g *cluster) checkSingleLease() {
 	var holders []quorum.ID
 	for _, id := range g.ids() {
+		if _, frozen := g.frozen[id]; frozen {
+			continue
+		}
 		if m := g.members[id]; !m.down && m.core.HoldsLease(g.now) {
 			holders = append(holders, id)
 		}
