ctrl: a proposal begins where the last one got no response

Cause: each proposal began at the first address of the list. A frozen VM's kernel accepts the connection and nothing responds, so the proposal's time ended there, each time.

Change: where a proposal's time ends without any response, the next one begins at the VM after that, and a leader known so far is forgotten.

--- a/ctrl/client.go
+++ b/ctrl/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/netip"
 	"slices"
 	"sync"
@@ -25,9 +26,11 @@
 type Client struct {
 	config ClientConfig
 
-	// mu guards leader and idleStreams.
+	// mu guards leader, next and idleStreams.
 	mu     sync.Mutex
 	leader netip.AddrPort
+	// next is where the next proposal begins while no leader is known, after one that found none.
+	next netip.AddrPort
 	// idleStreams are open streams to the leader without a proposal.
 	idleStreams []*wire.Stream
 }
@@ -48,7 +51,7 @@
 		return Result{}, Malformed.Wrap(err, "write command")
 	}
 	to := c.initialTarget()
-	maybeSent := false
+	maybeSent, answered := false, false
 	outcomeError := func(err error) error {
 		if maybeSent {
 			return OutcomeUnknown.Wrap(err, "wait for a response from control")
@@ -57,6 +60,7 @@
 	}
 	for attempt := 0; ; attempt++ {
 		reply, err := c.sendProposal(ctx, to, body)
+		answered = answered || err == nil
 		switch {
 		case errorx.IsOfType(err, wire.PoolClosed):
 			return Result{}, outcomeError(err)
@@ -74,6 +78,9 @@
 			maybeSent = maybeSent || reply.GetCode() == codeUnsure
 		}
 		if err := waitBeforeRetry(ctx, attempt); err != nil {
+			if !answered && errors.Is(err, context.DeadlineExceeded) {
+				c.forgetLeader(to)
+			}
 			return Result{}, outcomeError(err)
 		}
 	}
@@ -160,12 +167,23 @@
 	c.idleStreams = nil
 }
 
+// forgetLeader lets the next proposal begin at the given control VM: those asked so far may not respond to any.
+func (c *Client) forgetLeader(next netip.AddrPort) {
+	c.setLeader(netip.AddrPort{})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next = next
+}
+
 func (c *Client) initialTarget() netip.AddrPort {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.leader.IsValid() {
 		return c.leader
 	}
+	if c.next.IsValid() {
+		return c.next
+	}
 	return c.controlAt(0)
 }
 
