ctrl: a control VM that stops leaves a group that has enough others

What callers would see: nothing until another loss, within 3 s of a planned replacement (the new control VM first, then SIGTERM for the old one); then no leader is elected, and where a disk is lost with it, never again.

Cause: the successor of a VM that still runs becomes one voter more than needed. Once the old one has stopped, the majority counts it until its silence has lasted 3 s.

--- a/ctrl/cluster_test.go
+++ b/ctrl/cluster_test.go
@@ -64,13 +64,18 @@
 	disks       map[quorum.ID]*fake.Disk
 	wallOffset  time.Duration
 	compactSize int64
+	// voters is the number of voters that leaders maintain.
+	voters int
 	// acceptedProposals counts the proposals that were not rejected with NotLeader.
 	acceptedProposals atomic.Int64
 }
 
-func newCluster(t *testing.T, n int) *cluster {
+func newCluster(t *testing.T, n int) *cluster { return newMaintainedCluster(t, n, 0) }
+
+// newMaintainedCluster returns a cluster of n members whose leaders maintain a number of voters.
+func newMaintainedCluster(t *testing.T, n, voters int) *cluster {
 	c := &cluster{
-		t: t, disks: map[quorum.ID]*fake.Disk{}, compactSize: 1 << 20,
+		t: t, voters: voters, disks: map[quorum.ID]*fake.Disk{}, compactSize: 1 << 20,
 		net: &network{nodes: map[quorum.ID]*ctrl.Node{}, isolated: map[quorum.ID]bool{}, random: rand.New(rand.NewPCG(1, 2))},
 	}
 	for i := range n {
@@ -109,7 +114,7 @@
 func (c *cluster) startWithMembers(id quorum.ID, members quorum.Members) {
 	c.t.Helper()
 	n, err := ctrl.NewNode(ctrl.NodeConfig{
-		ID: id, Members: members, FS: c.disks[id], Transport: port{c.net, id}, Compact: c.compactSize,
+		ID: id, Members: members, Voters: c.voters, FS: c.disks[id], Transport: port{c.net, id}, Compact: c.compactSize,
 		ElectionTimeout: 100 * time.Millisecond, HeartbeatInterval: 20 * time.Millisecond,
 		WallClock: func() time.Time { return time.Now().Add(c.wallOffset) },
 	})
--- a/ctrl/machine.go
+++ b/ctrl/machine.go
@@ -64,6 +64,8 @@
 	Starts []origin.Starts `json:"starts,omitempty"`
 	// JoinGroup is a control VM's request to become a member; it is never an entry of the log.
 	JoinGroup *quorum.Member `json:"meet,omitempty"`
+	// LeaveGroup is a control VM's request to be removed, since it stops; it is never an entry of the log.
+	LeaveGroup quorum.ID `json:"quit,omitempty"`
 }
 
 // TableSetDocument is a complete numbered table set as an operator sent it. The log keeps its
--- a/ctrl/membership.go
+++ b/ctrl/membership.go
@@ -28,6 +28,26 @@
 	return err
 }
 
+// LeaveGroup removes a control VM that stops, if the group has enough others, and returns once that is committed.
+func (n *Node) LeaveGroup(ctx context.Context, id quorum.ID) error {
+	var leaves bool
+	var err error
+	if callErr := n.runOnLoop(ctx, func() { leaves, err = n.core.Leave(id) }); callErr != nil {
+		return callErr
+	}
+	for leaves {
+		if _, known := n.Status().Members.Find(id); !known {
+			break
+		}
+		select {
+		case <-time.After(tickInterval):
+		case <-ctx.Done():
+			return OutcomeUnknown.Wrap(ctx.Err(), "wait until the group without %s is committed", id)
+		}
+	}
+	return err
+}
+
 // NeedsToJoin reports whether this control VM should ask the leader to let it join the group.
 func (n *Node) NeedsToJoin() bool { return n.needsToJoin.Load() }
 
--- a/ctrl/server.go
+++ b/ctrl/server.go
@@ -153,6 +153,9 @@
 	if c.JoinGroup != nil {
 		return s.membershipResult(s.config.Node.JoinGroup(ctx, *c.JoinGroup))
 	}
+	if c.LeaveGroup != "" {
+		return s.membershipResult(s.config.Node.LeaveGroup(ctx, c.LeaveGroup))
+	}
 	r, err := s.config.Node.Propose(ctx, c)
 	if err != nil {
 		return &wire.Result{Code: resultCode(err), Text: err.Error(), Leader: addrText(s.leaderAddr())}
--- a/event/fields.go
+++ b/event/fields.go
@@ -15,7 +15,7 @@
 		{"after", "Retry delay given to the client, in milliseconds; 0 if none was given."},
 		{"age", "Time since control last confirmed what this process holds, in milliseconds."},
 		{"ahead", "Prompt tokens estimated to be prefilled by the endpoint before this request's."},
-		{"as", "ID under which a control VM requests to join."},
+		{"as", "ID under which a control VM requests to join or to leave."},
 		{"at", "Address that a document with an unreadable row is from."},
 		{"begun", "Whether the client has received part of the response."},
 		{"block", "Cached KV block, by its hash."},
--- a/quorum/health.go
+++ b/quorum/health.go
@@ -40,6 +40,22 @@
 	return c.Add(m, replaces)
 }
 
+// Leave removes the member id, which is about to stop, if the group has more than enough voters or id is a
+// learner; leaves says whether it does. A voter that the group needs stays, since it may only be restarting.
+func (c *Core) Leave(id ID) (leaves bool, err error) {
+	if c.role != Leader {
+		return false, NotLeader.New("the leader is %q", c.leader)
+	}
+	_, known := c.members.Find(id)
+	if !known || c.members.HasVoter(id) && len(c.members.Voters) <= c.upkeep.Voters {
+		return false, nil
+	}
+	if err := c.Remove(id); err != nil {
+		return false, err
+	}
+	return true, nil
+}
+
 // NeedsToJoin reports whether this member should ask the group to let it join: it is not among the
 // members that it knows, or no leader has been in contact for maxSilence, as when the group has
 // removed it meanwhile. Asking is harmless while it is a member.
--- a/quorum/upkeep_test.go
+++ b/quorum/upkeep_test.go
@@ -24,6 +24,8 @@
 	joinInterval = 300 * time.Millisecond
 	// rejoinAfter is the time without a leader after which a VM asks.
 	rejoinAfter = time.Second
+	// stopTime is the longest time that a VM that leaves waits for its removal.
+	stopTime = 6 * time.Second
 	// disruptedTime is how long disruptions are drawn.
 	disruptedTime = 30 * time.Second
 )
@@ -243,7 +245,7 @@
 		return
 	}
 	v := free[s.random.IntN(len(free))]
-	kind := []string{"wipe", "replace"}[s.random.IntN(2)]
+	kind := []string{"wipe", "replace", "planned"}[s.random.IntN(3)]
 	s.note("%s %s", kind, v.id)
 	switch kind {
 	case "wipe":
@@ -251,6 +253,9 @@
 	case "replace":
 		s.leave(v)
 		s.startSuccessor(v, s.between(0, 2*time.Second))
+	case "planned":
+		s.startSuccessor(v, 0)
+		s.leaveWhenCaughtUp(v)
 	}
 }
 
@@ -330,6 +335,41 @@
 	v.started = false
 }
 
+// leaveWhenCaughtUp stops a VM for good once its successor has caught up and no disruption holds it.
+func (s *simulation) leaveWhenCaughtUp(v *vm) {
+	s.after(catchUp, func() {
+		if v.held || s.unsettled(v.successor) || !s.bears(0) {
+			s.leaveWhenCaughtUp(v)
+			return
+		}
+		s.note("%s is told to stop", v.id)
+		v.held = true
+		s.stop(v, s.now+stopTime)
+	})
+}
+
+// stop asks the leader to remove a VM until it does, or until the given time, and then ends the VM for good.
+func (s *simulation) stop(v *vm, until time.Duration) {
+	s.askLeader(v, func(leader *quorum.Core) error {
+		_, err := leader.Leave(v.id)
+		return err
+	})
+	removed := true
+	for _, other := range s.vms {
+		if s.runs(other) {
+			core := s.members[other.id].core
+			removed = removed && (core.Role() != quorum.Leader || !core.Status(s.now).Members.HasVoter(v.id))
+		}
+	}
+	if _, ok := s.leader(); (!ok || !removed) && s.now < until {
+		s.after(joinInterval/3, func() { s.stop(v, until) })
+		return
+	}
+	s.note("%s leaves", v.id)
+	s.leave(v)
+	v.held = false
+}
+
 // checkCalm fails the test unless each running VM is a voter and the group bears its losses.
 func (s *simulation) checkCalm() {
 	s.t.Helper()
@@ -402,6 +442,27 @@
 	}
 }
 
+// TestDepartureOfReplacedMember guards against a group that can't bear a loss for some seconds after a planned
+// replacement: the VM that had left still counted towards the majority.
+func TestDepartureOfReplacedMember(t *testing.T) {
+	for _, tolerance := range []int{1, 2} {
+		t.Run(fmt.Sprint("tolerance ", tolerance), func(t *testing.T) {
+			s := newSimulation(t, 1, tolerance)
+			old := s.present()[0]
+			s.startSuccessor(old, 0)
+			s.leaveWhenCaughtUp(old)
+			for !old.gone {
+				s.run(tickInterval)
+			}
+			for _, v := range s.present()[:tolerance] {
+				s.wipe(v, time.Second)
+			}
+			s.waitCalm()
+			s.checkCalm()
+		})
+	}
+}
+
 // TestSuccessorReplacesSilentVoter guards against a successor that becomes a voter beside the VM that is gone: a majority
 // of four needs all three that run, and the next freeze stops the group.
 func TestSuccessorReplacesSilentVoter(t *testing.T) {
