fence, ctrl, pass: each target version of weights has its own deadline

Cause: a rollout's time was that of its latest target. Each newer target began it anew: at the leader (whom to command next, by name; how many at once) and at entries (which engines are still to be used).

Change: targets are replicated with their times. An engine's time runs from the first target that it lacks; those behind for longest come first, as many at once as the remaining time and the measured time of a load need. In quick succession no more than that are loaded. Entries judge an engine by the first target that it lacks.

Why it works: with each engine's own deadline the pace follows from the engine that is next to miss it, whatever comes meanwhile.

Checks that changed: fence's tests give the time behind with each engine in place of once for the rollout; their bounds are the same.

Tests: TestQuickTargetsReachEachEngine and TestNewerTargetKeepsDeadlineOfFormer fail if only the latest target's time counts.

--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -11,6 +11,7 @@
 	"egretshunt/board"
 	"egretshunt/clock"
 	"egretshunt/event"
+	"egretshunt/fence"
 	"egretshunt/member"
 	"egretshunt/quorum"
 	"egretshunt/value"
@@ -167,9 +168,8 @@
 	// epoch is the fencing epoch of this term's commands to engines; zero before the first
 	// command. Owned by rolloutWeights.
 	epoch uint64
-	// targetSince holds the target version and when this term first observed it, by model.
-	// Owned by rolloutWeights.
-	targetSince map[string]targetVersion
+	// targets holds the target versions of each model by this VM's clock. Owned by rolloutWeights.
+	targets map[string]fence.Targets
 
 	// termMu guards the fields below.
 	termMu sync.Mutex
@@ -179,6 +179,8 @@
 	lastCommand map[string]lastCommand
 	// observedWeights holds the versions that engines have reported as loaded, by engine and model.
 	observedWeights map[string]map[string]uint64
+	// loadTime is the average time that loads of weights took; zero before the first.
+	loadTime time.Duration
 	// unresponsive holds the addresses of engines that do not respond to control.
 	unresponsive value.Set[string]
 }
@@ -207,7 +209,7 @@
 		if since, ok := node.IsLeader(); ok {
 			lt := &leaderTerm{
 				LeaderState: hub.BeginTerm(), tasks: l, node: node, since: since, began: clock.Now(),
-				lastCommand: map[string]lastCommand{}, targetSince: map[string]targetVersion{}, observedWeights: map[string]map[string]uint64{},
+				lastCommand: map[string]lastCommand{}, targets: map[string]fence.Targets{}, observedWeights: map[string]map[string]uint64{},
 			}
 			lt.run(ctx, t.C)
 		}
--- a/ctrl/machine.go
+++ b/ctrl/machine.go
@@ -17,6 +17,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"egretshunt/fence"
 	"egretshunt/ledger"
 	"egretshunt/limit"
 	"egretshunt/origin"
@@ -81,6 +82,22 @@
 	Version uint64 `json:"version"`
 	// At is the group time at which the version became the target.
 	At time.Time `json:"at"`
+	// Targets are the latest versions that became the target, this one included, by group time.
+	Targets fence.Targets `json:"targets,omitempty"`
+}
+
+// ObserveTargets returns the targets by the caller's clock: known, and those of w that it lacks. age returns how long ago a
+// target was set.
+func (w Weights) ObserveTargets(known fence.Targets, now time.Time, age func(fence.Target) time.Duration) fence.Targets {
+	if w.Version == 0 || known.Latest() == w.Version {
+		return known
+	}
+	for _, target := range w.Targets.With(fence.Target{Version: w.Version, At: w.At}) {
+		if !known.Has(target.Version) {
+			known = known.With(fence.Target{Version: target.Version, At: now.Add(-max(age(target), 0))})
+		}
+	}
+	return known
 }
 
 // Epoch begins a new epoch of commands to engines. Repeating the latest request, with the
@@ -291,7 +308,11 @@
 	if w.Version <= m.view.Weights[w.Model].Version {
 		return
 	}
-	w.At = m.now
+	former := m.view.Weights[w.Model]
+	w.At, w.Targets = m.now, former.Targets.With(fence.Target{Version: w.Version, At: m.now})
+	if former.Version > 0 {
+		w.Targets = w.Targets.With(fence.Target{Version: former.Version, At: former.At})
+	}
 	next := *m.view
 	next.Weights = maps.Clone(next.Weights)
 	if next.Weights == nil {
--- a/ctrl/rollout.go
+++ b/ctrl/rollout.go
@@ -1,6 +1,7 @@
 package ctrl
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -18,6 +19,8 @@
 	rolloutInterval = 150 * time.Millisecond
 	// reportMaxAge is how old an engine's report of its weights may be.
 	reportMaxAge = 400 * time.Millisecond
+	// loadTimeSamples is about how many loads the average of their times covers.
+	loadTimeSamples = 8
 )
 
 // rolloutWeights brings all engines to the target versions of their models during the term.
@@ -38,35 +41,35 @@
 			continue
 		}
 		for model, t := range targets {
-			lt.sendDueCommands(ctx, &running, l, model, t.Version, lt.rolloutPace(model, t.Version))
+			lt.sendDueCommands(ctx, &running, l, model, lt.observeTargets(model, t))
 		}
 	}
 }
 
-// targetVersion is a target version of a model's weights and when this term first observed it.
-type targetVersion struct {
-	version uint64
-	since   time.Duration
+// observeTargets returns the targets of a model by this VM's clock. A target set in an earlier term counts as if at least half of
+// the allowed time had passed: the group time stands still while there is no leader.
+func (lt *leaderTerm) observeTargets(model string, w Weights) fence.Targets {
+	least := time.Duration(0)
+	if clock.Now()-lt.began < 2*rolloutInterval {
+		least = lt.tasks.config.RolloutTimeout / 2
+	}
+	groupNow := lt.node.groupNow()
+	lt.targets[model] = w.ObserveTargets(lt.targets[model], time.Now(), func(t fence.Target) time.Duration { return max(groupNow.Sub(t.At), least) })
+	return lt.targets[model]
 }
 
-// rolloutPace returns how much of the time allowed for a rollout has passed. A target version set in
-// an earlier term is treated as if half of the time had passed, since its actual start is not known.
-func (lt *leaderTerm) rolloutPace(model string, version uint64) fence.RolloutProgress {
-	now, allowed := clock.Now(), lt.tasks.config.RolloutTimeout
-	target, ok := lt.targetSince[model]
-	if !ok || target.version != version {
-		target = targetVersion{version, now}
-		if now-lt.began < 2*rolloutInterval {
-			target.since -= allowed / 2
-		}
-		lt.targetSince[model] = target
+// pace returns the pace of a rollout of targets.
+func (lt *leaderTerm) pace(targets fence.Targets) fence.RolloutPace {
+	p := fence.RolloutPace{Allowed: lt.tasks.config.RolloutTimeout, LoadTime: lt.loadTime}
+	if interval, ok := targets.Interval(); ok {
+		p.Superseded = interval < p.Allowed
 	}
-	return fence.RolloutProgress{Elapsed: now - target.since, Allowed: allowed}
+	return p
 }
 
 // sendDueCommands starts the commands that are due for one model.
-func (lt *leaderTerm) sendDueCommands(ctx context.Context, running *sync.WaitGroup, l *member.List, model string, want uint64, pace fence.RolloutProgress) {
-	now := clock.Now()
+func (lt *leaderTerm) sendDueCommands(ctx context.Context, running *sync.WaitGroup, l *member.List, model string, targets fence.Targets) {
+	now, wallNow, want := clock.Now(), time.Now(), targets.Latest()
 	var workers []fence.Engine
 	lt.termMu.Lock()
 	for i := range l.Endpoints {
@@ -76,10 +79,12 @@
 			continue
 		}
 		c := lt.lastCommand[e.ID]
+		version := max(listed, lt.observedWeights[e.ID][model])
 		workers = append(workers, fence.Engine{
-			ID: e.ID, Version: max(listed, lt.observedWeights[e.ID][model]), Target: want, LastCommand: c.sentAt, Busy: c.loading, Draining: e.Draining,
+			ID: e.ID, Version: version, Target: want, Behind: targets.Behind(version, wallNow), LastCommand: c.sentAt, Busy: c.loading, Draining: e.Draining,
 		})
 	}
+	pace := lt.pace(targets)
 	lt.termMu.Unlock()
 	due := fence.PlanRollout(workers, now, pace)
 	if len(due) == 0 {
@@ -149,6 +154,9 @@
 	c := lt.lastCommand[to.ID]
 	c.loading = false
 	if done {
+		took := clock.Now() - began
+		former := cmp.Or(lt.loadTime, took)
+		lt.loadTime = former + (took-former)/loadTimeSamples
 		if lt.observedWeights[to.ID] == nil {
 			lt.observedWeights[to.ID] = map[string]uint64{}
 		}
--- a/fence/rollout_test.go
+++ b/fence/rollout_test.go
@@ -9,7 +9,7 @@
 	"egretshunt/fence"
 )
 
-var pace = fence.RolloutProgress{Elapsed: time.Second, Allowed: 10 * time.Second}
+var pace = fence.RolloutPace{Allowed: 10 * time.Second}
 
 // Guards against taking too many engines out of service while a new version is rolled out under
 // traffic: a pool changes in steps, never more engines at a time than its share, and every engine
@@ -19,7 +19,7 @@
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			workers := make([]fence.Engine, size)
 			for i := range workers {
-				workers[i] = fence.Engine{ID: fmt.Sprintf("w%02d", i), Version: 1, Target: 2}
+				workers[i] = fence.Engine{ID: fmt.Sprintf("w%02d", i), Version: 1, Target: 2, Behind: time.Second}
 			}
 			now := time.Second
 			for round := 0; ; round++ {
@@ -66,11 +66,66 @@
 // pool of nine engines took eleven seconds, where ten were allowed. When little time is left, all
 // remaining engines must be changed at the same time.
 func TestPlanRolloutMeetsDeadline(t *testing.T) {
-	var workers []fence.Engine
-	for i := range 9 {
-		workers = append(workers, fence.Engine{ID: fmt.Sprint(i), Version: 1, Target: 2})
+	plan := func(behind time.Duration, pace fence.RolloutPace) int {
+		var workers []fence.Engine
+		for i := range 9 {
+			workers = append(workers, fence.Engine{ID: fmt.Sprint(i), Version: 1, Target: 2, Behind: behind})
+		}
+		return len(fence.PlanRollout(workers, 0, pace))
+	}
+	check.Equal(t, "commands with time left", plan(time.Second, pace), 4)
+	check.Equal(t, "commands with little time left", plan(5*time.Second, pace), 9)
+	check.Equal(t, "commands without a time limit", plan(time.Hour, fence.RolloutPace{}), 4)
+}
+
+// Guards against engines that never get any of several targets set in quick succession: those that had just got one were
+// next again for the following one, by their names.
+func TestQuickTargetsReachEachEngine(t *testing.T) {
+	const allowed, tick = 12 * time.Second, 150 * time.Millisecond
+	for _, interval := range []int{1, 2, 4, 6} {
+		for _, loadTime := range []time.Duration{time.Second, 2 * time.Second} {
+			t.Run(fmt.Sprintf("every %d s, loads of %v", interval, loadTime), func(t *testing.T) {
+				type load struct {
+					version uint64
+					until   time.Duration
+				}
+				engines, loads := make([]fence.Engine, 43), map[string]load{}
+				for i := range engines {
+					engines[i] = fence.Engine{ID: fmt.Sprintf("w%02d", i), Version: 1}
+				}
+				sent := 0
+				var targets fence.Targets
+				for now := tick; now < 60*time.Second; now += tick {
+					if n := int(now / (time.Duration(interval) * time.Second)); n > len(targets) && len(targets) < 8 {
+						targets = targets.With(fence.Target{Version: uint64(2 + len(targets)), At: noon.Add(now)})
+					}
+					for i := range engines {
+						e := &engines[i]
+						if l, ok := loads[e.ID]; ok && l.until <= now {
+							e.Version, e.Busy = l.version, false
+							delete(loads, e.ID)
+						}
+						e.Target, e.Behind = targets.Latest(), targets.Behind(e.Version, noon.Add(now))
+						if e.Behind > allowed {
+							t.Fatalf("after %v %s at version %d has lacked a target for %v; targets %v", now, e.ID, e.Version, e.Behind, targets)
+						}
+					}
+					gap, _ := targets.Interval()
+					for _, id := range fence.PlanRollout(engines, now, fence.RolloutPace{Allowed: allowed, LoadTime: loadTime, Superseded: len(targets) > 1 && gap < allowed}) {
+						for i := range engines {
+							if e := &engines[i]; e.ID == id {
+								e.Busy, e.LastCommand = true, now
+								loads[id] = load{e.Target, now + loadTime}
+								sent++
+							}
+						}
+					}
+				}
+				for _, e := range engines {
+					check.Equal(t, "version in the end", e.Version, targets.Latest())
+				}
+				t.Logf("%d loads of %d targets", sent, len(targets))
+			})
+		}
 	}
-	check.Equal(t, "commands with time left", len(fence.PlanRollout(workers, 0, pace)), 4)
-	check.Equal(t, "commands with little time left", len(fence.PlanRollout(workers, 0, fence.RolloutProgress{Elapsed: 5 * time.Second, Allowed: 10 * time.Second})), 9)
-	check.Equal(t, "commands without a time limit", len(fence.PlanRollout(workers, 0, fence.RolloutProgress{Elapsed: time.Hour})), 4)
 }
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -14,6 +14,7 @@
 	"egretshunt/clock"
 	"egretshunt/ctrl"
 	"egretshunt/event"
+	"egretshunt/fence"
 	"egretshunt/limit"
 	"egretshunt/member"
 	"egretshunt/origin"
@@ -33,6 +34,8 @@
 	AcceptsParts(store netip.AddrPort) bool
 	RecordUse(part string)
 	EngineClock(now time.Duration) int64
+	// GroupTime returns the time that control dates targets of weights by; false if it isn't known.
+	GroupTime() (now time.Time, known bool)
 	// OtherWork returns the work that the other entries have outstanding, by the names of
 	// OutstandingTokens and in units of ctrl.WorkUnitTokens; nil if it isn't known. The snapshot is
 	// the same until another is known.
@@ -141,9 +144,8 @@
 	rateQueues map[string]*rateQueue
 	// unanswered holds the runs whose endpoint may have ended without a sign.
 	unanswered limit.UnansweredRuns
-	// targetVersions holds the target version of each model's weights and when this entry first
-	// observed it.
-	targetVersions map[string]timedVersion
+	// targets holds the target versions of each model's weights by this entry's clock; nil before it first looked.
+	targets map[string]fence.Targets
 }
 
 // pendingSave is a request's claim to save a part.
@@ -207,7 +209,7 @@
 	}
 	e := &Entry{
 		config: c, meters: newMeters(c.Metrics), started: time.Now(), endpointStates: map[string]*endpointState{}, retryBudgets: map[string]*limit.RetryLimiter{}, pendingSave: map[string]pendingSave{},
-		prefillRates: map[string]float64{}, linkTokens: map[netip.AddrPort]*int{}, targetVersions: map[string]timedVersion{}, rateQueues: map[string]*rateQueue{}, rateWaiting: make(chan struct{}, 1),
+		prefillRates: map[string]float64{}, linkTokens: map[netip.AddrPort]*int{}, rateQueues: map[string]*rateQueue{}, rateWaiting: make(chan struct{}, 1),
 	}
 	c.Metrics.NewGauge("egretshunt_pass_processor_wait_seconds", func() float64 { return e.waitForProcessor().Seconds() })
 	c.Metrics.NewGauge("egretshunt_pass_backlog_tokens", func() float64 { return float64(e.backlog()) })
--- a/pass/place.go
+++ b/pass/place.go
@@ -8,6 +8,7 @@
 
 	"egretshunt/clock"
 	"egretshunt/ctrl"
+	"egretshunt/fence"
 	"egretshunt/limit"
 	"egretshunt/member"
 	"egretshunt/route"
@@ -181,26 +182,35 @@
 	if model == "" || e.config.RolloutTimeout == 0 {
 		return 0
 	}
-	target := e.config.View.View().Weights[model].Version
-	observed, ok := e.targetVersions[model]
-	switch {
-	case !ok && target > 0 && now.Sub(e.started) < e.config.RolloutTimeout:
-		// An entry that has just started doesn't know when the target version was set: assume
-		// that the rollout time is over.
-		observed = timedVersion{target, now.Add(-e.config.RolloutTimeout)}
-		e.targetVersions[model] = observed
-	case !ok || observed.version != target:
-		observed = timedVersion{target, now}
-		e.targetVersions[model] = observed
-	}
 	wait := j.deadline.Sub(now)
 	if p := j.route.Patience; p > 0 {
 		wait = min(wait, p)
 	}
-	if now.Sub(observed.at) > e.config.RolloutTimeout-wait-rolloutMargin {
-		return target
+	return e.observeTargets(model, now).Required(now.Add(wait + rolloutMargin - e.config.RolloutTimeout))
+}
+
+// observeTargets returns the target versions of a model's weights by this entry's clock. The caller holds mu.
+func (e *Entry) observeTargets(model string, now time.Time) fence.Targets {
+	latest := e.config.View.View().Weights
+	unknownAge := time.Duration(0)
+	if e.targets == nil {
+		e.targets = map[string]fence.Targets{}
+		if now.Sub(e.started) < e.config.RolloutTimeout {
+			// An entry that has just started doesn't know when these targets were set: unless the group time tells,
+			// assume that the rollout time is over.
+			unknownAge = e.config.RolloutTimeout
+		}
+	}
+	groupNow, ok := e.config.View.GroupTime()
+	for name, w := range latest {
+		e.targets[name] = w.ObserveTargets(e.targets[name], now, func(t fence.Target) time.Duration {
+			if ok && !t.At.IsZero() {
+				return groupNow.Sub(t.At)
+			}
+			return unknownAge
+		})
 	}
-	return 0
+	return e.targets[model]
 }
 
 // placeByLoad chooses an endpoint for a request that reuses no cached prompt parts. The caller
--- a/pass/place_test.go
+++ b/pass/place_test.go
@@ -10,6 +10,7 @@
 	"egretshunt/block"
 	"egretshunt/check"
 	"egretshunt/ctrl"
+	"egretshunt/fence"
 	"egretshunt/limit"
 	"egretshunt/pass"
 )
@@ -73,6 +74,23 @@
 	}
 }
 
+// A target that follows another one must not extend the time within which the first must be loaded: of targets set in quick
+// succession engines got none, and prompts began there on the oldest weights.
+func TestNewerTargetKeepsDeadlineOfFormer(t *testing.T) {
+	now := time.Now()
+	fx := newFixtureWith(t, pass.Config{RolloutTimeout: time.Hour}, respondWith(200, eventA))
+	fx.feed.groupTime = now
+	fx.feed.view = &ctrl.View{Set: fx.feed.view.Set, Weights: map[string]ctrl.Weights{"m": {Model: "m", Version: 5, At: now, Targets: fence.Targets{
+		{Version: 4, At: now.Add(-time.Hour)}, {Version: 5, At: now},
+	}}}}
+	got, _ := fx.call("/stream/x", "k")
+	check.Equal(t, "status while all engines lack the former target", got.Code, 503)
+	fx.feed.list.Endpoints[2].Weights["m"] = 4
+	got, _ = fx.call("/stream/x", "k")
+	check.Equal(t, "status with one engine at the former target", got.Code, 200)
+	check.Equal(t, "endpoint", fx.backend.sends[len(fx.backend.sends)-1].To.ID, "w2")
+}
+
 func TestNewEntryAvoidsOutdatedWeights(t *testing.T) {
 	fx := newFixture(t, respondWith(200, eventA))
 	fx.feed.view = &ctrl.View{Set: fx.feed.view.Set, Weights: map[string]ctrl.Weights{"m": {Model: "m", Version: 4}}}
