ctrl, pass, platform: commands name what they follow; the latest word on weights counts

Cause: a command that was carried out late loaded older weights again, since it named no state that it expects. Control and entries took the highest version ever reported or listed for an engine's version, so that neither noticed.

Change: a command carries Expect, the number of commands that the engine has accepted by its report; a conflict is followed by a new report. Entries count a response that came after the list first showed a version.

Why it works: of two commands with the same Expect one is accepted; and if an engine goes back all the same, the list says so.

--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -1,6 +1,7 @@
 package ctrl
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"net/netip"
@@ -32,7 +33,8 @@
 	// Free removes parts from a store. The store rejects the call if its epoch differs or if
 	// the engines' clock has passed until (milliseconds).
 	Free(ctx context.Context, s *board.Store, epoch, until int64, names []string) error
-	// LoadWeights commands an engine to load weights; done is true if the engine has them.
+	// LoadWeights commands an engine to load weights; done is true if the engine has them. An error of type
+	// CommandConflict says that another command is in progress, or that the engine has accepted others.
 	LoadWeights(ctx context.Context, to *member.Endpoint, o WeightsCommand) (done bool, err error)
 	// Report requests the state of an engine, including the weights that it has loaded.
 	Report(ctx context.Context, to *member.Endpoint) (EngineReport, error)
@@ -73,6 +75,9 @@
 	Version uint64
 	Holder  string
 	Epoch   uint64
+	// Expect is the number of commands that the engine has accepted before this one. An engine rejects the command
+	// otherwise, also if it only arrives after later ones.
+	Expect value.Option[uint64]
 }
 
 // EngineReport is an engine's own report of its state; Weights holds the loaded version by model.
@@ -81,6 +86,8 @@
 	Busy    bool
 	Running int
 	Clock   int64
+	// Commands is the number of commands that the engine has accepted since its start; none if it doesn't say.
+	Commands value.Option[uint64]
 }
 
 // LeaderTasksConfig holds the settings of LeaderTasks. Holder names this control VM, as
@@ -101,6 +108,8 @@
 	// RolloutTimeout is the time allowed for a weights rollout: from setting the target version
 	// until every engine has loaded it.
 	RolloutTimeout time.Duration
+	// ListLag is how far the list of endpoints may lag behind the engines; zero means defaultListLag.
+	ListLag time.Duration
 	// RetainTime is how long after its last use a cached part is worth keeping.
 	RetainTime time.Duration
 	Events     *event.Log
@@ -122,6 +131,8 @@
 	// withdrawGrace is how long a fetch of a withdrawn part may still be in flight: an entry may
 	// start one until its catalogue lease ends.
 	withdrawGrace = CatalogLease + FetchTimeout + 300*time.Millisecond
+	// defaultListLag is the default of LeaderTasksConfig.ListLag.
+	defaultListLag = 2 * time.Second
 	// platformTimeout is the timeout of a call to the platform, a store or an engine.
 	platformTimeout = 900 * time.Millisecond
 	// changesTimeout is the timeout of a call that waits for changes in a store.
@@ -144,6 +155,7 @@
 	if c.Events == nil {
 		c.Events = event.Discard()
 	}
+	c.ListLag = cmp.Or(c.ListLag, defaultListLag)
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &LeaderTasks{config: c, cancel: cancel}
 	l.running.Go(func() { l.run(ctx) })
@@ -173,12 +185,13 @@
 
 	// termMu guards the fields below.
 	termMu sync.Mutex
-	// endpoints is the platform's list of endpoints as last read.
+	// endpoints is the platform's list of endpoints as last read, by a call made at listedAt.
 	endpoints []member.Endpoint
+	listedAt  time.Duration
 	// lastCommand is keyed by engine.
 	lastCommand map[string]lastCommand
-	// observedWeights holds the versions that engines have reported as loaded, by engine and model.
-	observedWeights map[string]map[string]uint64
+	// reports holds what engines last said of themselves, by engine.
+	reports map[string]engineState
 	// loadTime is the average time that loads of weights took; zero before the first.
 	loadTime time.Duration
 	// unresponsive holds the addresses of engines that do not respond to control.
@@ -209,7 +222,7 @@
 		if since, ok := node.IsLeader(); ok {
 			lt := &leaderTerm{
 				LeaderState: hub.BeginTerm(), tasks: l, node: node, since: since, began: clock.Now(),
-				lastCommand: map[string]lastCommand{}, targets: map[string]fence.Targets{}, observedWeights: map[string]map[string]uint64{},
+				lastCommand: map[string]lastCommand{}, targets: map[string]fence.Targets{}, reports: map[string]engineState{},
 			}
 			lt.run(ctx, t.C)
 		}
@@ -255,12 +268,13 @@
 	for {
 		if lt.leads() {
 			callCtx, cancel := context.WithTimeout(ctx, platformTimeout)
+			asked := clock.Now()
 			latest, err := lt.tasks.config.Platform.Endpoints(callCtx)
 			cancel()
 			if err == nil {
 				lt.replicateBuilds(ctx, latest)
 				lt.termMu.Lock()
-				lt.endpoints = latest
+				lt.endpoints, lt.listedAt = latest, asked
 				lt.termMu.Unlock()
 				lt.publishEndpoints()
 			} else if !failing && ctx.Err() == nil {
@@ -291,8 +305,8 @@
 		// An engine may be unreachable from control only; an entry's report then keeps it in use.
 		e.Down = member.EjectedByVotes(votes[e.ID], entries) || lt.unresponsive.Has(e.Addr.String()) && !lt.ReportedReachable(e.ID)
 		e.Loading = lt.lastCommand[e.ID].loading
-		for model, version := range lt.observedWeights[e.ID] {
-			if version > e.Weights[model] {
+		for model, listed := range e.Weights {
+			if version := lt.loadedVersion(e, model); version != listed {
 				e.Weights = maps.Clone(e.Weights)
 				e.Weights[model] = version
 			}
--- a/ctrl/machine.go
+++ b/ctrl/machine.go
@@ -31,6 +31,8 @@
 	NotLeader = namespace.NewType("notleader")
 	// OutcomeUnknown reports a proposal whose outcome is unknown; it may be sent again.
 	OutcomeUnknown = namespace.NewType("unsure")
+	// CommandConflict reports that an engine rejected a command because of another one.
+	CommandConflict = namespace.NewType("conflict")
 	// Busy reports a proposal that was rejected before it entered the log.
 	Busy = namespace.NewType("busy")
 	// Unreachable reports that no control VM responded in time.
--- a/ctrl/rollout.go
+++ b/ctrl/rollout.go
@@ -3,15 +3,18 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/joomcode/errorx"
 
 	"egretshunt/clock"
 	"egretshunt/event"
 	"egretshunt/fence"
 	"egretshunt/member"
+	"egretshunt/value"
 )
 
 const (
@@ -74,12 +77,11 @@
 	lt.termMu.Lock()
 	for i := range l.Endpoints {
 		e := &l.Endpoints[i]
-		listed, ok := e.Weights[model]
-		if !ok {
+		if _, ok := e.Weights[model]; !ok {
 			continue
 		}
 		c := lt.lastCommand[e.ID]
-		version := max(listed, lt.observedWeights[e.ID][model])
+		version := lt.loadedVersion(e, model)
 		workers = append(workers, fence.Engine{
 			ID: e.ID, Version: version, Target: want, Behind: targets.Behind(version, wallNow), LastCommand: c.sentAt, Busy: c.loading, Draining: e.Draining,
 		})
@@ -123,22 +125,66 @@
 	return true
 }
 
+// engineState is what an engine last said of itself.
+type engineState struct {
+	// born identifies the engine's incarnation.
+	born int64
+	// weights holds the versions that it had loaded, by model, as received at a time.
+	weights map[string]uint64
+	at      time.Duration
+	// commands is the number of commands that it has accepted; none while that isn't known.
+	commands value.Option[uint64]
+}
+
+// loadedVersion returns the version of a model's weights that an engine has, by its latest word: its own, or what
+// the list says once that can't be older. The caller holds termMu.
+func (lt *leaderTerm) loadedVersion(e *member.Endpoint, model string) uint64 {
+	s, ok := lt.reports[e.ID]
+	if reported, known := s.weights[model]; ok && known && s.born == e.Born && lt.listedAt < s.at+lt.tasks.config.ListLag+reportMaxAge {
+		return reported
+	}
+	return e.Weights[model]
+}
+
+// report requests an engine's state and records it.
+func (lt *leaderTerm) report(ctx context.Context, to *member.Endpoint) (EngineReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	r, err := lt.tasks.config.Platform.Report(ctx, to)
+	if err != nil {
+		lt.tasks.config.Events.Emit(event.CommandFailed, "endpoint", to.ID, "duty", "report", "err", err)
+		return r, err
+	}
+	lt.termMu.Lock()
+	defer lt.termMu.Unlock()
+	lt.reports[to.ID] = engineState{born: to.Born, weights: r.Weights, at: clock.Now(), commands: r.Commands}
+	return r, nil
+}
+
+// updateState changes what is known of an engine.
+func (lt *leaderTerm) updateState(to *member.Endpoint, change func(s *engineState)) {
+	lt.termMu.Lock()
+	defer lt.termMu.Unlock()
+	s := lt.reports[to.ID]
+	if s.born != to.Born {
+		s = engineState{born: to.Born}
+	}
+	change(&s)
+	lt.reports[to.ID] = s
+}
+
 // loadWeights commands one engine to load weights and polls it until it has loaded them.
 func (lt *leaderTerm) loadWeights(ctx context.Context, to *member.Endpoint, o WeightsCommand) {
 	began := clock.Now()
-	done, err := lt.sendCommand(ctx, to, o)
-	lt.tasks.config.Events.Emit(event.CommandSent, "endpoint", to.ID, "model", o.Model, "weights", o.Version, "epoch", o.Epoch, "done", done, "err", err)
+	done, err := lt.commandLoad(ctx, to, o)
 	for err == nil && !done && ctx.Err() == nil && lt.leads() && clock.Now()-began < commandTimeout {
 		select {
 		case <-time.After(reportMaxAge / 2):
 		case <-ctx.Done():
 			return
 		}
-		callCtx, cancel := context.WithTimeout(ctx, platformTimeout)
-		report, reportErr := lt.tasks.config.Platform.Report(callCtx, to)
-		cancel()
+		report, reportErr := lt.report(ctx, to)
 		if reportErr != nil {
-			lt.tasks.config.Events.Emit(event.CommandFailed, "endpoint", to.ID, "duty", "report", "err", reportErr)
 			break
 		}
 		if report.Weights[o.Model] >= o.Version {
@@ -148,23 +194,69 @@
 			break
 		}
 	}
+	again := errorx.IsOfType(err, CommandConflict)
+	if again {
+		// The next report may still be older than what the engine has accepted meanwhile.
+		select {
+		case <-time.After(reportMaxAge):
+		case <-ctx.Done():
+		}
+	}
 	defer lt.publishEndpoints()
 	lt.termMu.Lock()
 	defer lt.termMu.Unlock()
 	c := lt.lastCommand[to.ID]
 	c.loading = false
+	if again {
+		c.sentAt = 0
+	}
 	if done {
 		took := clock.Now() - began
 		former := cmp.Or(lt.loadTime, took)
 		lt.loadTime = former + (took-former)/loadTimeSamples
-		if lt.observedWeights[to.ID] == nil {
-			lt.observedWeights[to.ID] = map[string]uint64{}
-		}
-		lt.observedWeights[to.ID][o.Model] = o.Version
 	}
 	lt.lastCommand[to.ID] = c
 }
 
+// commandLoad sends an engine a command that no later one can precede: it names how many commands the engine has accepted.
+// It reports whether the engine has the weights already.
+func (lt *leaderTerm) commandLoad(ctx context.Context, to *member.Endpoint, o WeightsCommand) (done bool, err error) {
+	lt.termMu.Lock()
+	state := lt.reports[to.ID]
+	lt.termMu.Unlock()
+	if _, known := state.commands.Get(); !known || state.born != to.Born {
+		report, err := lt.report(ctx, to)
+		if err != nil {
+			return false, err
+		}
+		if report.Weights[o.Model] >= o.Version {
+			return true, nil
+		}
+		if report.Busy {
+			return false, CommandConflict.New("%s carries out another command", to.ID)
+		}
+		state.commands = report.Commands
+	}
+	o.Expect = state.commands
+	done, err = lt.sendCommand(ctx, to, o)
+	expect, _ := o.Expect.Get()
+	lt.tasks.config.Events.Emit(event.CommandSent, "endpoint", to.ID, "model", o.Model, "weights", o.Version, "epoch", o.Epoch, "expect", expect, "done", done, "err", err)
+	lt.updateState(to, func(s *engineState) {
+		switch {
+		case err != nil:
+			// It may have been accepted, or may be later.
+			s.commands = value.None[uint64]()
+		case done:
+			s.weights, s.at = maps.Clone(s.weights), clock.Now()
+			if s.weights == nil {
+				s.weights = map[string]uint64{}
+			}
+			s.weights[o.Model] = o.Version
+		}
+	})
+	return done, err
+}
+
 func (lt *leaderTerm) sendCommand(ctx context.Context, to *member.Endpoint, o WeightsCommand) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
--- a/event/fields.go
+++ b/event/fields.go
@@ -37,6 +37,7 @@
 		{"endpoints", "Several endpoints, separated by commas."},
 		{"epoch", "Number of the right to send commands (fencing token); a lower one is rejected."},
 		{"err", "Error, with the operation that failed."},
+		{"expect", "Number of commands that the engine must have accepted before this one."},
 		{"expected", "Predicted time to the first token, in milliseconds."},
 		{"fetched", "Tokens of the prompt that were expected to be fetched from stores."},
 		{"file", "File in the data folder."},
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -189,14 +189,18 @@
 	leavingAt time.Time
 	// replaced is set once another endpoint has responded at the address.
 	replaced bool
-	// versions are the weights versions observed in responses, by model; they may be newer than
-	// the list's.
-	versions map[string]timedVersion
+	// versions are the weights versions observed in responses, by model.
+	versions map[string]observedVersion
 }
 
-type timedVersion struct {
-	version uint64
-	at      time.Time
+// observedVersion is what an entry has heard of the weights of an endpoint.
+type observedVersion struct {
+	// observed is the version that a response named at a time; zero if there was none.
+	observed uint64
+	at       time.Time
+	// listed is the version that the list shows, since listedAt to this entry's knowledge.
+	listed   uint64
+	listedAt time.Time
 }
 
 // New returns an entry and starts its background maintenance.
@@ -352,7 +356,7 @@
 			return s
 		}
 	}
-	s := &endpointState{incarnation: to.Born, former: current, versions: map[string]timedVersion{}}
+	s := &endpointState{incarnation: to.Born, former: current, versions: map[string]observedVersion{}}
 	e.endpointStates[to.ID] = s
 	e.generation++
 	return s
--- a/pass/place.go
+++ b/pass/place.go
@@ -279,20 +279,39 @@
 	return defaultPrefillRate
 }
 
-// version returns the version of a model's weights that the endpoint is expected to run: the
-// newer of the listed one and the one observed in responses.
+// version returns the version of a model's weights that the endpoint is expected to run, by its latest word: that of the
+// list, or that of a response. A list that shows another version than before counts from when this entry first saw
+// it, unless a response shortly before named a newer one, which the list may not show yet.
 func (s *endpointState) version(to *member.Endpoint, model string) uint64 {
 	listed := to.Weights[model]
-	if l, ok := s.versions[model]; ok && l.version > listed {
-		return l.version
+	v, ok := s.versions[model]
+	if !ok && listed == 0 {
+		return 0
+	}
+	if v.listed != listed {
+		v.listed, v.listedAt = listed, time.Now()
+		s.versions[model] = v
+	}
+	switch {
+	case v.observed == 0 || v.observed == listed:
+		return listed
+	case !v.at.Before(v.listedAt):
+		return v.observed
+	case v.observed > listed && v.listedAt.Sub(v.at) < maxListLag:
+		return v.observed
 	}
 	return listed
 }
 
+// maxListLag is how long after an endpoint the list may still show its former weights.
+const maxListLag = 3 * time.Second
+
 // observeVersion records the weights version that a response reported.
 func (s *endpointState) observeVersion(model string, version uint64, now time.Time) {
 	if model != "" && version > 0 {
-		s.versions[model] = timedVersion{version, now}
+		v := s.versions[model]
+		v.observed, v.at = version, now
+		s.versions[model] = v
 	}
 }
 
--- a/pass/place_test.go
+++ b/pass/place_test.go
@@ -49,6 +49,32 @@
 	check.Equal(t, "same endpoint", fx.backend.sends[1].To.ID, fx.backend.sends[2].To.ID)
 }
 
+// Guards against an endpoint that is thought to have the newest version that it ever named or was listed with: after it went
+// back to older weights it refused each prompt.
+func TestLatestWordOnWeightsCounts(t *testing.T) {
+	refused := func(version uint64) func(*pass.Send) (*pass.Reply, error) {
+		return func(s *pass.Send) (*pass.Reply, error) {
+			reply, err := notRun(421, "")(s)
+			reply.Version = version
+			return reply, err
+		}
+	}
+	fx := newFixture(t, refused(2), respondWith(200, eventA), respondWith(200, eventA))
+	fx.feed.list.Endpoints = fx.feed.list.Endpoints[:1]
+	fx.call("/stream/x", "k")
+	fx.call("/stream/x", "k")
+	sent := func() (versions []uint64) {
+		for _, s := range fx.backend.sends {
+			versions = append(versions, s.Version)
+		}
+		return versions
+	}
+	check.Equal(t, "versions sent, where the list shows 3", sent(), []uint64{3, 2, 2})
+	fx.feed.list.Endpoints[0].Weights = map[string]uint64{"m": 4}
+	fx.call("/stream/x", "k")
+	check.Equal(t, "versions sent, once the list shows 4", sent(), []uint64{3, 2, 2, 4})
+}
+
 // Engines that haven't swapped to new weights in time must get no new prompt. If the client
 // waits longer than the time left, the prompt might start too late.
 func TestOutdatedWeightsGetNoPromptPastSwapTime(t *testing.T) {
--- a/value/value.go
+++ b/value/value.go
@@ -53,6 +53,11 @@
 // Get returns the value and whether it is present.
 func (o Option[T]) Get() (T, bool) { return o.value, o.ok }
 
+// Equal reports whether o and other hold equal values or none. Values of T must be comparable.
+func (o Option[T]) Equal(other Option[T]) bool {
+	return o.ok == other.ok && any(o.value) == any(other.value)
+}
+
 // Or returns the value, or other if it is absent.
 func (o Option[T]) Or(other T) T {
 	if o.ok {
