pass: a begun response goes on only by one of its kind

Cause: an attempt behind a begun response was asked whether it failed, not whether it is the rest of what the client has.

Change: a response that has begun goes on only behind an event with an ID, by a response with its status and type that has an event. All else is a failed attempt; without attempts left the response is cut. A status line among the lines of a stream breaks it off before that event. A plain response that was begun isn't repeated.

--- a/body/body.go
+++ b/body/body.go
@@ -4,8 +4,10 @@
 package body
 
 import (
+	"bytes"
 	"mime"
 	"net/http"
+	"slices"
 	"strings"
 )
 
@@ -18,6 +20,9 @@
 // IsEvents reports whether a content type is that of a stream of events.
 func IsEvents(contentType string) bool { return mediaType(contentType) == "text/event-stream" }
 
+// IsSameType reports whether two content types are the same but for their parameters.
+func IsSameType(a, b string) bool { return mediaType(a) == mediaType(b) }
+
 // mediaType returns a content type without its parameters, in lower case.
 func mediaType(contentType string) string {
 	t, _, err := mime.ParseMediaType(contentType)
@@ -107,6 +112,36 @@
 // Open reports whether the stream is inside an event or a line.
 func (e *Events) Open() bool { return e.event || !e.newLine }
 
+// LastEventEnd returns the position after the last event that ends in a stream's beginning; zero if none does.
+func LastEventEnd(p []byte) int { return NewEvents().Scan(p) }
+
+// StatusLineLength is the length of what StatusLine looks for.
+const StatusLineLength = len("HTTP/1.1 200")
+
+// StatusLine returns the position, from the given one on, of a line that begins like the head of a response, such as
+// "HTTP/1.1 200", or -1. No line of an event does.
+func StatusLine(p []byte, from int) int {
+	for at := from; ; at++ {
+		i := bytes.Index(p[at:], []byte("HTTP/1."))
+		if i < 0 {
+			return -1
+		}
+		at += i
+		if (at == 0 || p[at-1] == '\n' || p[at-1] == '\r') && isStatusLine(p[at:]) {
+			return at
+		}
+	}
+}
+
+// isStatusLine reports whether p begins with a version of HTTP and a status.
+func isStatusLine(p []byte) bool {
+	const version = len("HTTP/1.1")
+	if len(p) < StatusLineLength || p[version] != ' ' {
+		return false
+	}
+	return !slices.ContainsFunc(p[version+1:StatusLineLength], func(c byte) bool { return c < '0' || c > '9' })
+}
+
 func (e *Events) write(p []byte) { e.Scan(p) }
 func (e *Events) open() bool     { return e.Open() }
 
--- a/body/body_test.go
+++ b/body/body_test.go
@@ -106,3 +106,13 @@
 		check.Equal(t, "open after the last event", rest.Open(), whole.Open())
 	})
 }
+
+func TestStatusLine(t *testing.T) {
+	for text, want := range map[string]int{
+		"": -1, "HTTP/1.1 200 OK": 0, "data: a\nHTTP/1.0 500": 8, "data: a\rHTTP/1.1 500\r\n": 8, "data: HTTP/1.1 200": -1, "HTTP/1.1 20": -1,
+		"HTTP/1.1 OK!": -1, "HTTP/1.1  200": -1, "HTTP/2 200\nHTTP/1.1 x\nHTTP/1.1 404": 22,
+	} {
+		check.Equal(t, text, body.StatusLine([]byte(text), 0), want)
+	}
+	check.Equal(t, "from a later position", body.StatusLine([]byte("HTTP/1.1 200\nHTTP/1.1 404"), 1), 13)
+}
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -87,14 +87,19 @@
 		e.recordUnanswered(j, to)
 		return e.retry(ctx, j, to, out, outcomeFailed, reasonUnsigned, reply.Status)
 	}
-	if !success && (out.headerSent || j.route.Kind == board.Idempotent && reply.Status >= http.StatusInternalServerError && len(j.tried) < j.route.Attempts) {
+	if out.headerSent && !out.isContinuedBy(reply) {
 		e.endAttempt(to, true, began)
-		if e.allowRetry(j.pool) {
+		if out.mayGoOn() && e.allowRetry(j.pool) {
 			e.recordAttempt(j, to, outcomeFailed, "again", reply.Status)
 			return true, nil
 		}
-		if out.headerSent {
-			return false, e.cutResponse(j, out)
+		return false, e.cutResponse(j, out)
+	}
+	if !success && j.route.Kind == board.Idempotent && reply.Status >= http.StatusInternalServerError && len(j.tried) < j.route.Attempts {
+		e.endAttempt(to, true, began)
+		if e.allowRetry(j.pool) {
+			e.recordAttempt(j, to, outcomeFailed, "again", reply.Status)
+			return true, nil
 		}
 		return e.relayReply(ctx, j, to, reply, out, began, true)
 	}
@@ -171,7 +176,7 @@
 	if outcome == outcomeLost || outcome == outcomeBrokenOff {
 		endangers = e.recordBrokenRun(ctx, j, to) && !e.canLoseMore(j.pool, to)
 	}
-	if j.givenUp || !endangers && j.route.Repeatable() && j.possibleRuns < j.route.Attempts && e.allowRetry(j.pool) {
+	if out.mayGoOn() && (j.givenUp || !endangers && j.route.Repeatable() && j.possibleRuns < j.route.Attempts && e.allowRetry(j.pool)) {
 		e.recordAttempt(j, to, outcome, "again", status)
 		return true, nil
 	}
--- a/pass/relay.go
+++ b/pass/relay.go
@@ -18,8 +18,12 @@
 	stream bool
 	// headerSent is set once status and headers were sent.
 	headerSent bool
-	// lastEventID is the ID of the last event sent.
+	// begunBy is the reply whose status and headers were sent; events says that its body is a stream of events.
+	begunBy *Reply
+	events  bool
+	// lastEventID is the ID of the last event sent, eventLines the number of lines of events sent.
 	lastEventID string
+	eventLines  int
 	sentBytes   int
 	// openBytes is how much of an incomplete event followed the last complete one.
 	openBytes int
@@ -39,7 +43,7 @@
 	if r.headerSent {
 		return
 	}
-	r.headerSent = true
+	r.headerSent, r.begunBy, r.events = true, reply, r.isEvents(reply)
 	h := r.w.Header()
 	for name, values := range reply.Header {
 		h[name] = values
@@ -54,12 +58,28 @@
 	r.w.WriteHeader(reply.Status)
 }
 
+// isEvents reports whether a reply is relayed as a stream of events.
+func (r *relay) isEvents(reply *Reply) bool {
+	kind := reply.Header.Get("Content-Type")
+	return r.stream && reply.Status < 300 && (kind == "" || body.IsEvents(kind))
+}
+
+// mayGoOn reports whether another attempt may produce the rest of the response. A response that has begun goes on only
+// behind an event with an ID: any other one would be joined from two.
+func (r *relay) mayGoOn() bool {
+	return !r.headerSent || r.events && (r.lastEventID != "" || r.eventLines == 0)
+}
+
+// isContinuedBy reports whether a reply is of the kind that the response began with.
+func (r *relay) isContinuedBy(reply *Reply) bool {
+	return r.mayGoOn() && r.isEvents(reply) && reply.Status == r.begunBy.Status && body.IsSameType(reply.Header.Get("Content-Type"), r.begunBy.Header.Get("Content-Type"))
+}
+
 // copy relays one response and sets *first when its first bytes arrive. Its errors are of type Lost; those of
 // the client are recorded in clientGone.
 func (r *relay) copy(reply *Reply, first *time.Time) error {
-	kind := reply.Header.Get("Content-Type")
 	var err error
-	if r.stream && reply.Status < 300 && (kind == "" || body.IsEvents(kind)) {
+	if r.isEvents(reply) {
 		err = r.relayEvents(reply, first)
 	} else {
 		err = r.relayBuffered(reply, first)
@@ -125,7 +145,9 @@
 func (r *relay) relayEvents(reply *Reply, first *time.Time) error {
 	var pending []byte
 	buf := make([]byte, 4<<10)
-	started := false
+	started, continues, formerLines := false, r.headerSent, r.eventLines
+	// scanned is how much of pending holds no status line.
+	scanned := 0
 	events := body.NewEvents()
 	for {
 		n, err := reply.Body.Read(buf)
@@ -134,6 +156,12 @@
 			end += len(pending)
 		}
 		pending = append(pending, buf[:n]...)
+		if at := body.StatusLine(pending, scanned); at >= 0 {
+			// The endpoint broke its response off and wrote another one.
+			end = min(end, body.LastEventEnd(pending[:at]))
+			err = BrokenOff.New("the stream holds the head of another response")
+		}
+		scanned = max(len(pending)-body.StatusLineLength, 0)
 		if n > 0 {
 			r.notifyData()
 		}
@@ -158,12 +186,17 @@
 			}
 			r.updateLastEventID(pending[:end])
 			pending = append(pending[:0], pending[end:]...)
+			scanned = max(scanned-end, 0)
 		}
 		if len(pending) > maxEventBytes {
 			return Lost.New("more than %d bytes without the end of an event", maxEventBytes)
 		}
 		if errors.Is(err, io.EOF) {
 			r.openBytes = len(pending)
+			if continues && r.eventLines == formerLines {
+				// Nothing shows that the stream was complete where it broke off.
+				return BrokenOff.New("a response without an event continued a stream")
+			}
 			if events.Open() {
 				return BrokenOff.New("the stream ends inside an event, after %d bytes of it", len(pending))
 			}
@@ -197,6 +230,9 @@
 // updateLastEventID stores the ID of the last event among some complete ones.
 func (r *relay) updateLastEventID(events []byte) {
 	for line := range bytes.Lines(events) {
+		if len(bytes.TrimSpace(line)) > 0 && line[0] != ':' {
+			r.eventLines++
+		}
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			r.lastEventID = string(bytes.TrimSpace(id))
 		}
