pass: a failure behind a begun stream counts as an attempt

Cause: a failure behind a begun response asked only the pool's retry budget.

Change: it takes the way of each attempt that may have run (retry), which compares possible runs with the route's attempts.

Test: TestFailuresBehindBegunStreamAreCounted; the former code sends on until an endpoint succeeds.

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -89,11 +89,7 @@
 	}
 	if out.headerSent && !out.isContinuedBy(reply) {
 		e.endAttempt(to, true, began)
-		if out.mayGoOn() && e.allowRetry(j.pool) {
-			e.recordAttempt(j, to, outcomeFailed, "again", reply.Status)
-			return true, nil
-		}
-		return false, e.cutResponse(j, out)
+		return e.retry(ctx, j, to, out, outcomeFailed, reasonLost, reply.Status)
 	}
 	if !success && j.route.Kind == board.Idempotent && reply.Status >= http.StatusInternalServerError && len(j.tried) < j.route.Attempts {
 		e.endAttempt(to, true, began)
--- a/pass/begun_test.go
+++ b/pass/begun_test.go
@@ -104,3 +104,13 @@
 		check.Equal(t, "body", got.Body.String(), ": wait\n\n"+event)
 	})
 }
+
+// TestFailuresBehindBegunStreamAreCounted guards against a request that is sent on beyond its route's attempts, since failures
+// behind a begun stream didn't count.
+func TestFailuresBehindBegunStreamAreCounted(t *testing.T) {
+	failed := respondAs(500, "text/plain", "bad")
+	fx := newFixture(t, respondTruncated(eventA+"id"), failed, failed, respondWith(200, eventB))
+	_, aborted := fx.call("/resume/x", "k")
+	check.Equal(t, "aborted", aborted, true)
+	check.Equal(t, "sends, of two allowed", len(fx.backend.sends), 2)
+}
