entry: an error event is written only between events

What callers saw (tried after another operator's report, agents' path): the text of the entry's own error inside an event of a stream that was broken off, or behind the beginning of a JSON body.

Cause: the error event was written to each begun response of a stream's route.

Change: it is written only to a stream of events, and only between two of them. The connection is aborted as before.

--- a/entry/response.go
+++ b/entry/response.go
@@ -27,6 +27,8 @@
 	buffered []byte
 	started  bool
 	total    uint64
+	// events follows a stream of events; nil for other content.
+	events *body.Events
 	// deadlineSetAt is when the write deadline was last extended.
 	deadlineSetAt time.Time
 }
@@ -74,6 +76,9 @@
 	case length >= 0:
 		s.w.Header().Set("Content-Length", strconv.Itoa(length))
 	}
+	if s.stream && body.IsEvents(s.w.Header().Get("Content-Type")) {
+		s.events = body.NewEvents()
+	}
 	s.w.WriteHeader(int(s.head.GetStatus()))
 }
 
@@ -87,6 +92,9 @@
 		s.deadlineSetAt = now
 		_ = s.controller.SetWriteDeadline(now.Add(s.writeTimeout))
 	}
+	if s.events != nil {
+		s.events.Scan(p)
+	}
 	if _, err := s.w.Write(p); err != nil {
 		return err
 	}
@@ -114,9 +122,10 @@
 		f.write(s.w)
 		return
 	}
-	if s.stream {
+	if s.events != nil && !s.events.Open() {
 		// Gives the reason to clients that read events. Without [DONE] and the last
-		// chunk the stream remains incomplete.
+		// chunk the stream remains incomplete. Inside an event it would be taken for
+		// a part of that.
 		_ = s.writeNow(fmt.Appendf(nil, "event: error\ndata: %s\n\n", f.body()))
 	}
 	panic(http.ErrAbortHandler)
