pass: the test of a closed client waits until the entry knows of it

Traced: its endpoint ended the attempt when the server's context had ended, a moment before the entry's, which is derived from it. The entry then saw a lost response to a client that was still there, and answered 502, as it should. The test now ends the attempt once the entry's own context has ended; what it demands, no response at all, is unchanged.

--- a/pass/lost_test.go
+++ b/pass/lost_test.go
@@ -67,17 +67,12 @@
 // TestEmptyResponseToClosedClient guards against empty responses with status 200 that no endpoint had sent, to clients that had
 // closed their half of the connection.
 func TestEmptyResponseToClosedClient(t *testing.T) {
-	left := make(chan struct{})
-	fx := newFixture(t, func(*pass.Send) (*pass.Reply, error) {
-		<-left
-		return lost(nil)
-	})
-	at := fx.serveHTTPWith(t, func(r *http.Request) {
-		go func() {
-			<-r.Context().Done()
-			close(left)
-		}()
-	})
+	// The attempt ends once the entry itself knows that the client has left. Before, its response would be a 502.
+	fx := newFixtureWith(t, pass.Config{RolloutTimeout: time.Hour, Backend: backendFunc(func(ctx context.Context, s *pass.Send) (*pass.Reply, error) {
+		<-ctx.Done()
+		return lost(s)
+	})})
+	at := fx.serveHTTP(t)
 	c, err := net.Dial("tcp", at)
 	check.NoError(t, err)
 	defer c.Close()
--- a/pass/unsized_test.go
+++ b/pass/unsized_test.go
@@ -32,15 +32,8 @@
 
 // serveHTTP serves the fixture's entry on a socket and returns the address.
 func (fx *fixture) serveHTTP(t *testing.T) string {
-	t.Helper()
-	return fx.serveHTTPWith(t, func(*http.Request) {})
-}
-
-// serveHTTPWith is serveHTTP with a function that sees each request first.
-func (fx *fixture) serveHTTPWith(t *testing.T, see func(*http.Request)) string {
 	t.Helper()
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		see(r)
 		fx.entry.Serve(r.Context(), &pass.Call{
 			ID: "id", Host: "h", Method: r.Method, Path: r.URL.Path, Target: r.URL.Path, Header: http.Header{}, APIKey: "k", Arrived: time.Now(), ClientTimeout: 5 * time.Second,
 		}, w)
