quorum: a leader counts a voter as present only once it has heard of it

Cause: silence began with a leader's term. One that had just been elected took a voter that is gone for present, and made the successor a voter beside it, four of three; where leaders change every few seconds the one that is gone never was silent for long enough to leave. A VM that stopped was then removed, only to start again, and the next loss left two of four.

Change: a successor becomes a voter beside others only once each of them has acknowledged something in the term. While a voter doesn't respond, a VM that stops waits for it to be back or removed. A voter in excess goes after 1.5 s of silence in place of 3 s: if it runs, it joins again.

Tests: TestNewLeaderWaitsForVoters and TestLeavingMemberLetsGoneOneGoFirst each fail without their part.

--- a/ctrl/membership.go
+++ b/ctrl/membership.go
@@ -32,7 +32,7 @@
 func (n *Node) LeaveGroup(ctx context.Context, id quorum.ID) error {
 	var leaves bool
 	var err error
-	if callErr := n.runOnLoop(ctx, func() { leaves, err = n.core.Leave(id) }); callErr != nil {
+	if callErr := n.runOnLoop(ctx, func() { leaves, err = n.core.Leave(n.now(), id) }); callErr != nil {
 		return callErr
 	}
 	for leaves {
@@ -94,10 +94,10 @@
 }
 
 const (
-	// replaceAfterSilence is the silence after which a joining member may replace a voter:
-	// several heartbeats.
+	// replaceAfterSilence is the silence after which a joining member may replace a voter, and one in excess of the
+	// target number is removed: several heartbeats.
 	replaceAfterSilence = 1500 * time.Millisecond
-	// removeAfterSilence is the silence after which a member in excess of the target number is removed.
+	// removeAfterSilence is the silence after which a learner is removed.
 	removeAfterSilence = 3 * time.Second
 	// rejoinAfterSilence is the time without a leader after which a member asks whether it still is one: above
 	// the duration of an election.
--- a/quorum/health.go
+++ b/quorum/health.go
@@ -7,9 +7,9 @@
 	// Voters is the target number of voters.
 	Voters int
 	// ReplaceAfter is the silence after which a voter gives way to a learner that has caught up, or a
-	// learner to another member that asks to join.
+	// learner to another member that asks to join, and after which a voter in excess of Voters is removed.
 	ReplaceAfter time.Duration
-	// RemoveAfter is the silence after which a learner, or a voter in excess of Voters, is removed.
+	// RemoveAfter is the silence after which a learner is removed.
 	RemoveAfter time.Duration
 }
 
@@ -41,8 +41,9 @@
 }
 
 // Leave removes the member id, which is about to stop, if the group has more than enough voters or id is a
-// learner; leaves says whether it does. A voter that the group needs stays, since it may only be restarting.
-func (c *Core) Leave(id ID) (leaves bool, err error) {
+// learner; leaves says whether it does. A voter that the group needs stays, since it may only be restarting. While
+// another voter doesn't respond, that one goes first.
+func (c *Core) Leave(now time.Duration, id ID) (leaves bool, err error) {
 	if c.role != Leader {
 		return false, NotLeader.New("the leader is %q", c.leader)
 	}
@@ -50,6 +51,9 @@
 	if !known || c.members.HasVoter(id) && len(c.members.Voters) <= c.upkeep.Voters {
 		return false, nil
 	}
+	if v, ok := c.unheardVoter(now); ok && v != id && c.members.HasVoter(id) {
+		return false, Busy.New("%s doesn't respond, and may be gone; wait until it is back or removed", v)
+	}
 	if err := c.Remove(id); err != nil {
 		return false, err
 	}
@@ -102,6 +106,17 @@
 	return silences
 }
 
+// unheardVoter returns a voter that hasn't acknowledged anything that the leader has sent within an election timeout;
+// a new leader has heard of none yet.
+func (c *Core) unheardVoter(now time.Duration) (ID, bool) {
+	for _, v := range c.members.Voters {
+		if p, ok := c.progress[v.ID]; ok && (p.ackedSentAt == 0 || now-p.ackedSentAt > c.electionTimeout) {
+			return v.ID, true
+		}
+	}
+	return "", false
+}
+
 // VoterToReplace returns the voter that the joining member m replaces; "" means none. A voter at
 // m's address has lost its disk, so m replaces it. Otherwise a group of at least wantVoters
 // voters replaces the one that has been silent the longest, if that is at least maxSilence.
@@ -158,7 +173,11 @@
 	if c.upkeep.Voters == 0 {
 		return
 	}
-	if id := c.MemberToRemove(now, c.upkeep.Voters, c.upkeep.RemoveAfter); id != "" {
+	id := c.MemberToRemove(now, c.upkeep.Voters, c.upkeep.ReplaceAfter)
+	if !c.members.HasVoter(id) {
+		id = c.MemberToRemove(now, c.upkeep.Voters, c.upkeep.RemoveAfter)
+	}
+	if id != "" {
 		// An error means that another change of members is in progress; a later tick tries again.
 		_ = c.Remove(id)
 	}
--- a/quorum/membership.go
+++ b/quorum/membership.go
@@ -95,7 +95,7 @@
 		}
 		if replaced == "" && c.upkeep.Voters > 0 {
 			replaced = c.VoterToReplace(now, l.Member, c.upkeep.Voters, c.upkeep.ReplaceAfter)
-			if replaced == "" && len(c.members.Voters) >= c.upkeep.Voters && len(c.SilentVoters(now, c.electionTimeout)) > 0 {
+			if _, unheard := c.unheardVoter(now); unheard && replaced == "" && len(c.members.Voters) >= c.upkeep.Voters {
 				// One more voter raises the majority, while a voter that may be gone still counts.
 				continue
 			}
--- a/quorum/upkeep_test.go
+++ b/quorum/upkeep_test.go
@@ -351,10 +351,13 @@
 // stop asks the leader to remove a VM until it does, or until the given time, and then ends the VM for good.
 func (s *simulation) stop(v *vm, until time.Duration) {
 	s.askLeader(v, func(leader *quorum.Core) error {
-		_, err := leader.Leave(v.id)
+		_, err := leader.Leave(s.now, v.id)
 		return err
 	})
 	removed := true
+	if leader, ok := s.leader(); ok && len(s.members[leader].core.Members().Voters) <= s.options.Upkeep.Voters {
+		until = s.now
+	}
 	for _, other := range s.vms {
 		if s.runs(other) {
 			core := s.members[other.id].core
@@ -484,3 +487,50 @@
 		})
 	}
 }
+
+// TestNewLeaderWaitsForVoters guards against a leader that has just been elected, counts all voters as present, and makes a
+// successor a voter beside the one that is gone.
+func TestNewLeaderWaitsForVoters(t *testing.T) {
+	for _, tolerance := range []int{1, 2} {
+		t.Run(fmt.Sprint("tolerance ", tolerance), func(t *testing.T) {
+			s := newSimulation(t, 1, tolerance)
+			leader, ok := s.leader()
+			check.Equal(t, "there is a leader", ok, true)
+			others := slices.DeleteFunc(s.present(), func(v *vm) bool { return v.id == leader })
+			s.leave(others[0])
+			s.startSuccessor(others[0], 0)
+			s.crash(leader)
+			s.hold(s.find(leader), 100*time.Millisecond, func() { s.start(leader, s.initial) })
+			for until := s.now + recoverTime; s.now < until; {
+				s.run(tickInterval)
+				for _, v := range s.present() {
+					if voters := s.members[v.id].core.Members().Voters; len(voters) > s.options.Upkeep.Voters {
+						t.Fatalf("%s counts %d voters, want at most %d", v.id, len(voters), s.options.Upkeep.Voters)
+					}
+				}
+			}
+			s.checkCalm()
+		})
+	}
+}
+
+// TestLeavingMemberLetsGoneOneGoFirst guards against a group that removes a member which stops, perhaps only to restart, while
+// one that is gone for good stays.
+func TestLeavingMemberLetsGoneOneGoFirst(t *testing.T) {
+	s := newSimulation(t, 1, 1)
+	leader, ok := s.leader()
+	check.Equal(t, "there is a leader", ok, true)
+	others := slices.DeleteFunc(s.present(), func(v *vm) bool { return v.id == leader })
+	s.startSuccessor(others[0], 0)
+	s.run(catchUp)
+	s.leave(others[1])
+	// The leader has noticed, and doesn't know yet whether it comes back.
+	s.run(time.Second)
+	s.stop(others[0], s.now+stopTime)
+	for !others[0].gone {
+		s.run(tickInterval)
+	}
+	members := s.members[leader].core.Members()
+	check.Equal(t, "the one that is gone counts", members.HasVoter(others[1].id), false)
+	check.Equal(t, "the one that has stopped counts", members.HasVoter(others[0].id), true)
+}
