Read once more: names, places and one loop, one constant, one stand-in

Read as the next maintainer would.

- How long the list may lag was given twice (pass, 3 s each): relistTime stands for both.
- mayGoOn, isContinuedBy, begunBy are isContinuable, continuesWith, firstReply.
Comments and pages in the words of the field.

--- a/ctrl/machine.go
+++ b/ctrl/machine.go
@@ -88,20 +88,6 @@
 	Targets fence.Targets `json:"targets,omitempty"`
 }
 
-// ObserveTargets returns the targets by the caller's clock: known, and those of w that it lacks. age returns how long ago a
-// target was set.
-func (w Weights) ObserveTargets(known fence.Targets, now time.Time, age func(fence.Target) time.Duration) fence.Targets {
-	if w.Version == 0 || known.Latest() == w.Version {
-		return known
-	}
-	for _, target := range w.Targets.With(fence.Target{Version: w.Version, At: w.At}) {
-		if !known.Has(target.Version) {
-			known = known.With(fence.Target{Version: target.Version, At: now.Add(-max(age(target), 0))})
-		}
-	}
-	return known
-}
-
 // Epoch begins a new epoch of commands to engines. Repeating the latest request, with the
 // same owner and nonce, returns the same epoch.
 type Epoch struct {
--- a/ctrl/membership_test.go
+++ b/ctrl/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -52,3 +53,30 @@
 		}
 	})
 }
+
+// TestSpareTellsLosses guards against a group that has lost a member while nothing shows that it bears no further loss.
+func TestSpareTellsLosses(t *testing.T) {
+	c := newCluster(t, 3)
+	leader := c.leader()
+	spareIs := func(want int) {
+		t.Helper()
+		check.Eventually(t, fmt.Sprint("the group bears ", want), func() bool {
+			spare, ok := c.node(leader).Spare()
+			return ok && spare == want
+		})
+	}
+	spareIs(1)
+	for _, id := range c.ids() {
+		if id != leader {
+			_, ok := c.node(id).Spare()
+			check.Equal(t, "a member that doesn't lead knows", ok, false)
+		}
+	}
+	for _, id := range c.ids() {
+		if id != leader {
+			c.kill(id)
+			break
+		}
+	}
+	spareIs(0)
+}
--- a/ctrl/rollout.go
+++ b/ctrl/rollout.go
@@ -49,27 +49,6 @@
 	}
 }
 
-// observeTargets returns the targets of a model by this VM's clock. A target set in an earlier term counts as if at least half of
-// the allowed time had passed: the group time stands still while there is no leader.
-func (lt *leaderTerm) observeTargets(model string, w Weights) fence.Targets {
-	least := time.Duration(0)
-	if clock.Now()-lt.began < 2*rolloutInterval {
-		least = lt.tasks.config.RolloutTimeout / 2
-	}
-	groupNow := lt.node.groupNow()
-	lt.targets[model] = w.ObserveTargets(lt.targets[model], time.Now(), func(t fence.Target) time.Duration { return max(groupNow.Sub(t.At), least) })
-	return lt.targets[model]
-}
-
-// pace returns the pace of a rollout of targets.
-func (lt *leaderTerm) pace(targets fence.Targets) fence.RolloutPace {
-	p := fence.RolloutPace{Allowed: lt.tasks.config.RolloutTimeout, LoadTime: lt.loadTime}
-	if interval, ok := targets.Interval(); ok {
-		p.Superseded = interval < p.Allowed
-	}
-	return p
-}
-
 // sendDueCommands starts the commands that are due for one model.
 func (lt *leaderTerm) sendDueCommands(ctx context.Context, running *sync.WaitGroup, l *member.List, model string, targets fence.Targets) {
 	now, wallNow, want := clock.Now(), time.Now(), targets.Latest()
@@ -125,54 +104,6 @@
 	return true
 }
 
-// engineState is what an engine last said of itself.
-type engineState struct {
-	// born identifies the engine's incarnation.
-	born int64
-	// weights holds the versions that it had loaded, by model, as received at a time.
-	weights map[string]uint64
-	at      time.Duration
-	// commands is the number of commands that it has accepted; none while that isn't known.
-	commands value.Option[uint64]
-}
-
-// loadedVersion returns the version of a model's weights that an engine has, by its latest word: its own, or what
-// the list says once that can't be older. The caller holds termMu.
-func (lt *leaderTerm) loadedVersion(e *member.Endpoint, model string) uint64 {
-	s, ok := lt.reports[e.ID]
-	if reported, known := s.weights[model]; ok && known && s.born == e.Born && lt.listedAt < s.at+lt.tasks.config.ListLag+reportMaxAge {
-		return reported
-	}
-	return e.Weights[model]
-}
-
-// report requests an engine's state and records it.
-func (lt *leaderTerm) report(ctx context.Context, to *member.Endpoint) (EngineReport, error) {
-	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
-	defer cancel()
-	r, err := lt.tasks.config.Platform.Report(ctx, to)
-	if err != nil {
-		lt.tasks.config.Events.Emit(event.CommandFailed, "endpoint", to.ID, "duty", "report", "err", err)
-		return r, err
-	}
-	lt.termMu.Lock()
-	defer lt.termMu.Unlock()
-	lt.reports[to.ID] = engineState{born: to.Born, weights: r.Weights, at: clock.Now(), commands: r.Commands}
-	return r, nil
-}
-
-// updateState changes what is known of an engine.
-func (lt *leaderTerm) updateState(to *member.Endpoint, change func(s *engineState)) {
-	lt.termMu.Lock()
-	defer lt.termMu.Unlock()
-	s := lt.reports[to.ID]
-	if s.born != to.Born {
-		s = engineState{born: to.Born}
-	}
-	change(&s)
-	lt.reports[to.ID] = s
-}
-
 // loadWeights commands one engine to load weights and polls it until it has loaded them.
 func (lt *leaderTerm) loadWeights(ctx context.Context, to *member.Endpoint, o WeightsCommand) {
 	began := clock.Now()
@@ -218,8 +149,8 @@
 	lt.lastCommand[to.ID] = c
 }
 
-// commandLoad sends an engine a command that no later one can precede: it names how many commands the engine has accepted.
-// It reports whether the engine has the weights already.
+// commandLoad commands an engine to load weights and reports whether it has them already. The command names how many others
+// the engine has accepted, so that the engine rejects it if it arrives after a later one.
 func (lt *leaderTerm) commandLoad(ctx context.Context, to *member.Endpoint, o WeightsCommand) (done bool, err error) {
 	lt.termMu.Lock()
 	state := lt.reports[to.ID]
--- a/ctrl/rollout_test.go
+++ b/ctrl/rollout_test.go
@@ -1,6 +1,7 @@
 package ctrl_test
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"net/netip"
@@ -24,8 +25,8 @@
 	// unanswered makes the engine carry out commands only later: they are kept in late.
 	unanswered bool
 	late       []ctrl.WeightsCommand
-	// reported is the version that the engine last reported.
-	reported uint64
+	// reported is the version that the engine last reported, listed the one that the list shows; zero for the present one.
+	reported, listed uint64
 }
 
 func (p *swapPlatform) Endpoints(context.Context) ([]member.Endpoint, error) {
@@ -33,7 +34,7 @@
 	defer p.mu.Unlock()
 	e := p.engines[0]
 	e.Weights = maps.Clone(e.Weights)
-	e.Weights["m"] = p.version
+	e.Weights["m"] = cmp.Or(p.listed, p.version)
 	return []member.Endpoint{e}, nil
 }
 
@@ -76,6 +77,12 @@
 
 // startSwaps starts a control VM that brings the engine to the target versions, and a function that sets them.
 func startSwaps(t *testing.T) (p *swapPlatform, setTarget func(version uint64)) {
+	t.Helper()
+	return startSwapsAt(t, 100*time.Millisecond)
+}
+
+// startSwapsAt is startSwaps with a list that may lag for so long.
+func startSwapsAt(t *testing.T, lag time.Duration) (p *swapPlatform, setTarget func(version uint64)) {
 	t.Helper()
 	p = &swapPlatform{staticPlatform: threeEngines(), version: 1}
 	p.store = netip.AddrPort{}
@@ -83,7 +90,7 @@
 	n := c.node(c.leader())
 	hub := ctrl.NewHub(n)
 	tasks := ctrl.NewLeaderTasks(ctrl.LeaderTasksConfig{
-		Member: func() (*ctrl.Node, *ctrl.Hub) { return n, hub }, Holder: "n", Platform: p, ListInterval: 50 * time.Millisecond, ListLag: 100 * time.Millisecond,
+		Member: func() (*ctrl.Node, *ctrl.Hub) { return n, hub }, Holder: "n", Platform: p, ListInterval: 50 * time.Millisecond, ListLag: lag,
 		RolloutTimeout: time.Hour,
 	})
 	t.Cleanup(tasks.Close)
@@ -132,3 +139,37 @@
 	p.mu.Unlock()
 	p.waitVersion(t, 3)
 }
+
+// TestLaggingListCausesNoCommand guards against commands to an engine that has loaded the weights and that the list shows with
+// the former ones.
+func TestLaggingListCausesNoCommand(t *testing.T) {
+	p, setTarget := startSwapsAt(t, time.Hour)
+	p.mu.Lock()
+	p.listed = 1
+	p.mu.Unlock()
+	setTarget(2)
+	p.waitVersion(t, 2)
+	// Some rounds of the rollout, and the time after which a command without effect is sent again.
+	time.Sleep(4 * time.Second)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	check.Equal(t, "commands accepted", p.accepted, uint64(1))
+}
+
+// TestConflictIsFollowedByReport guards against an engine that has accepted a command of another control VM and rejects all
+// others, since each expects that it hasn't.
+func TestConflictIsFollowedByReport(t *testing.T) {
+	p, setTarget := startSwaps(t)
+	setTarget(2)
+	p.waitVersion(t, 2)
+	check.Eventually(t, "a report", func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.reported == 2
+	})
+	p.mu.Lock()
+	p.accepted += 3
+	p.mu.Unlock()
+	setTarget(3)
+	p.waitVersion(t, 3)
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -48,7 +48,7 @@
 	SyncUnreadable   = declare(229, "syncbad", "warn", "A response to a sync with control could not be read or doesn't continue what this entry holds. The entry asks for a whole.")
 	BuildsListed     = declare(230, "builds", "info", "The builds of endpoints' software that the platform's list shows have changed.")
 	RowUnreadable    = declare(231, "oddrow", "warn", "An entry of the platform's list of endpoints, the token of its next page or a row of a store's or engine's list could not be read and was skipped; the others hold. Each is reported once, 16 a minute at most.")
-	GroupSpare       = declare(232, "spare", "info", "How many more control VMs the group can lose changed, as its leader knows. Below the number that the deployment is to tolerate, replace the VMs listed as unheard.")
+	GroupSpare       = declare(232, "spare", "info", "The number of control VMs that the group can still lose has changed, to its leader's knowledge. Below the number that the deployment is to tolerate, replace the VMs listed as unheard.")
 	Departing        = declare(233, "departing", "info", "This control VM stops and asks to be removed from the group, which has enough others.")
 	Settled          = declare(213, "settled", "info", "An operator settled a request whose outcome was unknown.")
 )
--- a/fence/rollout.go
+++ b/fence/rollout.go
@@ -18,7 +18,7 @@
 	LastCommand time.Duration
 	// Busy is true while it executes a command.
 	Busy bool
-	// InFlight is the number of requests in flight.
+	// InFlight is the number of requests in flight; zero if the owner doesn't know.
 	InFlight int
 	// Draining engines get no commands.
 	Draining bool
--- a/fence/rollout_test.go
+++ b/fence/rollout_test.go
@@ -129,3 +129,17 @@
 		}
 	}
 }
+
+// Guards against engines that all change weights at once, and lose their cached parts, for a target that is about to be
+// superseded: the pace is the least at which each has it in time.
+func TestSupersededTargetChangesNoMoreThanNeeded(t *testing.T) {
+	engines := make([]fence.Engine, 40)
+	for i := range engines {
+		engines[i] = fence.Engine{ID: fmt.Sprintf("w%02d", i), Version: 1, Target: 3, Behind: time.Second}
+	}
+	// 40 changes of one second each in the five seconds that are left of six.
+	pace := fence.RolloutPace{Allowed: 10 * time.Second, LoadTime: time.Second, Superseded: true}
+	check.Equal(t, "commands while targets follow each other", len(fence.PlanRollout(engines, 0, pace)), 8)
+	pace.Superseded = false
+	check.Equal(t, "commands for a target of its own", len(fence.PlanRollout(engines, 0, pace)), 16)
+}
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -87,7 +87,7 @@
 		e.recordUnanswered(j, to)
 		return e.retry(ctx, j, to, out, outcomeFailed, reasonUnsigned, reply.Status)
 	}
-	if out.headerSent && !out.isContinuedBy(reply) {
+	if out.headerSent && !out.continuesWith(reply) {
 		e.endAttempt(to, true, began)
 		return e.retry(ctx, j, to, out, outcomeFailed, reasonLost, reply.Status)
 	}
@@ -172,7 +172,7 @@
 	if outcome == outcomeLost || outcome == outcomeBrokenOff {
 		endangers = e.recordBrokenRun(ctx, j, to) && !e.canLoseMore(j.pool, to)
 	}
-	if out.mayGoOn() && (j.givenUp || !endangers && j.route.Repeatable() && j.possibleRuns < j.route.Attempts && e.allowRetry(j.pool)) {
+	if out.isContinuable() && (j.givenUp || !endangers && j.route.Repeatable() && j.possibleRuns < j.route.Attempts && e.allowRetry(j.pool)) {
 		e.recordAttempt(j, to, outcome, "again", status)
 		return true, nil
 	}
--- a/pass/origin.go
+++ b/pass/origin.go
@@ -117,8 +117,8 @@
 	}
 }
 
-// relistTime is how long after the end of an endpoint's process the list may still show the former process: it lags, is read each
-// half second, and is passed on with the next sync.
+// relistTime is how long after an endpoint's process has ended, or its weights have changed, the list may still show the former
+// state: it lags, is read each half second, and is passed on with the next sync.
 const relistTime = 3 * time.Second
 
 // mayGoOnAt reports whether the request's stream may run at an endpoint. A stream may begin only at builds that control knows of:
--- a/pass/place.go
+++ b/pass/place.go
@@ -279,9 +279,9 @@
 	return defaultPrefillRate
 }
 
-// version returns the version of a model's weights that the endpoint is expected to run, by its latest word: that of the
-// list, or that of a response. A list that shows another version than before counts from when this entry first saw
-// it, unless a response shortly before named a newer one, which the list may not show yet.
+// version returns the version of a model's weights that the endpoint is expected to run, by whichever is more recent, the
+// list or a response. A version in the list dates from when this entry first saw it there, but the list lags: a response
+// with a higher version shortly before is taken for more recent.
 func (s *endpointState) version(to *member.Endpoint, model string) uint64 {
 	listed := to.Weights[model]
 	v, ok := s.versions[model]
@@ -297,15 +297,12 @@
 		return listed
 	case !v.at.Before(v.listedAt):
 		return v.observed
-	case v.observed > listed && v.listedAt.Sub(v.at) < maxListLag:
+	case v.observed > listed && v.listedAt.Sub(v.at) < relistTime:
 		return v.observed
 	}
 	return listed
 }
 
-// maxListLag is how long after an endpoint the list may still show its former weights.
-const maxListLag = 3 * time.Second
-
 // observeVersion records the weights version that a response reported.
 func (s *endpointState) observeVersion(model string, version uint64, now time.Time) {
 	if model != "" && version > 0 {
--- a/pass/relay.go
+++ b/pass/relay.go
@@ -18,9 +18,9 @@
 	stream bool
 	// headerSent is set once status and headers were sent.
 	headerSent bool
-	// begunBy is the reply whose status and headers were sent; events says that its body is a stream of events.
-	begunBy *Reply
-	events  bool
+	// firstReply is the reply whose status and headers were sent; events is set if its body is a stream of events.
+	firstReply *Reply
+	events     bool
 	// lastEventID is the ID of the last event sent, eventLines the number of lines of events sent.
 	lastEventID string
 	eventLines  int
@@ -43,7 +43,7 @@
 	if r.headerSent {
 		return
 	}
-	r.headerSent, r.begunBy, r.events = true, reply, r.isEvents(reply)
+	r.headerSent, r.firstReply, r.events = true, reply, r.isEvents(reply)
 	h := r.w.Header()
 	for name, values := range reply.Header {
 		h[name] = values
@@ -64,15 +64,15 @@
 	return r.stream && reply.Status < 300 && (kind == "" || body.IsEvents(kind))
 }
 
-// mayGoOn reports whether another attempt may produce the rest of the response. A response that has begun goes on only
-// behind an event with an ID: any other one would be joined from two.
-func (r *relay) mayGoOn() bool {
+// isContinuable reports whether another attempt may produce the rest of the response. Once data was sent, that takes a
+// stream whose last event has an ID to resume from; anything else would mix two responses.
+func (r *relay) isContinuable() bool {
 	return !r.headerSent || r.events && (r.lastEventID != "" || r.eventLines == 0)
 }
 
-// isContinuedBy reports whether a reply is of the kind that the response began with.
-func (r *relay) isContinuedBy(reply *Reply) bool {
-	return r.mayGoOn() && r.isEvents(reply) && reply.Status == r.begunBy.Status && body.IsSameType(reply.Header.Get("Content-Type"), r.begunBy.Header.Get("Content-Type"))
+// continuesWith reports whether a reply may supply the rest of the response: it has the status and the type of the first.
+func (r *relay) continuesWith(reply *Reply) bool {
+	return r.isContinuable() && r.isEvents(reply) && reply.Status == r.firstReply.Status && body.IsSameType(reply.Header.Get("Content-Type"), r.firstReply.Header.Get("Content-Type"))
 }
 
 // copy relays one response and sets *first when its first bytes arrive. Its errors are of type Lost; those of
@@ -157,7 +157,7 @@
 		}
 		pending = append(pending, buf[:n]...)
 		if at := body.StatusLine(pending, scanned); at >= 0 {
-			// The endpoint broke its response off and wrote another one.
+			// The endpoint broke its response off and wrote another one. Only the events before that are relayed.
 			end = min(end, body.LastEventEnd(pending[:at]))
 			err = BrokenOff.New("the stream holds the head of another response")
 		}
--- a/quorum/upkeep_test.go
+++ b/quorum/upkeep_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"egretshunt/check"
+	"egretshunt/quorum"
 )
 
 // TestGroupRecoversFromOverlappingDisruptions draws two series of disruptions, of which one replaces VMs. After calm each
@@ -133,3 +135,38 @@
 	check.Equal(t, "the one that is gone counts", members.HasVoter(others[1].id), false)
 	check.Equal(t, "the one that has stopped counts", members.HasVoter(others[0].id), true)
 }
+
+// TestLearnerGivesWay guards against a learner that is gone and keeps others from joining: one at the same address whose disk is
+// lost once more, or one that is silent.
+func TestLearnerGivesWay(t *testing.T) {
+	newcomer := quorum.Member{ID: "new", Addr: netip.MustParseAddrPort("10.0.0.99:1")}
+	for name, c := range map[string]struct {
+		silence time.Duration
+		addr    netip.AddrPort
+		removed bool
+	}{
+		"just joined":             {0, newcomer.Addr, false},
+		"silent for a second":     {time.Second, newcomer.Addr, false},
+		"silent for longer":       {2 * time.Second, newcomer.Addr, true},
+		"newcomer at its address": {0, netip.MustParseAddrPort("10.0.0.98:1"), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(t, 1, 1)
+			id, _ := s.roles(t)
+			leader := s.members[id].core
+			// Nothing runs as this learner.
+			check.NoError(t, leader.Join(s.now, quorum.Member{ID: "learner", Addr: netip.MustParseAddrPort("10.0.0.98:1")}))
+			s.run(200 * time.Millisecond)
+			if c.silence > 0 {
+				s.run(c.silence)
+			}
+			check.Kind(t, leader.Join(s.now, quorum.Member{ID: newcomer.ID, Addr: c.addr}), quorum.Busy)
+			s.run(200 * time.Millisecond)
+			_, stays := leader.Members().Find("learner")
+			check.Equal(t, "was removed", !stays, c.removed)
+			if c.removed {
+				check.NoError(t, leader.Join(s.now, quorum.Member{ID: newcomer.ID, Addr: c.addr}))
+			}
+		})
+	}
+}
