--- a/quorum/upkeep_test.go
+++ b/quorum/upkeep_test.go
@@ -12,6 +12,13 @@
 	"egretshunt/quorum"
 )
 
+// eachTolerance runs a test on groups that bear one loss and two.
+func eachTolerance(t *testing.T, test func(t *testing.T, s *simulation)) {
+	for _, tolerance := range []int{1, 2} {
+		t.Run(fmt.Sprint("tolerance ", tolerance), func(t *testing.T) { test(t, newSimulation(t, 1, tolerance)) })
+	}
+}
+
 // TestGroupRecoversFromOverlappingDisruptions draws two series of disruptions, of which one replaces VMs. After calm each
 // running VM must be a voter, and the group must bear the losses that it is to tolerate.
 func TestGroupRecoversFromOverlappingDisruptions(t *testing.T) {
@@ -36,85 +43,73 @@
 // TestFrozenMemberIsReplacedAndReturns guards against a group that counts a VM that is gone and leaves out one that runs:
 // a frozen VM gave way to a new one, was never told, and the one that had left stayed.
 func TestFrozenMemberIsReplacedAndReturns(t *testing.T) {
-	for _, tolerance := range []int{1, 2} {
-		t.Run(fmt.Sprint("tolerance ", tolerance), func(t *testing.T) {
-			s := newSimulation(t, 1, tolerance)
-			_, others := s.roles(t)
-			s.freeze(others[0], 4*time.Second)
-			s.run(2 * time.Second)
-			s.startSuccessor(others[1], 0)
-			s.run(5 * time.Second)
-			s.note("%s leaves", others[1].id)
-			s.leave(others[1])
-			s.waitCalm()
-			s.checkCalm()
-		})
-	}
+	eachTolerance(t, func(t *testing.T, s *simulation) {
+		_, others := s.roles(t)
+		s.freeze(others[0], 4*time.Second)
+		s.run(2 * time.Second)
+		s.startSuccessor(others[1], 0)
+		s.run(5 * time.Second)
+		s.note("%s leaves", others[1].id)
+		s.leave(others[1])
+		s.waitCalm()
+		s.checkCalm()
+	})
 }
 
 // TestDepartureOfReplacedMember guards against a group that can't bear a loss for some seconds after a planned
 // replacement: the VM that had left still counted towards the majority.
 func TestDepartureOfReplacedMember(t *testing.T) {
-	for _, tolerance := range []int{1, 2} {
-		t.Run(fmt.Sprint("tolerance ", tolerance), func(t *testing.T) {
-			s := newSimulation(t, 1, tolerance)
-			old := s.present()[0]
-			s.startSuccessor(old, 0)
-			s.leaveWhenCaughtUp(old)
-			for !old.gone {
-				s.run(tickInterval)
-			}
-			for _, v := range s.present()[:tolerance] {
-				s.wipe(v, time.Second)
-			}
-			s.waitCalm()
-			s.checkCalm()
-		})
-	}
+	eachTolerance(t, func(t *testing.T, s *simulation) {
+		old := s.present()[0]
+		s.startSuccessor(old, 0)
+		s.leaveWhenCaughtUp(old)
+		for !old.gone {
+			s.run(tickInterval)
+		}
+		for _, v := range s.present()[:s.tolerance] {
+			s.wipe(v, time.Second)
+		}
+		s.waitCalm()
+		s.checkCalm()
+	})
 }
 
 // TestSuccessorReplacesSilentVoter guards against a successor that becomes a voter beside the VM that is gone: a majority
 // of four needs all three that run, and the next freeze stops the group.
 func TestSuccessorReplacesSilentVoter(t *testing.T) {
-	for _, tolerance := range []int{1, 2} {
-		t.Run(fmt.Sprint("tolerance ", tolerance), func(t *testing.T) {
-			s := newSimulation(t, 1, tolerance)
-			leader, others := s.roles(t)
-			s.leave(others[0])
-			s.startSuccessor(others[0], time.Second)
-			for until := s.now + catchUp; s.now < until; {
-				s.run(tickInterval)
-				if voters := s.members[leader].core.Members().Voters; len(voters) > s.options.Upkeep.Voters {
-					t.Fatalf("%d voters, want at most %d", len(voters), s.options.Upkeep.Voters)
-				}
+	eachTolerance(t, func(t *testing.T, s *simulation) {
+		leader, others := s.roles(t)
+		s.leave(others[0])
+		s.startSuccessor(others[0], time.Second)
+		for until := s.now + catchUp; s.now < until; {
+			s.run(tickInterval)
+			if voters := s.members[leader].core.Members().Voters; len(voters) > s.options.Upkeep.Voters {
+				t.Fatalf("%d voters, want at most %d", len(voters), s.options.Upkeep.Voters)
 			}
-			s.checkCalm()
-		})
-	}
+		}
+		s.checkCalm()
+	})
 }
 
 // TestNewLeaderWaitsForVoters guards against a leader that has just been elected, counts all voters as present, and makes a
 // successor a voter beside the one that is gone.
 func TestNewLeaderWaitsForVoters(t *testing.T) {
-	for _, tolerance := range []int{1, 2} {
-		t.Run(fmt.Sprint("tolerance ", tolerance), func(t *testing.T) {
-			s := newSimulation(t, 1, tolerance)
-			leader, others := s.roles(t)
-			s.leave(others[0])
-			s.startSuccessor(others[0], 0)
-			s.crash(leader)
-			s.hold(s.find(leader), 100*time.Millisecond, func() { s.start(leader, s.initial) })
-			for until := s.now + recoverTime; s.now < until; {
-				s.run(tickInterval)
-				for _, v := range s.present() {
-					if voters := s.members[v.id].core.Members().Voters; len(voters) > s.options.Upkeep.Voters {
-						t.Fatalf("%s counts %d voters, want at most %d", v.id, len(voters), s.options.Upkeep.Voters)
-					}
+	eachTolerance(t, func(t *testing.T, s *simulation) {
+		leader, others := s.roles(t)
+		s.leave(others[0])
+		s.startSuccessor(others[0], 0)
+		s.crash(leader)
+		s.hold(s.find(leader), 100*time.Millisecond, func() { s.start(leader, s.initial) })
+		for until := s.now + recoverTime; s.now < until; {
+			s.run(tickInterval)
+			for _, v := range s.present() {
+				if voters := s.members[v.id].core.Members().Voters; len(voters) > s.options.Upkeep.Voters {
+					t.Fatalf("%s counts %d voters, want at most %d", v.id, len(voters), s.options.Upkeep.Voters)
 				}
 			}
-			s.checkCalm()
-		})
-	}
+		}
+		s.checkCalm()
+	})
 }
 
 // TestLeavingMemberLetsGoneOneGoFirst guards against a group that removes a member which stops, perhaps only to restart, while
