--- a/pass/begun_test.go
+++ b/pass/begun_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"egretshunt/check"
+	"egretshunt/origin"
 	"egretshunt/pass"
 )
 
@@ -114,3 +115,12 @@
 	check.Equal(t, "aborted", aborted, true)
 	check.Equal(t, "sends, of two allowed", len(fx.backend.sends), 2)
 }
+
+// TestResumedStreamWithoutEvents guards against a client that resumes a stream behind its last event and gets no response: the
+// endpoint's own empty one is complete.
+func TestResumedStreamWithoutEvents(t *testing.T) {
+	fx := newFixture(t, respondStream(""))
+	fx.feed.origins = map[origin.Key]origin.Build{origin.KeyOf("a", "first"): {Pool: "p"}}
+	got, aborted := fx.call("/resume/x", "k", resuming("first"))
+	check.Equal(t, "response", []any{got.Code, got.Body.String(), aborted}, []any{200, "", false})
+}
--- a/quorum/health.go
+++ b/quorum/health.go
@@ -168,7 +168,7 @@
 	return c.silentVoter(now, maxSilence)
 }
 
-// maintainGroup removes a member that counts as gone for good.
+// maintainGroup removes a member that has been silent for so long that it counts as gone.
 func (c *Core) maintainGroup(now time.Duration) {
 	if c.upkeep.Voters == 0 {
 		return
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -37,7 +37,7 @@
 	options  quorum.Options
 	inFlight []quorum.Message
 	isolated map[quorum.ID]bool
-	// frozen holds the messages for members that stand still, which get them when they go on.
+	// frozen holds the messages for frozen members, which get them when they resume.
 	frozen map[quorum.ID][]quorum.Message
 	// committed is every entry that any member applied, by index: the oracle.
 	committed map[uint64]string
