limit, pass: ends before a stream went on don't count against it

Callers saw: a long stream that broke off and was resumed got 503 "it crashes endpoints" for 10 s, until its client gave up, after three endpoints had been replaced under it.

Cause: three ends in sequence under one content count as a request that crashes endpoints, whatever lay between them. A stream that goes on at another endpoint has got past the point at which the former one ended: that end had another cause.

Ruled out: reports counted twice, attempts that overlapped, another request that explains the ends.

Change: a report says whether its attempt had resumed a stream and passed on a further event; in the count such an attempt begins the sequence anew. From the fifth end on all count, as a tie between parts does: a stream may exhaust endpoints at any point. Logged with the reports.

Why it works: a request that crashes what begins to run it has no further event, so nothing changes for it; a sound stream has one within 30 ms.

--- a/ctrl/crash.go
+++ b/ctrl/crash.go
@@ -46,7 +46,7 @@
 	v := crashes.Verdicts(h.node.groupNow())
 	quarantined := value.SetOf(append(v.Refused, v.Trial...)...)
 	for _, r := range command.Reports {
-		events.Emit(event.CrashCounted, "print", r.Fingerprint, "endpoint", r.Endpoint, "entry", req.GetNode(), "part", r.Part, "count", crashes.Crashes(r.Fingerprint),
+		events.Emit(event.CrashCounted, "print", r.Fingerprint, "endpoint", r.Endpoint, "entry", req.GetNode(), "part", r.Part, "resumed", r.Resumed, "count", crashes.Crashes(r.Fingerprint),
 			"spent", r.Age.Milliseconds(), "waited", r.Ended.Milliseconds(), "term", h.node.Status().Term)
 		if quarantined.Has(r.Fingerprint) {
 			events.Emit(event.Quarantined, "print", r.Fingerprint)
@@ -61,7 +61,7 @@
 // decodeCrash decodes a crash that an entry reports. An entry of a former version doesn't date the end.
 func decodeCrash(req *wire.Sync, c *wire.Crash) limit.CrashReport {
 	r := limit.CrashReport{
-		ID: c.GetId(), Fingerprint: c.GetPrint(), Endpoint: c.GetEndpoint(), Born: c.GetBorn(), Wide: c.GetWide(), Part: c.GetPart(),
+		ID: c.GetId(), Fingerprint: c.GetPrint(), Endpoint: c.GetEndpoint(), Born: c.GetBorn(), Wide: c.GetWide(), Part: c.GetPart(), Resumed: c.GetResumed(),
 		Age: time.Duration(c.GetAgeMs()) * time.Millisecond,
 	}
 	if req.GetClock() != "" {
@@ -170,7 +170,7 @@
 	}
 	for _, c := range e.reports {
 		req.Crashes = append(req.Crashes, &wire.Crash{
-			Id: c.ID, Print: c.Fingerprint, Endpoint: c.Endpoint, Born: c.Born, Wide: c.Wide, Part: c.Part,
+			Id: c.ID, Print: c.Fingerprint, Endpoint: c.Endpoint, Born: c.Born, Wide: c.Wide, Part: c.Part, Resumed: c.Resumed,
 			AgeMs: uint32((now - c.sent).Milliseconds()), SentUs: c.sent.Microseconds(), EndedUs: c.ended.Microseconds(),
 		})
 	}
--- a/ctrl/crash_test.go
+++ b/ctrl/crash_test.go
@@ -76,6 +76,24 @@
 	check.Equal(t, "still refused in the next term", second.RejectedFor(fingerprint("bad")) > 0, true)
 }
 
+// TestResumedStreamIsNotQuarantined guards against a report on its way to control that loses how far a stream got: a stream that goes
+// on at another endpoint after each end isn't the cause.
+func TestResumedStreamIsNotQuarantined(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1)
+	addr, keys := serveControl(t, ctrl.ServerConfig{Node: c.node(c.leader()), Hub: ctrl.NewHub(c.node(c.leader()))})
+	entry := newFeed(t, keys, "e0", addr)
+	check.Eventually(t, "a fresh feed", entry.Fresh)
+	for i := range limit.MaxAttributedCrashes {
+		for name, resumed := range map[string]bool{"stream": i > 0, "bad": false} {
+			entry.RecordCrash(limit.CrashReport{Fingerprint: name, Endpoint: fmt.Sprint(name, i), Resumed: resumed})
+		}
+	}
+	check.Eventually(t, "refused", func() bool { return entry.RejectedFor(fingerprint("bad")) == limit.CrashRetryAfter })
+	check.Equal(t, "the stream that goes on is refused for", entry.RejectedFor(fingerprint("stream")), time.Duration(0))
+	check.Equal(t, "ends that count against it", c.node(c.leader()).Crashes().Crashes("stream"), 1)
+}
+
 // TestOneTrialOfQuarantinedRequest guards against a quarantine that ends by time at all entries at once: after a while
 // one run is allowed at one entry, a crash refuses the request again, and a run that completes frees it.
 func TestOneTrialOfQuarantinedRequest(t *testing.T) {
--- a/event/fields.go
+++ b/event/fields.go
@@ -74,6 +74,7 @@
 		{"rate", "Limit that an endpoint has named, in requests a second."},
 		{"requests", "Number of requests in flight."},
 		{"rest", "Bytes of an incomplete event that followed the last complete one."},
+		{"resumed", "Whether the attempt had resumed a stream and passed on a further event of it."},
 		{"resumes", "ID of the client attempt that began the stream that this request goes on with; empty if it begins one."},
 		{"rev", "Revision of the tables."},
 		{"role", "Role of the process."},
--- a/limit/attribute.go
+++ b/limit/attribute.go
@@ -15,7 +15,7 @@
 	// prompts, before it is refused.
 	MaxAttributedCrashes = 3
 	// maxAmbiguousCrashes is how many are attributed to a part while another one was present at each of
-	// them too, before one of them is refused.
+	// them too, before one of them is refused, and to a stream that gets further after each of them.
 	maxAmbiguousCrashes = 5
 	// soundnessTime is how long after the first repeated crash entries have to report that responses to
 	// prompts with a part begin: a sync and a first token.
--- a/limit/evidence.go
+++ b/limit/evidence.go
@@ -17,6 +17,8 @@
 	// Clock names the run of the entry's process that made the attempt, Start is when it was sent by that process's clock.
 	Clock string        `json:"clock,omitempty"`
 	Start time.Duration `json:"start,omitempty"`
+	// Resumed is set if the attempt resumed a stream and had an event of its own.
+	Resumed bool `json:"resumed,omitempty"`
 	// Uncounted is set in records of former versions for an attempt that overlapped another one.
 	Uncounted bool `json:"beside,omitempty"`
 }
@@ -78,16 +80,27 @@
 
 // countInSequence returns the largest number of crashes of which each attempt began after the one before had ended.
 // Endpoints that end together under equal requests, or requests that share a part, show no more than one that ends.
+//
+// A stream that was resumed and went on got past the point at which its former endpoint ended, so that earlier crashes don't
+// count: endpoints that are replaced one after the other end under a long stream as often as they would under one that crashes
+// them. From maxAmbiguousCrashes on all count, since a stream may also exhaust an endpoint at any point.
 func countInSequence(crashes []crash) int {
 	if len(crashes) < 2 {
 		return len(crashes)
 	}
-	n := 0
+	all, n := 0, 0
 	var last crash
 	for _, c := range sortedByEnd(crashes) {
-		if n == 0 || c.follows(last) {
-			n, last = n+1, c
+		if all > 0 && !c.follows(last) {
+			continue
+		}
+		if c.Resumed {
+			n = 0
 		}
+		all, n, last = all+1, n+1, c
+	}
+	if all >= maxAmbiguousCrashes {
+		return all
 	}
 	return n
 }
@@ -134,6 +147,8 @@
 	// Wide is set if the fingerprint leaves out the query, Part if it is of a part of the prompt and the attempt had no output.
 	Wide bool `json:"wide,omitempty"`
 	Part bool `json:"part,omitempty"`
+	// Resumed is set if the attempt resumed a stream behind its latest event and had a further one.
+	Resumed bool `json:"resumed,omitempty"`
 	// Age and Ended are how long before the report the attempt began and ended.
 	Age   time.Duration `json:"age,omitempty"`
 	Ended time.Duration `json:"ended,omitempty"`
@@ -148,6 +163,6 @@
 // crash returns the crash that is reported at now.
 func (r CrashReport) crash(now time.Time) crash {
 	return crash{
-		Report: r.ID, Endpoint: r.Endpoint, Born: r.Born, Sent: now.Add(-max(r.Age, r.Ended)), At: now.Add(-r.Ended), Clock: r.Clock, Start: r.Start,
+		Report: r.ID, Endpoint: r.Endpoint, Born: r.Born, Sent: now.Add(-max(r.Age, r.Ended)), At: now.Add(-r.Ended), Clock: r.Clock, Start: r.Start, Resumed: r.Resumed,
 	}
 }
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -52,8 +52,10 @@
 		j.heardAt = time.Now()
 		e.recordResponse(to)
 	}
-	j.attemptAt, j.heardAt, j.attemptBegun = began, began, false
+	j.attemptAt, j.heardAt, j.attemptBegun, j.attemptResumed = began, began, false, false
 	out.begun = func() { e.recordBegun(j) }
+	resumes := j.resumes() || out.lastEventID != ""
+	out.onEvent = func() { j.attemptResumed = resumes }
 	if j.isResumable() {
 		out.bind = func() error { return e.bindStream(ctx, j) }
 	}
--- a/pass/relay.go
+++ b/pass/relay.go
@@ -30,8 +30,8 @@
 	// clientGone is set once a write to the client has failed.
 	clientGone bool
 	// first is called at the first data of each response, begun before its first complete output is sent,
-	// onData whenever response data arrives.
-	first, begun, onData func()
+	// onData whenever response data arrives, onEvent after events with an ID were sent.
+	first, begun, onData, onEvent func()
 	// bind is called before the first event of a response is sent; its error ends the response. Nil means that nothing is to be done.
 	bind func() error
 }
@@ -235,6 +235,9 @@
 		}
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			r.lastEventID = string(bytes.TrimSpace(id))
+			if r.onEvent != nil {
+				r.onEvent()
+			}
 		}
 	}
 }
--- a/pass/report.go
+++ b/pass/report.go
@@ -111,7 +111,7 @@
 // ended before.
 func (e *Entry) reportCrash(id string, r limit.CrashReport) {
 	e.config.View.RecordCrash(r)
-	e.config.Events.Emit(event.CrashReported, "id", id, "endpoint", r.Endpoint, "born", r.Born, "print", r.Fingerprint, "part", r.Part)
+	e.config.Events.Emit(event.CrashReported, "id", id, "endpoint", r.Endpoint, "born", r.Born, "print", r.Fingerprint, "part", r.Part, "resumed", r.Resumed)
 }
 
 // downOverrideTime is how long response data counts against control's report that its endpoint
--- a/pass/serve.go
+++ b/pass/serve.go
@@ -70,6 +70,8 @@
 	// attemptBegun is set once it has had output.
 	attemptAt, heardAt time.Time
 	attemptBegun       bool
+	// attemptResumed is set once the current attempt has resumed a stream: an event followed those that the client has.
+	attemptResumed bool
 	// firstByteAt is when the first byte of the response arrived; zero before.
 	firstByteAt time.Time
 	// fetched and saved are the prompt tokens that the last attempt was to fetch and to save.
@@ -292,7 +294,7 @@
 func (j *job) crashReports(to *member.Endpoint, now time.Time) []limit.CrashReport {
 	var reports []limit.CrashReport
 	for i, fingerprint := range j.fingerprints() {
-		reports = append(reports, limit.CrashReport{Fingerprint: fingerprint(), Endpoint: to.ID, Born: to.Born, Wide: i > 0, Age: now.Sub(j.attemptAt)})
+		reports = append(reports, limit.CrashReport{Fingerprint: fingerprint(), Endpoint: to.ID, Born: to.Born, Wide: i > 0, Resumed: j.attemptResumed, Age: now.Sub(j.attemptAt)})
 	}
 	if j.attemptBegun {
 		return reports
