limit, pass: an end that the list shows late doesn't count against what has run soundly since

Cause: an end without a sign (its request is given up, and seconds later the list shows that the endpoint is gone) was reported as of the attempt, and what the entry had seen in between was lost: responses to prompts with the same parts, runs of the same request to the end. A response that begins cleared only what was already reported or counted.

Change: a run to the end, or a response that begins, also drops the kept runs of that request or part. Runs are counted by fingerprint, so that this costs nothing while there are none.

Why it works: what would be reported later is older than the proof that it is wrong.

Test: TestLateEndOfSoundContent fails without the change in two of its four cases (3 reports where 1 and 0 are wanted), the other two show that ends still count otherwise.

--- a/limit/unanswered.go
+++ b/limit/unanswered.go
@@ -22,6 +22,8 @@
 // UnansweredRuns is not safe for concurrent use.
 type UnansweredRuns struct {
 	runs []UnansweredRun
+	// counts holds the number of runs by fingerprint.
+	counts map[string]int
 }
 
 // UnansweredRun is a run of a request whose response did not arrive.
@@ -42,9 +44,33 @@
 // Add records a run.
 func (u *UnansweredRuns) Add(r UnansweredRun) {
 	if len(u.runs) >= maxUnansweredRuns {
+		u.uncount(u.runs[0])
 		u.runs = slices.Delete(u.runs, 0, 1)
 	}
 	u.runs = append(u.runs, r)
+	if u.counts == nil {
+		u.counts = map[string]int{}
+	}
+	u.counts[r.Report.Fingerprint]++
+}
+
+func (u *UnansweredRuns) uncount(r UnansweredRun) {
+	if u.counts[r.Report.Fingerprint]--; u.counts[r.Report.Fingerprint] == 0 {
+		delete(u.counts, r.Report.Fingerprint)
+	}
+}
+
+// Empty reports whether there are no runs.
+func (u *UnansweredRuns) Empty() bool { return len(u.runs) == 0 }
+
+// Clear removes the runs of a request that has run to the end since, or of a part of prompts the response to which has
+// begun since: an end that the list shows later doesn't speak against it.
+func (u *UnansweredRuns) Clear(fingerprint string) {
+	if u.counts[fingerprint] == 0 {
+		return
+	}
+	u.runs = slices.DeleteFunc(u.runs, func(r UnansweredRun) bool { return r.Report.Fingerprint == fingerprint })
+	delete(u.counts, fingerprint)
 }
 
 // AnyBroken reports whether MayHaveEnded holds for any request.
@@ -64,11 +90,15 @@
 	var ended []UnansweredRun
 	u.runs = slices.DeleteFunc(u.runs, func(r UnansweredRun) bool {
 		e := look(r.Report.Endpoint)
-		if !e.Listed || e.Born != r.Report.Born {
+		hasEnded := !e.Listed || e.Born != r.Report.Born
+		if hasEnded {
 			ended = append(ended, r)
-			return true
 		}
-		return e.Draining || now.Sub(r.At) > unansweredTime
+		if !hasEnded && !e.Draining && now.Sub(r.At) <= unansweredTime {
+			return false
+		}
+		u.uncount(r)
+		return true
 	})
 	return ended
 }
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -142,9 +142,7 @@
 	switch {
 	case err == nil:
 		if reply.Status < http.StatusInternalServerError && !reply.UntilClose {
-			for _, fingerprint := range j.fingerprints() {
-				e.config.View.RecordCompletion(fingerprint)
-			}
+			e.recordSound(j.fingerprints())
 		}
 		e.recordServed(j, to, reply, out)
 		return false, nil
--- a/pass/crash_test.go
+++ b/pass/crash_test.go
@@ -170,7 +170,7 @@
 				check.Eventually(t, "reported once the end is listed", func() bool { return fx.feed.reported() == c.reports })
 				return
 			}
-			time.Sleep(1200 * time.Millisecond)
+			time.Sleep(listSettleTime)
 			check.Equal(t, "reported once the end is listed", fx.feed.reported(), 0)
 		})
 	}
@@ -323,3 +323,45 @@
 	got, _ = fx.call("/once/x", "k")
 	check.Equal(t, "status of another request", got.Code, 200)
 }
+
+// TestLateEndOfSoundContent guards against requests and parts of prompts that are refused for the end of an endpoint that only the
+// list shows, seconds later: other endpoints have run them soundly meanwhile.
+func TestLateEndOfSoundContent(t *testing.T) {
+	for name, c := range map[string]struct {
+		next    func(*pass.Send) (*pass.Reply, error)
+		reports int
+	}{
+		"no further run":        {nil, 3},
+		"another unanswered":    {lost, 3},
+		"a response that began": {respondTruncated(eventA + "id"), 1},
+		"a run to the end":      {respondStream(eventA), 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fx := newFixture(t, func(s *pass.Send) (*pass.Reply, error) {
+				time.Sleep(50 * time.Millisecond)
+				return lost(s)
+			}, c.next)
+			fx.backend.life = member.Running
+			var ended atomic.Bool
+			all := fx.feed.list
+			fx.feed.listFunc = func() *member.List {
+				if ended.Load() {
+					return (&member.List{}).Index()
+				}
+				return all
+			}
+			fx.call("/stream/x", "k", func(call *pass.Call) { call.ClientTimeout = 30 * time.Millisecond })
+			if c.next != nil {
+				fx.call("/stream/x", "k")
+			}
+			ended.Store(true)
+			check.Eventually(t, "the end is listed", func() bool { return fx.feed.reported() >= c.reports })
+			time.Sleep(listSettleTime)
+			check.Equal(t, "reports", fx.feed.reported(), c.reports)
+		})
+	}
+}
+
+// listSettleTime is how long after a change of the list an entry has noticed it.
+const listSettleTime = 1200 * time.Millisecond
--- a/pass/report.go
+++ b/pass/report.go
@@ -56,9 +56,30 @@
 // recordBegun records that an endpoint has begun to respond to a prompt, so that none of its parts crashes it.
 func (e *Entry) recordBegun(j *job) {
 	j.attemptBegun = true
-	for _, fingerprint := range j.partFingerprints() {
+	e.recordSound(j.partFingerprints())
+}
+
+// recordSound records that an endpoint has run the request with a fingerprint to the end, or has begun to respond to a prompt
+// with a part: earlier ends of endpoints don't count against it, neither those that are reported nor those that the list is yet to show.
+func (e *Entry) recordSound(fingerprints []func() string) {
+	for _, fingerprint := range fingerprints {
 		e.config.View.RecordCompletion(fingerprint)
 	}
+	e.mu.Lock()
+	none := e.unanswered.Empty()
+	e.mu.Unlock()
+	if none {
+		return
+	}
+	names := make([]string, 0, len(fingerprints))
+	for _, fingerprint := range fingerprints {
+		names = append(names, fingerprint())
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, name := range names {
+		e.unanswered.Clear(name)
+	}
 }
 
 // recordBrokenRun records a run whose connection broke. Endpoints also break off responses and go on. One that
