limit: a part of prompts is refused only once a prompt that was sent since it is watched ended an endpoint

Callers saw: all prompts were refused for 10 s as if they crashed endpoints, after all endpoints had been replaced at about the same time.

Cause: that no response to a prompt with the part began within 300 ms of the second end counted as evidence against it, also where no prompt had been sent, or no endpoint ran, in that time. A report of an older end then decided.

Change: of the ends that count against a part, one must be of an attempt sent after entries were asked to watch it. Until then the requests beside it are judged by themselves.

Why it works: where endpoints run, the next prompt either begins, which clears the part, or ends another endpoint, which blames it.

Test: TestPartThatCrashesEndpoints, "no prompt was sent since the first ends", fails before the change; "one was sent since the first ends" holds with both.

--- a/limit/attribute.go
+++ b/limit/attribute.go
@@ -17,7 +17,7 @@
 	// maxAmbiguousCrashes is how many are attributed to a part while another one was present at each of
 	// them too, before one of them is refused, and to a stream that gets further after each of them.
 	maxAmbiguousCrashes = 5
-	// soundnessTime is how long after the first repeated crash entries have to report that responses to
+	// soundnessTime is the least time that entries have after the first repeated crash to report that responses to
 	// prompts with a part begin: a sync and a first token.
 	soundnessTime = 300 * time.Millisecond
 	// MinRestartTime is the least time in which a crashed endpoint runs again: losses at one
--- a/limit/blame.go
+++ b/limit/blame.go
@@ -158,7 +158,7 @@
 type decision int
 
 const (
-	// undecided means that too few crashes speak against it.
+	// undecided means that too few crashes speak against it, or none of an attempt sent since it is watched.
 	undecided decision = iota
 	// pending means that a response may still show within soundnessTime that the part is sound.
 	pending
@@ -199,6 +199,9 @@
 		return best, undecided
 	case best.WatchedAt.IsZero() || now.Sub(best.WatchedAt) < soundnessTime:
 		return best, pending
+	case !slices.ContainsFunc(left, func(c crash) bool { return c.Sent.After(best.WatchedAt) }):
+		// That no response began since then tells nothing: no prompt with the part may have been sent, or no endpoint may run.
+		return best, undecided
 	}
 	return best, decided
 }
--- a/limit/parts_test.go
+++ b/limit/parts_test.go
@@ -83,6 +83,27 @@
 				p.crash(100*ms, "sys", "subject")
 			}
 		}, nil},
+		"no prompt was sent since the first ends": {func(p *partTracker) {
+			// Endpoints that are replaced at once: prompts that are sent again reach others that end too.
+			p.now = time.Second
+			for range 3 {
+				p.crash(5*ms, "sys", fmt.Sprint("own-", p.crashes))
+				p.now += 10 * ms
+			}
+			p.now += 700 * ms
+			// None runs; the list shows the end of one that fell silent before.
+			p.crash(2700*ms, "sys", "own")
+		}, nil},
+		"one was sent since the first ends": {func(p *partTracker) {
+			p.now = time.Second
+			for range 3 {
+				p.crash(5*ms, "sys", "bad")
+				p.now += 10 * ms
+			}
+			p.now += 700 * ms
+			p.begin("sys")
+			p.crash(100*ms, "sys", "bad")
+		}, []string{"bad"}},
 		"always present beside the cause": {func(p *partTracker) {
 			for range 4 {
 				p.now += 400 * ms
