--- a/pass/crash_test.go
+++ b/pass/crash_test.go
@@ -71,6 +71,19 @@
 	check.Equal(t, "another request with that path", got.Code, 200)
 }
 
+// listUntilEnd returns a function from whose call on the feed lists no endpoint.
+func (fx *fixture) listUntilEnd() (end func()) {
+	var ended atomic.Bool
+	all := fx.feed.list
+	fx.feed.listFunc = func() *member.List {
+		if ended.Load() {
+			return (&member.List{}).Index()
+		}
+		return all
+	}
+	return func() { ended.Store(true) }
+}
+
 // An endpoint that loses power resets no connection: its request ends at the deadline, when its caller leaves, or with
 // bytes that aren't the endpoint's. Once the list shows that the endpoint has ended, this must count as a crash.
 func TestSilentEndIsReported(t *testing.T) {
@@ -96,19 +109,12 @@
 				}
 				return c.respond(s)
 			})
-			var ended atomic.Bool
-			all := fx.feed.list
-			fx.feed.listFunc = func() *member.List {
-				if ended.Load() {
-					return (&member.List{}).Index()
-				}
-				return all
-			}
+			endAll := fx.listUntilEnd()
 			call := &pass.Call{ID: "x", Host: "h", Method: http.MethodPost, Path: "/once/x", Target: "/once/x", Header: http.Header{}, APIKey: "k", Arrived: time.Now(), ClientTimeout: c.timeout}
 			_, aborted := fx.serve(ctx, call)
 			check.Equal(t, "aborted", aborted, c.leaves)
 			check.Equal(t, "reported before the end is listed", fx.feed.reported(), 0)
-			ended.Store(true)
+			endAll()
 			check.Eventually(t, "one report", func() bool { return fx.feed.reported() == 1 })
 		})
 	}
@@ -155,17 +161,10 @@
 				return lost(s)
 			})
 			fx.backend.life = member.Running
-			var ended atomic.Bool
-			all := fx.feed.list
-			fx.feed.listFunc = func() *member.List {
-				if ended.Load() {
-					return (&member.List{}).Index()
-				}
-				return all
-			}
+			endAll := fx.listUntilEnd()
 			fx.call("/once/x", "k")
 			check.Equal(t, "reported before the end is listed", fx.feed.reported(), 0)
-			ended.Store(true)
+			endAll()
 			if c.reports > 0 {
 				check.Eventually(t, "reported once the end is listed", func() bool { return fx.feed.reported() == c.reports })
 				return
@@ -343,19 +342,12 @@
 				return lost(s)
 			}, c.next)
 			fx.backend.life = member.Running
-			var ended atomic.Bool
-			all := fx.feed.list
-			fx.feed.listFunc = func() *member.List {
-				if ended.Load() {
-					return (&member.List{}).Index()
-				}
-				return all
-			}
+			endAll := fx.listUntilEnd()
 			fx.call("/stream/x", "k", func(call *pass.Call) { call.ClientTimeout = 30 * time.Millisecond })
 			if c.next != nil {
 				fx.call("/stream/x", "k")
 			}
-			ended.Store(true)
+			endAll()
 			check.Eventually(t, "the end is listed", func() bool { return fx.feed.reported() >= c.reports })
 			time.Sleep(listSettleTime)
 			check.Equal(t, "reports", fx.feed.reported(), c.reports)
