pass, limit: tests of promises that none broke on purpose

Two of thirteen were kept by no test: that the flag of a resumed attempt begins anew with each attempt, and that it is set where the entry itself resumes. TestResumedAttemptIsReported fails for both. The counts by fingerprint of kept runs have a case (runs that were evicted or ended, then cleared); that they are counted down only bounds memory, which no test sees.

--- a/limit/unanswered_test.go
+++ b/limit/unanswered_test.go
@@ -44,4 +44,26 @@
 		check.Equal(t, "newest", ended[len(ended)-1].Report.Born, int64(4999))
 		check.Equal(t, "bounded", len(ended) < 5000, true)
 	})
+	t.Run("cleared by a sound run, after some have ended or were evicted", func(t *testing.T) {
+		var u limit.UnansweredRuns
+		run := func(fingerprint, endpoint string) {
+			u.Add(limit.UnansweredRun{Report: limit.CrashReport{Fingerprint: fingerprint, Endpoint: endpoint, Born: 1}, At: start})
+		}
+		listed := map[string]limit.ListedEndpoint{"w1": same, "w2": same}
+		look := func(id string) limit.ListedEndpoint { return listed[id] }
+		run("evicted", "w1")
+		for range 5000 {
+			run("a", "w1")
+		}
+		run("a", "w2")
+		run("b", "w2")
+		delete(listed, "w1")
+		check.Equal(t, "ended at the first endpoint", len(u.Ended(start, look)) > 0, true)
+		u.Clear("evicted")
+		u.Clear("a")
+		delete(listed, "w2")
+		ended := u.Ended(start, look)
+		check.Equal(t, "ended at the second endpoint", []any{len(ended), ended[0].Report.Fingerprint}, []any{1, "b"})
+		check.Equal(t, "empty", u.Empty(), true)
+	})
 }
--- a/pass/feed_test.go
+++ b/pass/feed_test.go
@@ -40,6 +40,8 @@
 	mu           sync.Mutex
 	crashTracker *limit.CrashTracker
 	clock        time.Time
+	// resumed holds, for each crash reported on a request, whether its attempt had resumed a stream.
+	resumed []bool
 	// rates and permits are those of endpoints that have named limits.
 	rates   map[limit.EndpointRun]float64
 	permits map[limit.EndpointRun]int
@@ -92,6 +94,9 @@
 	}
 	f.clock = f.clock.Add(time.Second)
 	r.ID = f.clock.String()
+	if !r.Part {
+		f.resumed = append(f.resumed, r.Resumed)
+	}
 	f.crashTracker = f.crashTracker.Apply(limit.CrashCommand{Reports: []limit.CrashReport{r}}, f.clock)
 }
 
--- a/pass/resumed_test.go
+++ b/pass/resumed_test.go
@@ -57,3 +57,26 @@
 		})
 	}
 }
+
+// TestResumedAttemptIsReported guards against a report that takes an attempt for one that went on with a stream, or the reverse, because
+// of another attempt of the same request.
+func TestResumedAttemptIsReported(t *testing.T) {
+	begins, goesOn, stuck := respondTruncated(eventA+"id"), respondTruncated(eventB+"id"), respondTruncated("id")
+	for name, c := range map[string]struct {
+		change    []func(*pass.Call)
+		responses []func(*pass.Send) (*pass.Reply, error)
+		want      []bool
+	}{
+		"the entry resumes":                {nil, []func(*pass.Send) (*pass.Reply, error){begins, goesOn}, []bool{false, true}},
+		"the entry resumes, and is stuck":  {nil, []func(*pass.Send) (*pass.Reply, error){begins, stuck}, []bool{false, false}},
+		"the client resumes":               {[]func(*pass.Call){resuming("first")}, []func(*pass.Send) (*pass.Reply, error){goesOn, stuck}, []bool{true, false}},
+		"the client resumes, and is stuck": {[]func(*pass.Call){resuming("first")}, []func(*pass.Send) (*pass.Reply, error){stuck, goesOn}, []bool{false, true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fx := newFixture(t, c.responses...)
+			fx.feed.origins = map[origin.Key]origin.Build{origin.KeyOf("a", "first"): {Pool: "p"}}
+			fx.call("/resume/x", "k", c.change...)
+			check.Equal(t, "reported as resumed, by attempt", fx.feed.resumed, c.want)
+		})
+	}
+}
