limit: the case of a part that no prompt was sent with since plays what was traced

The case plays the trace now: two ends counted 90 ms after they happened, then no prompt, then the late report of a third. The product is unchanged; so is what is demanded of it.

--- a/fleet/control_test.go
+++ b/fleet/control_test.go
@@ -173,7 +173,7 @@
 	for i := range 3 {
 		a, err := sendPrompt(t.Context(), f, c, i, 0, text, 2, false)
 		check.NoError(t, err)
-		check.Equal(t, "text", a.text, wantText(text, 2))
+		check.Equal(t, "response", []any{a.status, a.code, a.text}, []any{http.StatusOK, "", wantText(text, 2)})
 	}
 	check.Eventually(t, "the store holds the blocks", func() bool { return f.Proc("store-0").StoreBlocks() >= 4 })
 	fetched := func() (n int) {
--- a/limit/parts_test.go
+++ b/limit/parts_test.go
@@ -20,11 +20,14 @@
 func newPartTracker() *partTracker { return &partTracker{CrashTracker: limit.NewCrashTracker()} }
 
 // crash ends another endpoint under prompts with the parts; their attempts began an age ago.
-func (p *partTracker) crash(age time.Duration, parts ...string) {
+func (p *partTracker) crash(age time.Duration, parts ...string) { p.crashEnded(age, 0, parts...) }
+
+// crashEnded is crash for an end that is reported some time later.
+func (p *partTracker) crashEnded(age, ended time.Duration, parts ...string) {
 	p.crashes++
 	var c limit.CrashCommand
 	for _, part := range parts {
-		c.Reports = append(c.Reports, limit.CrashReport{ID: fmt.Sprint(p.crashes, part), Fingerprint: part, Endpoint: fmt.Sprint("w", p.crashes), Born: int64(p.crashes), Part: true, Age: age})
+		c.Reports = append(c.Reports, limit.CrashReport{ID: fmt.Sprint(p.crashes, part), Fingerprint: part, Endpoint: fmt.Sprint("w", p.crashes), Born: int64(p.crashes), Part: true, Age: age, Ended: ended})
 	}
 	p.CrashTracker = p.Apply(c, start.Add(p.now))
 }
@@ -84,25 +87,21 @@
 			}
 		}, nil},
 		"no prompt was sent since the first ends": {func(p *partTracker) {
-			// Endpoints that are replaced at once: prompts that are sent again reach others that end too.
-			p.now = time.Second
-			for range 3 {
-				p.crash(5*ms, "sys", fmt.Sprint("own-", p.crashes))
-				p.now += 10 * ms
-			}
-			p.now += 700 * ms
-			// None runs; the list shows the end of one that fell silent before.
-			p.crash(2700*ms, "sys", "own")
+			// Endpoints that are replaced at once; control counts their ends some time later.
+			p.now = 3 * time.Second
+			p.crashEnded(100*ms, 92*ms, "sys", "one")
+			p.crashEnded(90*ms, 86*ms, "sys", "two")
+			p.now += 720 * ms
+			// None runs, and the list shows the end of one that fell silent before.
+			p.crashEnded(2700*ms, 1640*ms, "sys", "three")
 		}, nil},
 		"one was sent since the first ends": {func(p *partTracker) {
-			p.now = time.Second
-			for range 3 {
-				p.crash(5*ms, "sys", "bad")
-				p.now += 10 * ms
-			}
-			p.now += 700 * ms
+			p.now = 3 * time.Second
+			p.crashEnded(100*ms, 92*ms, "sys", "bad")
+			p.crashEnded(90*ms, 86*ms, "sys", "bad")
 			p.begin("sys")
-			p.crash(100*ms, "sys", "bad")
+			p.now += 720 * ms
+			p.crashEnded(190*ms, 90*ms, "sys", "bad")
 		}, []string{"bad"}},
 		"always present beside the cause": {func(p *partTracker) {
 			for range 4 {
