limit: crash records are evicted once a command, after their crashes are counted

Cause: a tracker that is full evicted a record for each new one, by a scan of all 4,096 records; a record that is new in a command has count 0 and ranked last, so that the next report of the same command evicted it. Requests that crash endpoints were never refused then, and each command cost 0.2 s. Change: records beyond the bound are evicted after blame, in one sort. TestCrashesAreCountedInFullTracker fails without the change (refused: none).

--- a/limit/attribute.go
+++ b/limit/attribute.go
@@ -125,6 +125,7 @@
 		next.clear(fingerprint, now)
 	}
 	next.blame(now)
+	next.evict(now)
 	next.listSuspects()
 	return next
 }
@@ -173,11 +174,8 @@
 func (t *CrashTracker) count(report CrashReport, now time.Time) {
 	r, known := t.records[report.Fingerprint]
 	c := report.crash(now)
-	switch {
-	case known && !r.quarantined() && now.Sub(r.last()) > crashMemory:
+	if known && !r.quarantined() && now.Sub(r.last()) > crashMemory {
 		r = crashRecord{SoundAt: r.SoundAt}
-	case !known && len(t.records) >= maxTrackedRequests:
-		t.evict(now)
 	}
 	r.Fingerprint, r.Wide, r.Part, r.Account = report.Fingerprint, report.Wide, report.Part, report.Account
 	t.records[report.Fingerprint] = r.withCrash(c, now)
@@ -263,20 +261,24 @@
 	return t != former && t.Verdicts(now).Hash() != former.Verdicts(now).Hash()
 }
 
-// evict removes expired records, or the oldest record if none has expired; quarantined ones last.
+// evict removes the records beyond maxTrackedRequests: expired ones first, then by rank. It runs once for all reports of a command, after
+// their crashes have been counted: before that a new record would rank last and give way to the next.
 func (t *CrashTracker) evict(now time.Time) {
-	oldest := ""
-	for fingerprint, r := range t.records {
-		if now.Sub(r.last()) > crashMemory && !r.quarantined() {
-			delete(t.records, fingerprint)
-			continue
-		}
-		if oldest == "" || r.rank().compare(t.records[oldest].rank()) < 0 {
-			oldest = fingerprint
-		}
+	if len(t.records) <= maxTrackedRequests {
+		return
+	}
+	maps.DeleteFunc(t.records, func(_ string, r crashRecord) bool { return now.Sub(r.last()) > crashMemory && !r.quarantined() })
+	excess := len(t.records) - maxTrackedRequests
+	if excess <= 0 {
+		return
+	}
+	ranks := make([]evictionRank, 0, len(t.records))
+	for _, r := range t.records {
+		ranks = append(ranks, r.rank())
 	}
-	if len(t.records) >= maxTrackedRequests {
-		delete(t.records, oldest)
+	slices.SortFunc(ranks, evictionRank.compare)
+	for _, r := range ranks[:excess] {
+		delete(t.records, r.key)
 	}
 }
 
