ctrl: crash reports of all entries are replicated in batches, each once

Cause: an entry whose reports weren't counted within 200 ms sent them again with its next sync, and each time they were proposed as a further command. Ruled out: the operator's calls themselves; each was answered 'unsure' by a leader that was then deposed. Change: one batch is replicated at a time; reports that arrive meanwhile form the next one, and a report that is already held isn't proposed again.

--- a/ctrl/crash.go
+++ b/ctrl/crash.go
@@ -38,7 +38,7 @@
 	ctx, cancel := context.WithTimeout(ctx, maxCountWait)
 	defer cancel()
 	events := h.node.config.Events
-	if _, err := h.node.Propose(ctx, Command{Crashes: command}); err != nil {
+	if err := h.crashes.record(ctx, command); err != nil {
 		events.Emit(event.CrashUncounted, "entry", req.GetNode(), "count", len(command.Reports), "err", err)
 		return false
 	}
--- a/ctrl/hub.go
+++ b/ctrl/hub.go
@@ -32,9 +32,10 @@
 	changed *notifier
 
 	// state is replaced when this member becomes leader.
-	state  atomic.Pointer[LeaderState]
-	views  packCache[*View]
-	starts startBatcher
+	state   atomic.Pointer[LeaderState]
+	views   packCache[*View]
+	starts  startBatcher
+	crashes crashBatcher
 }
 
 // LeaderState is the state that a leader has collected in its current term. It is not replicated.
@@ -78,6 +79,10 @@
 // NewHub returns the hub of one control VM.
 func NewHub(n *Node) *Hub {
 	h := &Hub{node: n, changed: newNotifier()}
+	h.crashes.propose = func(ctx context.Context, c *limit.CrashCommand) error {
+		_, err := n.Propose(ctx, Command{Crashes: c})
+		return err
+	}
 	h.BeginTerm()
 	return h
 }
