ctrl: replicated state of evacuated places

The log gets the command Evacuation; the view holds the evacuated places, and for an hour those whose evacuation ended, sorted by name. A command that the state agrees with already is acknowledged and changes nothing, and the latest in the log wins. Each is in the audit trail.

View.IsEvacuated and View.Evacuated are for placement. Feed.SinceEvacuation says how long ago an evacuation ended, or a little less, for endpoints that may be cold then: it uses the group time as of a response's arrival, which is never ahead.

Events 240 to 244 are declared; entries log each place that a new view changes.

--- /dev/null
+++ b/ctrl/evacuation.go
@@ -0,0 +1,129 @@
+package ctrl
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"egretshunt/clock"
+	"egretshunt/event"
+	"egretshunt/table"
+)
+
+// evacuationMemory is how long the end of an evacuation is kept. Entries need it for some seconds, while endpoints there may
+// be cold; operators see it for longer.
+const evacuationMemory = time.Hour
+
+// Evacuation is a command to begin or end the evacuation of a place. The latest in the log wins: a command that the state
+// already agrees with changes nothing.
+type Evacuation struct {
+	Place string `json:"place"`
+	End   bool   `json:"end,omitempty"`
+	// Operator and From name the operator and his address in the audit trail.
+	Operator string `json:"who,omitempty"`
+	From     string `json:"from,omitempty"`
+}
+
+// EvacuationResult is the result of an Evacuation.
+type EvacuationResult struct {
+	// Changed is false if the place was in the wanted state before.
+	Changed bool `json:"changed,omitempty"`
+	// Places are the places that are evacuated afterwards.
+	Places []string `json:"places,omitempty"`
+}
+
+// PlaceState says whether a place is evacuated, and when that changed last.
+type PlaceState struct {
+	Place     string `json:"place"`
+	Evacuated bool   `json:"evacuated,omitempty"`
+	// At is the group time at which the evacuation began or, if it has ended, ended.
+	At time.Time `json:"at"`
+}
+
+// findPlace returns the index of a place in a list sorted by place, or where it belongs.
+func findPlace(states []PlaceState, place string) (at int, found bool) {
+	return slices.BinarySearchFunc(states, place, func(s PlaceState, name string) int { return strings.Compare(s.Place, name) })
+}
+
+// Place returns the state of a place; false if it isn't evacuated and wasn't lately.
+func (v *View) Place(place string) (PlaceState, bool) {
+	at, found := findPlace(v.Places, place)
+	if !found {
+		return PlaceState{}, false
+	}
+	return v.Places[at], true
+}
+
+// IsEvacuated reports whether nothing new is to be sent to the endpoints of a place.
+func (v *View) IsEvacuated(place string) bool {
+	s, _ := v.Place(place)
+	return s.Evacuated
+}
+
+// Evacuated returns the evacuated places, sorted.
+func (v *View) Evacuated() []string {
+	var places []string
+	for _, s := range v.Places {
+		if s.Evacuated {
+			places = append(places, s.Place)
+		}
+	}
+	return places
+}
+
+// applyEvacuation begins or ends the evacuation of a place.
+func (m *Machine) applyEvacuation(index uint64, e Evacuation) Result {
+	op := "evacuate"
+	if e.End {
+		op = "readmit"
+	}
+	m.tables.AppendAudit(table.AuditRecord{At: m.now, Operator: e.Operator, From: e.From, Table: "evacuations", Name: e.Place, Op: op})
+	changed := m.view.IsEvacuated(e.Place) == e.End
+	if changed {
+		next := *m.view
+		next.Places = withPlace(m.view.Places, PlaceState{Place: e.Place, Evacuated: !e.End, At: m.now})
+		m.publishView(index, &next)
+	}
+	return Result{Evacuation: &EvacuationResult{Changed: changed, Places: m.view.Evacuated()}}
+}
+
+// withPlace returns a copy of a list with a new state of one place, without evacuations that ended long before it.
+func withPlace(states []PlaceState, s PlaceState) []PlaceState {
+	next := slices.Clone(states)
+	if at, found := findPlace(next, s.Place); found {
+		next[at] = s
+	} else {
+		next = slices.Insert(next, at, s)
+	}
+	return slices.DeleteFunc(next, func(old PlaceState) bool { return !old.Evacuated && s.At.Sub(old.At) > evacuationMemory })
+}
+
+// SinceEvacuation returns how long ago, or a little less, the latest evacuation of a place ended; false if the place is evacuated
+// or wasn't lately. It is zero while this process doesn't know the group time. A pause of the group time, in which no
+// control VM ran, isn't counted.
+func (f *Feed) SinceEvacuation(place string) (ago time.Duration, ok bool) {
+	s, ok := f.View().Place(place)
+	if !ok || s.Evacuated {
+		return 0, false
+	}
+	offset := f.groupClock.Load()
+	if offset == 0 {
+		return 0, true
+	}
+	// The offset is of a response's arrival, and so at most the group time's.
+	return max(time.Unix(0, offset+int64(clock.Now())).Sub(s.At), 0), true
+}
+
+// reportPlaces logs what a newly installed view changes for each place.
+func (f *Feed) reportPlaces(former, next *View) {
+	for _, s := range next.Places {
+		if old, _ := former.Place(s.Place); old.Evacuated != s.Evacuated {
+			f.config.Events.Emit(event.EvacuationInstalled, "place", s.Place, "evacuated", s.Evacuated, "view", next.Rev)
+		}
+	}
+	for _, old := range former.Places {
+		if _, kept := next.Place(old.Place); old.Evacuated && !kept {
+			f.config.Events.Emit(event.EvacuationInstalled, "place", old.Place, "evacuated", false, "view", next.Rev)
+		}
+	}
+}
--- a/ctrl/feed.go
+++ b/ctrl/feed.go
@@ -292,8 +292,9 @@
 		if err := unpack(reply.GetView(), v); err != nil {
 			return err
 		}
-		if v.Rev > f.View().Rev {
+		if former := f.View(); v.Rev > former.Rev {
 			f.view.Store(v)
+			f.reportPlaces(former, v)
 			number := uint64(0)
 			if v.Set != nil {
 				number = v.Set.Number
--- a/ctrl/machine.go
+++ b/ctrl/machine.go
@@ -65,6 +65,8 @@
 	Builds *Builds `json:"builds,omitempty"`
 	// Starts are streams that began, by build.
 	Starts []origin.Starts `json:"starts,omitempty"`
+	// Evacuation begins or ends the evacuation of a place.
+	Evacuation *Evacuation `json:"evacuation,omitempty"`
 	// JoinGroup is a control VM's request to become a member; it is never an entry of the log.
 	JoinGroup *quorum.Member `json:"meet,omitempty"`
 	// LeaveGroup is a control VM's request to be removed, since it stops; it is never an entry of the log.
@@ -118,6 +120,8 @@
 	Claim   *ledger.Reply `json:"claim,omitempty"`
 	Verdict limit.Verdict `json:"verdict,omitempty"`
 	Epoch   uint64        `json:"epoch,omitempty"`
+
+	Evacuation *EvacuationResult `json:"evacuation,omitempty"`
 }
 
 // View is the small replicated state that every node holds in addition to the tables.
@@ -137,6 +141,8 @@
 	Weights map[string]Weights `json:"weights,omitempty"`
 	// Builds holds the builds of endpoints' software; nil before the list was first read.
 	Builds *origin.History `json:"builds,omitempty"`
+	// Places holds the places that are evacuated, and those that were lately, sorted by name.
+	Places []PlaceState `json:"places,omitempty"`
 }
 
 // UnmarshalJSON decodes a view; one without suspects has an empty list of them.
@@ -213,6 +219,8 @@
 		next := *m.view
 		next.Builds = m.view.Builds.Observe(c.Builds.Listed, m.now)
 		m.publishView(index, &next)
+	case c.Evacuation != nil:
+		return m.applyEvacuation(index, *c.Evacuation)
 	case len(c.Starts) > 0:
 		m.origins.Record(c.Starts, m.now)
 	}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -53,6 +53,15 @@
 	Settled          = declare(213, "settled", "info", "An operator settled a request whose outcome was unknown.")
 )
 
+// Events of evacuations.
+var (
+	EvacuationAsked     = declare(240, "evacasked", "info", "An operator asks to begin the evacuation of a data centre or, with evacuated=false, to end it.")
+	EvacuationAccepted  = declare(241, "evacuated", "info", "A majority holds the beginning or end of an evacuation; changed=false says that the data centre was in that state before.")
+	EvacuationRefused   = declare(242, "evacrefused", "warn", "The beginning or end of an evacuation was not accepted; err gives the reason. With status 503 it isn't known whether it takes effect.")
+	EvacuationInstalled = declare(243, "evacinstalled", "info", "This node sends nothing new to the endpoints of a data centre or, with evacuated=false, does so again.")
+	AllEvacuated        = declare(244, "evacall", "warn", "All known data centres are evacuated: requests are rejected until one evacuation ends.")
+)
+
 // Events of the data path.
 var (
 	ResponseCut     = declare(300, "cut", "warn", "A response was cut off before its end, and the client was told; outcome is that of the last attempt that failed, left the time to the deadline.")
