pass: send nothing new to evacuated places, nor outside a request's homes

pass/allowed.go holds the one rule by place. It applies before any score: to candidates (also those of the list that an entry reads by itself, and those used when all are ejected), to sources and stores of cached parts, to Retry-After, and to the demand for permits. It applies again at the sending end: before the backend gets the request, and by Send.Allowed before the first byte is written. An attempt withheld there says nothing of its endpoint and leads to another one.

Cached parts are still read from evacuated places, and new ones saved elsewhere. Parts of requests that are bound to regions have a salt of their own (block.SaltWithin): a request that isn't bound would otherwise read them and so move them.

Gauge pass_evacuated_places.

--- a/block/catalog.go
+++ b/block/catalog.go
@@ -3,7 +3,9 @@
 import (
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 )
 
@@ -240,3 +242,17 @@
 	}
 	return salt
 }
+
+// SaltWithin returns the scope within a salt for content that may be only in some regions. Another request with the same
+// content, which isn't bound to them, would otherwise read it and so move it elsewhere. No escaped account has an
+// exclamation mark.
+func SaltWithin(salt string, regions []string) string {
+	if !strings.Contains(salt, ".") {
+		// What follows the first full stop isn't the weights' version.
+		salt += "."
+	}
+	for _, r := range slices.Compact(slices.Sorted(slices.Values(regions))) {
+		salt += "!" + url.PathEscape(r)
+	}
+	return salt
+}
--- a/board/board.go
+++ b/board/board.go
@@ -72,6 +72,8 @@
 	NamesPromptParts bool
 	// Resumable streams may continue at another endpoint after the last event received.
 	Resumable bool
+	// Regions are the only ones in which the route's requests may run; none means any.
+	Regions []string
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -123,6 +125,8 @@
 	Rank value.Option[int]
 	// Isolated accounts share no cached prompt parts with other accounts.
 	Isolated bool
+	// Regions are the only ones in which the account's requests may run; none means any.
+	Regions []string
 }
 
 // Limits bound what clients send; zero means no bound. Header and Body are in bytes.
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -17,6 +17,7 @@
 // Outcomes of an attempt that did not produce the client's response.
 const (
 	outcomeNotSent       = "not sent"
+	outcomeWithheld      = "withheld"
 	outcomeNotRun        = "not run"
 	outcomeOtherEndpoint = "another endpoint answers there"
 	outcomeOtherWeights  = "other weights"
@@ -61,7 +62,7 @@
 	}
 	defer e.settleFirstToken(j, c, 0, false)
 	defer e.releaseMemory(j, c)
-	reply, err := e.config.Backend.Send(ctx, send)
+	reply, err := e.send(ctx, j, send)
 	j.givenUp = err != nil && watch.givenUp.Load()
 	if err != nil {
 		return e.handleSendError(ctx, j, to, out, err, began)
@@ -185,6 +186,9 @@
 
 // handleSendError handles an attempt that returned no response.
 func (e *Entry) handleSendError(ctx context.Context, j *job, to *member.Endpoint, out *relay, err error, began time.Time) (bool, *failure) {
+	if errorx.IsOfType(err, Withheld) {
+		return e.handleWithheld(ctx, j, to, out)
+	}
 	if isNotSent(err) {
 		if endOf(ctx) != nil {
 			e.endAttemptUnscored(to)
@@ -254,7 +258,7 @@
 			return false, e.cutResponse(j, out)
 		}
 		e.mu.Lock()
-		wait := e.timeUntilFree(j.pool, now)
+		wait := e.timeUntilFree(j, now)
 		e.mu.Unlock()
 		return false, j.finalFailure(reasonFull, wait)
 	}
--- a/pass/avoid.go
+++ b/pass/avoid.go
@@ -37,17 +37,17 @@
 }
 
 // timeUntilFree returns when a client may come back whose request no endpoint had room for: once the first endpoint
-// of the pool may be asked. The caller holds mu.
-func (e *Entry) timeUntilFree(pool string, now time.Time) time.Duration {
+// of the pool at a place that is open to the request may be asked. The caller holds mu.
+func (e *Entry) timeUntilFree(j *job, now time.Time) time.Duration {
 	list := e.list()
 	if list == nil {
 		return staleRetryAfter
 	}
 	var first time.Time
-	for _, to := range list.Pool(pool) {
+	for _, to := range list.Pool(j.pool) {
 		s := e.endpointState(to)
 		switch {
-		case s.isAvoided(to):
+		case s.isAvoided(to) || !e.isOpenTo(j.homes, to.Place):
 		case !now.Before(s.fullUntil):
 			return fullRetryAfter
 		case first.IsZero() || s.fullUntil.Before(first):
--- a/pass/cache.go
+++ b/pass/cache.go
@@ -28,13 +28,17 @@
 // engineReadDelay is the latency of reading from another engine on top of the transfer time.
 const engineReadDelay = 5 * time.Millisecond
 
-// cacheSalt returns the salt that separates the prefix cache by weights version, and by account
-// for isolated accounts.
+// cacheSalt returns the salt that separates the prefix cache by weights version, by account
+// for isolated accounts, and by homes.
 func cacheSalt(version uint64, j *job) string {
+	account := ""
 	if j.isolated {
-		return block.Salt(version, j.account)
+		account = j.account
 	}
-	return block.Salt(version, "")
+	if j.homes.bound {
+		return block.SaltWithin(block.Salt(version, account), j.homes.regions)
+	}
+	return block.Salt(version, account)
 }
 
 // linkTokensOf returns the tokens that requests of this entry have yet to read from a source. The caller holds mu.
@@ -69,12 +73,13 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	t := e.topologyOf(list, j.set)
+	stores := e.savable(j.homes, j.set.Stores())
 	for i, p := range j.call.Shared() {
 		name := block.PartName(s.Salt, p.ID)
 		if t.holdsInStore(e.config.View.Holders(name)) {
 			continue
 		}
-		if at, ok := e.claimSave(name, j.set.Stores(), now); ok {
+		if at, ok := e.claimSave(name, stores, now); ok {
 			s.SaveTo[i] = at
 			j.saved += p.Tokens
 		}
--- a/pass/call.go
+++ b/pass/call.go
@@ -28,6 +28,8 @@
 	NotSent = namespace.NewType("notsent")
 	// Refused is the subtype of NotSent for endpoints at whose address nothing listens.
 	Refused = NotSent.NewSubtype("refused")
+	// Withheld is the subtype of NotSent for requests that may not be sent to the endpoint any more.
+	Withheld = NotSent.NewSubtype("withheld")
 	// Lost is the type of errors of attempts that may have run and whose response did not
 	// arrive completely.
 	Lost = namespace.NewType("lost")
@@ -107,6 +109,9 @@
 	// Silent is called if the endpoint takes nothing more of the request for some time before it responds; acknowledges says whether it still
 	// acknowledges what it has taken. It returns whether the attempt is to be given up, as lost: another follows. It may be nil.
 	Silent func(acknowledges bool) (giveUp bool)
+	// Allowed reports whether the request may still be sent to the endpoint. The backend asks before the first byte, and returns an error
+	// of type Withheld if it may not. It may be nil.
+	Allowed func() bool
 }
 
 // Reply is an endpoint's response.
--- a/pass/ended.go
+++ b/pass/ended.go
@@ -28,7 +28,7 @@
 }
 
 // countRunning returns how many endpoints of a pool, without the one with the ID, run and take requests, as far as this entry knows, and how
-// many of the pool are listed.
+// many of the pool are listed. Those at evacuated places take none.
 func (e *Entry) countRunning(pool, without string) (running, listed int) {
 	list := e.list()
 	if list == nil {
@@ -37,13 +37,16 @@
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	all := list.Pool(pool)
-	for _, to := range all {
+	for _, to := range list.Pool(pool) {
+		if e.isEvacuated(to.Place) {
+			continue
+		}
+		listed++
 		if s := e.endpointState(to); to.ID != without && !s.ended && !to.Down && !s.isAvoided(to) && s.health.Fit(now) {
 			running++
 		}
 	}
-	return running, len(all)
+	return running, listed
 }
 
 // canLoseMore reports whether a pool would still run if one more request ended all the endpoints that it can before
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -98,6 +98,8 @@
 	// MaxHeldBytes bounds the bytes of all responses together that are held back until an event or a response is complete, beyond
 	// FreeHeldBytes of each; zero means defaultMaxHeldBytes.
 	MaxHeldBytes int64
+	// RegionOf returns the region of a data centre, "" if it isn't known; nil means that none is.
+	RegionOf func(place string) string
 	// Policy selects the placement of prompts; "" means Predicted.
 	Policy  Policy
 	Events  *event.Log
@@ -235,6 +237,7 @@
 	c.Metrics.NewGauge("egretshunt_pass_held_bytes", func() float64 { return float64(e.held.Bytes()) })
 	c.Metrics.NewGauge("egretshunt_pass_processor_wait_seconds", func() float64 { return e.waitForProcessor().Seconds() })
 	c.Metrics.NewGauge("egretshunt_pass_backlog_tokens", func() float64 { return float64(e.backlog()) })
+	c.Metrics.NewGauge("egretshunt_pass_evacuated_places", func() float64 { return float64(e.evacuatedPlaces()) })
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	e.ending, e.endRequests = context.WithCancel(context.Background())
--- a/pass/failure.go
+++ b/pass/failure.go
@@ -43,6 +43,10 @@
 	reasonOriginUnknown = "where its stream began isn't known"
 	// reasonBuildGone: no endpoint of that build is listed.
 	reasonBuildGone = "no endpoint runs the software that began its stream"
+	// reasonEvacuated: all endpoints that may run it are in evacuated data centres.
+	reasonEvacuated = "evacuated"
+	// reasonHomes: it is bound to regions none of which has an endpoint for it.
+	reasonHomes = "homes"
 )
 
 // notRun reports whether the failure's status says that the request has not run and won't.
--- a/pass/feed_test.go
+++ b/pass/feed_test.go
@@ -33,6 +33,8 @@
 	groupTime, groupSince time.Time
 	// viewFunc replaces view if it isn't nil.
 	viewFunc func() *ctrl.View
+	// beginFunc is called if it isn't nil when a stream is about to begin: its request has been placed, and not sent yet.
+	beginFunc func(origin.Start)
 	// listFunc replaces list if it isn't nil.
 	listFunc func() *member.List
 
@@ -135,6 +137,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.started = append(f.started, s.Build)
+	if f.beginFunc != nil {
+		f.beginFunc(s)
+	}
 }
 
 // AwaitStart implements pass.View.
--- a/pass/place.go
+++ b/pass/place.go
@@ -94,10 +94,13 @@
 		if all.full {
 			reason = reasonFull
 		}
+		if f := e.placeFailure(j, t); f != nil {
+			return nil, f, false
+		}
 		if build, ok := j.stream.build.Get(); ok && !t.serves(j.pool, build) {
 			return nil, j.finalFailure(reasonBuildGone, limit.MinRestartTime), false
 		}
-		return nil, j.finalFailure(reason, e.timeUntilFree(j.pool, now)), false
+		return nil, j.finalFailure(reason, e.timeUntilFree(j, now)), false
 	}
 	if c, f = e.choose(j, t, eligible, now); f != nil {
 		return nil, f, false
@@ -148,12 +151,14 @@
 	ejected := e.scratch.ejected[:0]
 	required, builds := e.requiredVersion(j, now), e.config.View.View().Builds
 	j.required = required
+	rules := e.placeRules(j, t)
 	for _, c := range t.pools[j.pool] {
 		to, s := c.to, c.state
 		run := runOf(to)
 		limited := e.isLimited(run)
 		up := !to.Down && s.health.Fit(now)
 		switch {
+		case rules[c.place] != openPlace:
 		case !j.mayGoOnAt(to, s, builds, now):
 		case s.isAvoided(to) || slices.Contains(j.tried, to.ID):
 		case required > 0 && s.version(to, j.call.Model) < required:
--- a/pass/prefill.go
+++ b/pass/prefill.go
@@ -35,11 +35,13 @@
 	now           time.Time
 	// locations are those of each version of the weights among the endpoints.
 	locations []*partLocations
+	// rules are those of the topology's places.
+	rules []placeRule
 }
 
 func (e *Entry) newPromptPlan(j *job, t *topology, now time.Time) *promptPlan {
 	o := &promptPlan{
-		entry: e, job: j, topology: t, engine: route.Engine{Rate: e.prefillRate(j.pool)}, canBoundFetch: e.config.View.EngineClock(clock.Now()) > 0, now: now,
+		entry: e, job: j, topology: t, engine: route.Engine{Rate: e.prefillRate(j.pool)}, canBoundFetch: e.config.View.EngineClock(clock.Now()) > 0, now: now, rules: e.placeRules(j, t),
 	}
 	if p := j.set.Pool(j.pool); p != nil && p.Engine != nil {
 		o.engine.TokenBytes, o.engine.Memory, o.bandwidth = p.Engine.TokenBytes, p.Engine.Tokens, p.Engine.Bandwidth
@@ -98,7 +100,9 @@
 	l := &partLocations{version: version, salt: cacheSalt(version, o.job)}
 	o.locations = append(o.locations, l)
 	l.holders = e.partHolders(l.salt, version, shared)
-	for k, holders := range l.holders {
+	for k := range l.holders {
+		holders := t.readable(o.job.homes, o.rules, l.holders[k])
+		l.holders[k] = holders
 		sources := e.scratch.nextSources(len(o.locations)-1, k)
 		sources.Reset(o.engine, shared[k].Tokens, len(t.places))
 		l.sources = append(l.sources, sources)
@@ -169,6 +173,8 @@
 	loads             []route.EndpointState
 	// sources are reused by version and part.
 	sources [][]*route.PartSources
+	// rules are those of the places, by index.
+	rules []placeRule
 	// mark counts the parts located.
 	mark uint64
 }
--- a/pass/rate.go
+++ b/pass/rate.go
@@ -87,7 +87,7 @@
 	now := time.Now()
 	for _, to := range list.Pool(pool) {
 		s, run := e.endpointState(to), runOf(to)
-		if to.Down || s.isAvoided(to) || !s.health.Fit(now) || now.Before(s.fullUntil) {
+		if to.Down || s.isAvoided(to) || e.isEvacuated(to.Place) || !s.health.Fit(now) || now.Before(s.fullUntil) {
 			continue
 		}
 		rate, named := e.config.View.NamedRate(run)
--- a/pass/serve.go
+++ b/pass/serve.go
@@ -48,6 +48,8 @@
 	account string
 	// isolated accounts share no prefix cache with others.
 	isolated bool
+	// homes are the regions that the request is bound to.
+	homes    homes
 	rank     int
 	deadline time.Time
 
@@ -179,6 +181,7 @@
 		return j, &failure{status: http.StatusNotFound, reason: reasonNoRoute}
 	}
 	j.rank = j.route.Rank
+	j.homes = homesOf(j.route, nil)
 	if j.set.RequireKeys && !j.route.Public {
 		a := j.set.Account(c.APIKey)
 		switch {
@@ -191,6 +194,10 @@
 			return j, &failure{status: http.StatusUnauthorized, reason: reasonKey}
 		}
 		j.account, j.isolated, j.rank = a.Name, a.Isolated, a.Rank.Or(j.route.Rank)
+		j.homes = homesOf(j.route, a)
+	}
+	if j.homes.bound && len(j.homes.regions) == 0 {
+		return j, refuse(reasonHomes, homesRetryAfter)
 	}
 	j.pool = j.route.Pick(route.UniformHash(j.originID()))
 	wait := j.route.Timeout
--- a/pass/silence.go
+++ b/pass/silence.go
@@ -20,13 +20,14 @@
 	repeatable bool
 	tried      []string
 	build      value.Option[string]
+	homes      homes
 	givenUp    atomic.Bool
 }
 
 func (e *Entry) watchSilence(j *job, to *member.Endpoint) *silenceWatch {
 	return &silenceWatch{
 		entry: e, to: to, pool: j.pool, repeatable: j.route.Repeatable() && j.possibleRuns+1 < j.route.Attempts,
-		tried: slices.Clone(j.tried), build: j.stream.build,
+		tried: slices.Clone(j.tried), build: j.stream.build, homes: j.homes,
 	}
 }
 
@@ -63,7 +64,7 @@
 	defer e.mu.Unlock()
 	return slices.ContainsFunc(list.Pool(w.pool), func(to *member.Endpoint) bool {
 		s := e.endpointState(to)
-		fit := !to.Down && !s.isAvoided(to) && s.health.Fit(now) && !now.Before(s.fullUntil)
+		fit := !to.Down && e.isOpenTo(w.homes, to.Place) && !s.isAvoided(to) && s.health.Fit(now) && !now.Before(s.fullUntil)
 		return fit && !slices.Contains(w.tried, to.ID) && to.Build == w.build.Or(to.Build)
 	})
 }
