--- a/event/fields.go
+++ b/event/fields.go
@@ -26,6 +26,7 @@
 		{"bytes", "Bytes of the response sent to the client so far."},
 		{"capacity", "Tokens that the store can hold."},
 		{"change", "ID that the operator gave to the change."},
+		{"changed", "Whether the change made a difference."},
 		{"code", "Short code of a rejection; empty if there was none."},
 		{"compute", "Tokens of the prompt that the engine was expected to compute."},
 		{"count", "Number of the items that the event reports: endpoints listed, parts freed, lines dropped, crashes counted."},
--- a/pass/allowed_test.go
+++ b/pass/allowed_test.go
@@ -32,6 +32,8 @@
 	storesOf = map[string]netip.AddrPort{
 		"a": netip.MustParseAddrPort("10.1.0.1:80"), "b": netip.MustParseAddrPort("10.1.0.2:80"), "d": netip.MustParseAddrPort("10.1.0.3:80"),
 	}
+	// delaysOf make some stores worse than others.
+	delaysOf  = map[string]time.Duration{"b": 20 * time.Millisecond}
 	regionsOf = map[string]string{"a": "north", "b": "south"}
 )
 
@@ -41,7 +43,7 @@
 	draft := fixtureDraft()
 	draft.Pools[0].Engine.Bandwidth = 100e9
 	for place, at := range storesOf {
-		draft.Pools = append(draft.Pools, board.Pool{Name: "s" + place, Store: &board.Store{Addr: at, Place: place, Tokens: 90000, Bandwidth: 100e9}})
+		draft.Pools = append(draft.Pools, board.Pool{Name: "s" + place, Store: &board.Store{Addr: at, Place: place, Tokens: 90000, Bandwidth: 100e9, Delay: delaysOf[place]}})
 	}
 	if change != nil {
 		change(&draft)
