Evacuations on the agents' path and in the administration API

POST and DELETE /admin/v1/evacuations/PLACE, GET /admin/v1/evacuations, ctl evacuate PLACE [--end], ctl evacuations, and the evacuated places in /admin/v1/status. Each accepted command is in the audit trail.

Entries leave the place's endpoints out before any score; agents refuse offers (code evacuated), so that an entry that doesn't know yet can't begin anything there. That refusal marks no endpoint as draining, and costs no retry.

The leader emits the event of an accepted evacuation, on both paths; followers log what they install.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -25,6 +25,7 @@
 	"egretshunt/conf"
 	"egretshunt/ctrl"
 	"egretshunt/entry"
+	"egretshunt/event"
 	"egretshunt/quorum"
 	"egretshunt/table"
 )
@@ -58,6 +59,8 @@
 	Client *ctrl.Client
 	// Operators maps the hash of each operator's key to the operator.
 	Operators map[string]conf.OperatorRecord
+	// Events may be nil.
+	Events *event.Log
 }
 
 // API serves the operators' requests.
@@ -103,6 +106,9 @@
 		r.Get("/suspects", a.listSuspects)
 		r.Post("/suspects/pardon", a.clearSuspect)
 		r.Get("/snapshot", a.writeSnapshot)
+		r.Get("/evacuations", a.listEvacuations)
+		r.Post("/evacuations/{place}", a.evacuate)
+		r.Delete("/evacuations/{place}", a.evacuate)
 	})
 	r.NotFound(func(w http.ResponseWriter, _ *http.Request) {
 		writeError(w, http.StatusNotFound, CodeMissing, "there is nothing under this path")
--- a/admin/queries.go
+++ b/admin/queries.go
@@ -12,7 +12,7 @@
 )
 
 func (a *API) writeStatus(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, a.config.Node.Status())
+	writeJSON(w, http.StatusOK, Status{a.config.Node.Status(), a.config.Node.View().Evacuated()})
 }
 
 // listAudit returns the audit records that the operator may read, newest first, filtered
--- a/agent/offer.go
+++ b/agent/offer.go
@@ -43,6 +43,7 @@
 	codeDuplicate   = "repeated"
 	codeQuarantined = "suspect"
 	codeGone        = "gone"
+	codeEvacuated   = "evacuated"
 	codeBroken      = "broken"
 	codeTimeout     = "late"
 	codeCancel      = "cancelled"
@@ -184,6 +185,9 @@
 	if p.Drain || e.Drain || a.config.Follower.View().IsLeaving(e.Name) {
 		return newRefuse(codeDraining, ranNo, "the endpoint is drained")
 	}
+	if a.config.Follower.View().IsEvacuated(p.Place) {
+		return newRefuse(codeEvacuated, ranNo, "the data centre is evacuated")
+	}
 	return nil
 }
 
--- a/ctrl/evacuation.go
+++ b/ctrl/evacuation.go
@@ -87,6 +87,21 @@
 	return Result{Evacuation: &EvacuationResult{Changed: changed, Places: m.view.Evacuated()}}
 }
 
+// emitEvacuation emits the event of an accepted Evacuation, and a warning if no pool of the tables is left.
+func (n *Node) emitEvacuation(e Evacuation, r EvacuationResult) {
+	n.config.Events.Emit(event.EvacuationAccepted, "place", e.Place, "evacuated", !e.End, "changed", r.Changed, "who", e.Operator, "from", e.From)
+	pools, left := 0, 0
+	for _, p := range n.machine.tables.Tables().Pools {
+		pools++
+		if !slices.Contains(r.Places, p.Place) {
+			left++
+		}
+	}
+	if !e.End && pools > 0 && left == 0 {
+		n.config.Events.Emit(event.AllEvacuated, "count", len(r.Places))
+	}
+}
+
 // withPlace returns a copy of a list with a new state of one place, without evacuations that ended long before it.
 func withPlace(states []PlaceState, s PlaceState) []PlaceState {
 	next := slices.Clone(states)
@@ -115,15 +130,15 @@
 }
 
 // reportPlaces logs what a newly installed view changes for each place.
-func (f *Feed) reportPlaces(former, next *View) {
+func reportPlaces(events *event.Log, former, next *View) {
 	for _, s := range next.Places {
 		if old, _ := former.Place(s.Place); old.Evacuated != s.Evacuated {
-			f.config.Events.Emit(event.EvacuationInstalled, "place", s.Place, "evacuated", s.Evacuated, "view", next.Rev)
+			events.Emit(event.EvacuationInstalled, "place", s.Place, "evacuated", s.Evacuated, "view", next.Rev)
 		}
 	}
 	for _, old := range former.Places {
 		if _, kept := next.Place(old.Place); old.Evacuated && !kept {
-			f.config.Events.Emit(event.EvacuationInstalled, "place", old.Place, "evacuated", false, "view", next.Rev)
+			events.Emit(event.EvacuationInstalled, "place", old.Place, "evacuated", false, "view", next.Rev)
 		}
 	}
 }
--- a/ctrl/evacuation_test.go
+++ b/ctrl/evacuation_test.go
@@ -1,11 +1,14 @@
 package ctrl
 
 import (
+	"bytes"
+	"strings"
 	"testing"
 	"time"
 
 	"egretshunt/check"
 	"egretshunt/clock"
+	"egretshunt/event"
 	"egretshunt/ledger"
 )
 
@@ -63,3 +66,29 @@
 		check.Equal(t, "ended in "+place, ok, false)
 	}
 }
+
+// Guards against entries whose log doesn't say when an evacuation began or ended there, or says so again with each view.
+func TestInstalledEvacuationsAreLogged(t *testing.T) {
+	view := func(places ...PlaceState) *View { return &View{Rev: 7, Places: places} }
+	a, b := PlaceState{Place: "a", Evacuated: true, At: groupStart}, PlaceState{Place: "b", Evacuated: true, At: groupStart}
+	ended := PlaceState{Place: "a", At: groupStart.Add(time.Minute)}
+	for name, c := range map[string]struct {
+		former, next *View
+		want         []string
+	}{
+		"begins":         {view(), view(a, b), []string{"place=a evacuated=true", "place=b evacuated=true"}},
+		"goes on":        {view(a, b), view(a, b), nil},
+		"ends":           {view(a, b), view(ended, b), []string{"place=a evacuated=false"}},
+		"ended long ago": {view(a, b), view(b), []string{"place=a evacuated=false"}},
+		"is forgotten":   {view(ended), view(), nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var out bytes.Buffer
+			reportPlaces(event.New(event.Config{Out: &out, Node: "n"}), c.former, c.next)
+			check.Equal(t, "lines", strings.Count(out.String(), "name=evacinstalled"), len(c.want))
+			for _, text := range c.want {
+				check.Equal(t, text+" in "+out.String(), strings.Contains(out.String(), text), true)
+			}
+		})
+	}
+}
--- a/ctrl/feed.go
+++ b/ctrl/feed.go
@@ -294,7 +294,7 @@
 		}
 		if former := f.View(); v.Rev > former.Rev {
 			f.view.Store(v)
-			f.reportPlaces(former, v)
+			reportPlaces(f.config.Events, former, v)
 			number := uint64(0)
 			if v.Set != nil {
 				number = v.Set.Number
--- a/ctrl/follow.go
+++ b/ctrl/follow.go
@@ -370,8 +370,9 @@
 	if err := unpack(reply.GetView(), v); err != nil {
 		return err
 	}
-	if v.Rev > f.View().Rev {
+	if former := f.View(); v.Rev > former.Rev {
 		f.view.Store(v)
+		reportPlaces(f.config.Events, former, v)
 		f.changed.announce()
 	}
 	return nil
--- a/ctrl/restore_test.go
+++ b/ctrl/restore_test.go
@@ -31,7 +31,7 @@
 		}
 		return out
 	}
-	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	switch rapid.IntRange(0, 10).Draw(t, "kind") {
 	case 0:
 		change := poolChange(fmt.Sprint(now.UnixNano()), name("pool"), uint64(rapid.IntRange(0, 2).Draw(t, "base")), "z")
 		if rapid.Bool().Draw(t, "delete") {
@@ -66,6 +66,8 @@
 	case 9:
 		c.RegisterNodes = []ctrl.NodeRegistration{{Node: name("node")}}
 		c.UnregisterNodes = []string{name("gone")}
+	case 10:
+		c.Evacuation = &ctrl.Evacuation{Place: name("place"), End: rapid.Bool().Draw(t, "end")}
 	}
 	return c
 }
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -106,7 +106,7 @@
 // Such a try puts no load on the endpoint, so it isn't charged to the retry budget.
 func refusedByAgent(code string) bool {
 	switch code {
-	case "leaving", "loading", "down", "boot", "unlawful", "stale", "revoked", "suspect":
+	case "leaving", "loading", "down", "boot", "unlawful", "stale", "revoked", "suspect", "evacuated":
 		return true
 	}
 	return false
@@ -135,7 +135,7 @@
 	switch last.code {
 	case CodeNoEndpoint:
 		return newFailure(http.StatusServiceUnavailable, CodeNoEndpoint, j.ran, "no endpoint of the route takes work now").withRetryAfter(retry)
-	case "busy", "loading", "leaving", "down", "stale", "boot", "unlawful", "revoked", "suspect":
+	case "busy", "loading", "leaving", "down", "stale", "boot", "unlawful", "revoked", "suspect", "evacuated":
 		return newFailure(http.StatusServiceUnavailable, CodeBusy, j.ran, "the endpoints refused: "+last.text).withRetryAfter(retry)
 	case CodeResponseCut:
 		return newFailure(http.StatusBadGateway, CodeResponseCut, j.ran, last.text)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -301,7 +301,7 @@
 	p := j.plan
 	isUsable := func(i int) bool {
 		t := p.Targets[i]
-		return !tried.Has(t.Name) && !view.IsLeaving(t.Name) && e.endpointStates.stateOf(t).isUsable(now)
+		return !tried.Has(t.Name) && !view.IsLeaving(t.Name) && !view.IsEvacuated(t.Pool.Place) && e.endpointStates.stateOf(t).isUsable(now)
 	}
 	e.mu.Lock()
 	h, known := e.hints.Get(j.root)
--- a/node/process.go
+++ b/node/process.go
@@ -392,7 +392,7 @@
 	if err != nil {
 		return err
 	}
-	p.adminAPI = admin.New(admin.Config{Node: p.member, Server: p.controlServer, Client: p.client, Operators: operators})
+	p.adminAPI = admin.New(admin.Config{Node: p.member, Server: p.controlServer, Client: p.client, Operators: operators, Events: p.events})
 	p.adminServer = &http.Server{Handler: p.adminAPI.Handler(), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute}
 	return serveHTTP(p.adminServer, m.Admin, "operators")
 }
--- a/prog/ctl.go
+++ b/prog/ctl.go
@@ -22,21 +22,23 @@
 	JSON    bool             `arg:"--json" help:"print JSON responses unchanged"`
 	Timeout time.Duration    `arg:"--time" default:"15s" help:"how long to retry before giving up"`
 
-	Routes   *tableArgs   `arg:"subcommand:routes" help:"list, show, put, delete routes"`
-	Pools    *tableArgs   `arg:"subcommand:pools" help:"list, show, put, delete pools"`
-	Drain    *drainArgs   `arg:"subcommand:drain" help:"send no new requests to a pool or endpoint"`
-	Undrain  *drainArgs   `arg:"subcommand:undrain" help:"send requests to a pool or endpoint again"`
-	Export   *exportArgs  `arg:"subcommand:export" help:"write both tables as TOML"`
-	Import   *importArgs  `arg:"subcommand:import" help:"put all rows of a TOML file"`
-	Wait     *waitArgs    `arg:"subcommand:wait" help:"wait until a revision is in force"`
-	Audit    *auditArgs   `arg:"subcommand:audit" help:"list changes, newest first"`
-	Status   *noArgs      `arg:"subcommand:status" help:"show the status of every control VM"`
-	Nodes    *noArgs      `arg:"subcommand:nodes" help:"list the nodes and the revisions they have installed"`
-	Members  *memberArgs  `arg:"subcommand:members" help:"add, remove or replace a control VM"`
-	Unknown  *unknownArgs `arg:"subcommand:unknown" help:"list or settle requests of unknown outcome"`
-	Suspect  *suspectArgs `arg:"subcommand:suspect" help:"list or clear requests that crash endpoints"`
-	Snapshot *noArgs      `arg:"subcommand:snapshot" help:"write a snapshot of the whole state to standard output"`
-	Why      *whyArgs     `arg:"subcommand:why" help:"explain how a recent request was routed"`
+	Routes      *tableArgs    `arg:"subcommand:routes" help:"list, show, put, delete routes"`
+	Pools       *tableArgs    `arg:"subcommand:pools" help:"list, show, put, delete pools"`
+	Drain       *drainArgs    `arg:"subcommand:drain" help:"send no new requests to a pool or endpoint"`
+	Undrain     *drainArgs    `arg:"subcommand:undrain" help:"send requests to a pool or endpoint again"`
+	Export      *exportArgs   `arg:"subcommand:export" help:"write both tables as TOML"`
+	Import      *importArgs   `arg:"subcommand:import" help:"put all rows of a TOML file"`
+	Wait        *waitArgs     `arg:"subcommand:wait" help:"wait until a revision is in force"`
+	Audit       *auditArgs    `arg:"subcommand:audit" help:"list changes, newest first"`
+	Status      *noArgs       `arg:"subcommand:status" help:"show the status of every control VM"`
+	Nodes       *noArgs       `arg:"subcommand:nodes" help:"list the nodes and the revisions they have installed"`
+	Members     *memberArgs   `arg:"subcommand:members" help:"add, remove or replace a control VM"`
+	Unknown     *unknownArgs  `arg:"subcommand:unknown" help:"list or settle requests of unknown outcome"`
+	Suspect     *suspectArgs  `arg:"subcommand:suspect" help:"list or clear requests that crash endpoints"`
+	Snapshot    *noArgs       `arg:"subcommand:snapshot" help:"write a snapshot of the whole state to standard output"`
+	Evacuate    *evacuateArgs `arg:"subcommand:evacuate" help:"send nothing new to the endpoints of a data centre, or do so again"`
+	Evacuations *noArgs       `arg:"subcommand:evacuations" help:"list evacuated data centres and those that were lately"`
+	Why         *whyArgs      `arg:"subcommand:why" help:"explain how a recent request was routed"`
 }
 
 type noArgs struct{}
@@ -47,6 +49,8 @@
   egretshunt ctl routes list
   egretshunt ctl pools put workers --base 12 --file workers.json --dry
   egretshunt ctl drain workers worker-3
+  egretshunt ctl evacuate north
+  egretshunt ctl evacuate north --end
   egretshunt ctl wait 57
   egretshunt ctl members replace c2 c4 10.0.0.9:7000`
 }
@@ -98,6 +102,10 @@
 		return a.Suspect.run(a, out)
 	case a.Snapshot != nil:
 		return a.writeSnapshot(out)
+	case a.Evacuate != nil:
+		return a.Evacuate.run(a, out)
+	case a.Evacuations != nil:
+		return a.listEvacuations(out)
 	case a.Why != nil:
 		return a.Why.run(a, out)
 	}
--- a/prog/ctl_cluster.go
+++ b/prog/ctl_cluster.go
@@ -18,7 +18,7 @@
 
 // auditArgs are the filters of audit.
 type auditArgs struct {
-	Table    string `arg:"--table" help:"routes, pools, unknown or suspects"`
+	Table    string `arg:"--table" help:"routes, pools, unknown, suspects or evacuations"`
 	Name     string `arg:"--name" help:"name of a row"`
 	Operator string `arg:"--who" help:"name of an operator"`
 	Since    string `arg:"--since" help:"earliest time, as 2026-12-04T00:00:00Z"`
