--- a/pass/ended.go
+++ b/pass/ended.go
@@ -28,8 +28,8 @@
 }
 
 // countRunning returns how many endpoints of a pool, without the one with the ID, run and take requests, as far as this entry knows, and how
-// many of the pool are listed. Those at evacuated places take none.
-func (e *Entry) countRunning(pool, without string) (running, listed int) {
+// many of the pool are listed. Only those at places that are open to requests with the homes count.
+func (e *Entry) countRunning(pool, without string, h homes) (running, listed int) {
 	list := e.list()
 	if list == nil {
 		return 0, 0
@@ -38,7 +38,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, to := range list.Pool(pool) {
-		if e.isEvacuated(to.Place) {
+		if !e.isOpenTo(h, to.Place) {
 			continue
 		}
 		listed++
@@ -54,8 +54,8 @@
 //
 // The load pattern is a request that ends each endpoint it reaches, in a pool of few: its retries would leave the pool's other
 // requests without an endpoint for the time of a restart.
-func (e *Entry) canLoseMore(pool string, ended *member.Endpoint) bool {
-	running, _ := e.countRunning(pool, ended.ID)
+func (e *Entry) canLoseMore(pool string, ended *member.Endpoint, h homes) bool {
+	running, _ := e.countRunning(pool, ended.ID, h)
 	return running >= limit.MaxAttributedCrashes
 }
 
@@ -65,7 +65,7 @@
 	if !slices.ContainsFunc(j.fingerprints(), e.isSuspected) {
 		return false
 	}
-	running, listed := e.countRunning(j.pool, "")
+	running, listed := e.countRunning(j.pool, "", j.homes)
 	return running < 2 && listed > 1
 }
 
--- a/pass/homes_test.go
+++ b/pass/homes_test.go
@@ -71,6 +71,7 @@
 // Guards against a stream that goes on outside its homes after a break, or where its client resumes it.
 func TestResumedStreamStaysInItsHomes(t *testing.T) {
 	fx := newPlacedFixture(t, bind([]string{"north"}, nil), respondTruncated(eventA+"id: 2"), respondWith(200, eventB))
+	fx.backend.life = member.Running
 	got, _ := fx.call("/resume/x", "k")
 	check.Equal(t, "body", got.Body.String(), eventA+eventB)
 	fx.feed.origins = map[origin.Key]origin.Build{origin.KeyOf("a", "first"): {Pool: "p"}}
@@ -180,3 +181,20 @@
 	check.Equal(t, "status", got.Code, 200)
 	check.Equal(t, "fetched from", fx.backend.sends[0].FetchFrom[1], netip.AddrPort{})
 }
+
+// Guards against a request that ends all endpoints of its homes in a row because its pool has others elsewhere, which the requests that are bound
+// likewise can't use; the same holds for those that are left beside an evacuated place.
+func TestRetryLeavesHomesServing(t *testing.T) {
+	for name, c := range map[string]struct {
+		change    func(*board.Draft)
+		evacuated []string
+	}{"homes": {bind([]string{"north"}, nil), nil}, "evacuated": {nil, []string{"b", "d"}}, "neither": {nil, nil}} {
+		t.Run(name, func(t *testing.T) {
+			fx := newPlacedFixture(t, c.change, lost)
+			fx.evacuate(c.evacuated...)
+			got, _ := fx.call("/safe/x", "k")
+			check.Equal(t, "status", got.Code, 502)
+			check.Equal(t, "it is sent again", len(fx.backend.sends) > 1, name == "neither")
+		})
+	}
+}
--- a/pass/silence.go
+++ b/pass/silence.go
@@ -35,7 +35,7 @@
 // nothing, so that further requests go to others.
 func (w *silenceWatch) isGivenUp(acknowledges bool) bool {
 	e := w.entry
-	if w.repeatable && e.canLoseMore(w.pool, w.to) && w.hasOther() && e.allowRetry(w.pool) {
+	if w.repeatable && e.canLoseMore(w.pool, w.to, w.homes) && w.hasOther() && e.allowRetry(w.pool) {
 		w.givenUp.Store(true)
 		return true
 	}
