--- a/pass/allowed_test.go
+++ b/pass/allowed_test.go
@@ -239,7 +239,9 @@
 	set, err := board.New(fixtureDraft())
 	check.NoError(t, err)
 	var reads atomic.Int64
-	silent := &feed{view: evacuated(fx.feed.view, "a"), age: time.Minute, rates: fx.feed.rates, permits: fx.feed.permits, where: fx.feed.where}
+	var view atomic.Pointer[ctrl.View]
+	view.Store(evacuated(fx.feed.view, "a"))
+	silent := &feed{viewFunc: view.Load, age: time.Minute, rates: fx.feed.rates, permits: fx.feed.permits, where: fx.feed.where}
 	entry := pass.New(pass.Config{
 		View: silent, Backend: backend, Decode: func([]byte) (*board.Set, error) { return set, nil }, RolloutTimeout: time.Hour,
 		Fallback: func(context.Context) ([]member.Endpoint, error) {
@@ -258,7 +260,7 @@
 		check.Equal(t, "statuses", alone.repeat(path, 12), map[int]int{200: 12})
 	}
 	alone.checkPlaces(t, "b", "d")
-	silent.view = evacuated(silent.view, "a", "b", "d")
+	view.Store(evacuated(fx.feed.view, "a", "b", "d"))
 	got, _ := alone.call("/once/x", "k")
 	checkRejected(t, got, "evacuated")
 }
