Cold endpoints get requests by turns

Cause: an endpoint that starts again looks idle, gets more from all entries than it takes while it is cold, crashes and comes back cold.

Without the filter TestColdEndpointNeedsTurn, TestRejectionTellsTurn, TestRequestsWaitForTurns, TestEndedProcessIsCold, TestDownEndpointsObeyBound and TestColdEndpointWithLimitNeedsBoth fail (seen).

TestOddEntryIsUsed: a warm-up of 1999.5 ms is now read exactly; control rounds it when it publishes the list.

--- a/board/board.go
+++ b/board/board.go
@@ -82,6 +82,10 @@
 	Name string
 	// Conns bounds the connections from all entries together to one endpoint; zero means no bound.
 	Conns int
+	// ColdTime is how long an endpoint is cold after its start, and ColdRate how many requests a second it tolerates then from all
+	// entries together. Zero means that there is no bound.
+	ColdTime time.Duration
+	ColdRate float64
 	// Engine is set for pools of model engines.
 	Engine *Engine
 	// Store is set for external stores of cached KV blocks.
--- a/ctrl/engines.go
+++ b/ctrl/engines.go
@@ -136,6 +136,7 @@
 				lt.SetEngineClock(got.Clock)
 			}
 		}
+		lt.recordProcess(addr, signOf(err, err == nil && u.reset, recovered))
 		if u.reset || u.unanswered || recovered || len(u.events) > 0 {
 			select {
 			case updates <- u:
--- a/ctrl/feed.go
+++ b/ctrl/feed.go
@@ -66,6 +66,7 @@
 	crashes *crashGuard
 	rates   *rateGuard
 	streams *streamGuard
+	cold    *coldGuard
 	cancel  context.CancelFunc
 	running sync.WaitGroup
 	changed *notifier
@@ -113,7 +114,7 @@
 	if c.Events == nil {
 		c.Events = event.Discard()
 	}
-	f := &Feed{config: c, crashes: newCrashGuard(c.Node, c.Events), rates: newRateGuard(c.Events), streams: newStreamGuard(), changed: newNotifier(), catalog: block.NewCatalog(), sums: tally.NewReader(), members: value.SetOf[string](), used: value.SetOf[string]()}
+	f := &Feed{config: c, crashes: newCrashGuard(c.Node, c.Events), rates: newRateGuard(c.Events), streams: newStreamGuard(), cold: newColdGuard(), changed: newNotifier(), catalog: block.NewCatalog(), sums: tally.NewReader(), members: value.SetOf[string](), used: value.SetOf[string]()}
 	f.view.Store(&View{Suspects: limit.NewSuspects()})
 	f.stale.Store(true)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -206,7 +207,7 @@
 	used, evidence := f.drain(&f.used), f.crashes.unconfirmed()
 	req := &wire.Sync{
 		Node: f.config.Node, Place: f.config.Place, View: f.View().Rev, List: f.listRev, Kept: f.catalogRev, Life: f.incarnation,
-		HoldMs: uint32(hold.Milliseconds()), Used: used, Verdicts: f.crashes.verdictsHash(), Shared: true,
+		HoldMs: uint32(hold.Milliseconds()), Used: used, Verdicts: f.crashes.verdictsHash(), Shared: true, Coldrev: f.cold.rev + 1,
 	}
 	req.Edition, req.Names = f.sums.Known()
 	evidence.encode(req, f.crashes.run)
@@ -255,6 +256,8 @@
 	if c := newTargetClock(reply, current); c != nil {
 		f.targetClock.Store(c)
 	}
+	// An endpoint that has become cold must not be sent to by the list that shows its new incarnation.
+	f.cold.install(reply, current)
 	if err := f.install(reply, own); err != nil {
 		f.rejectSync(to, reply, err)
 		return false, err
--- a/ctrl/hub.go
+++ b/ctrl/hub.go
@@ -67,6 +67,7 @@
 	// has marked it down.
 	reachableAt map[string]time.Duration
 	issued      issuedRates
+	cold        *coldLeader
 }
 
 // entryReport is the state that an entry reported in its last sync.
@@ -84,8 +85,9 @@
 
 // BeginTerm replaces the leader's state by an empty one for a new term.
 func (h *Hub) BeginTerm() *LeaderState {
+	began := clock.Now()
 	ls := &LeaderState{
-		Life: rand.Uint64() | 1, Catalog: block.NewCatalog(), hub: h, beganAt: clock.Now(),
+		Life: rand.Uint64() | 1, Catalog: block.NewCatalog(), hub: h, beganAt: began, cold: newColdLeader(began),
 		lastUsed: map[string]time.Duration{}, entries: map[string]entryReport{}, reachableAt: map[string]time.Duration{},
 		work: newSharedWork(), issued: newIssuedRates(),
 	}
@@ -254,6 +256,7 @@
 		ls.reachableAt[id] = now
 	}
 	ls.issued.record(req, func(run limit.EndpointRun) bool { return isListed(ls.list.Load(), run) }, now)
+	ls.cold.record(req.GetNode(), now)
 	ls.entries[req.GetNode()] = entryReport{at: now, ejected: req.GetBad()}
 	return ls.work.record(req, now)
 }
@@ -274,7 +277,7 @@
 		if h.node.View().Rev > req.GetView() || req.GetLife() != ls.Life || h.state.Load() != ls || req.GetKept() < ls.withdrawn.Load() {
 			return
 		}
-		if l := ls.list.Load(); l != nil && l.Rev > req.GetList() || ls.permitsDue(req) {
+		if l := ls.list.Load(); l != nil && l.Rev > req.GetList() || ls.permitsDue(req) || ls.cold.hasNews(req) {
 			return
 		}
 		select {
@@ -331,6 +334,7 @@
 	groupNow, since := ls.hub.node.groupTime()
 	reply.GroupUs, reply.SinceUs = groupNow.UnixMicro(), encodeTime(since)
 	ls.addPermits(reply, req, now)
+	ls.cold.addTo(reply, req.GetNode(), now)
 	return nil
 }
 
--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -265,6 +265,7 @@
 	t := time.NewTicker(lt.tasks.config.ListInterval)
 	defer t.Stop()
 	failing := false
+	var set *board.Set
 	for {
 		if lt.leads() {
 			callCtx, cancel := context.WithTimeout(ctx, platformTimeout)
@@ -273,10 +274,13 @@
 			cancel()
 			if err == nil {
 				lt.replicateBuilds(ctx, latest)
+				set = lt.tableSet(set)
+				lt.observeCold(latest, set, asked)
 				lt.termMu.Lock()
 				lt.endpoints, lt.listedAt = latest, asked
 				lt.termMu.Unlock()
 				lt.publishEndpoints()
+				lt.cold.setListed(asked)
 			} else if !failing && ctx.Err() == nil {
 				lt.tasks.config.Events.Emit(event.ListUnreadable, "source", "leader", "err", err)
 			}
@@ -302,6 +306,8 @@
 	votes, entries := lt.EjectionVotes()
 	for i := range published {
 		e := &published[i]
+		// Rounded, so that the list doesn't change with each read; the sync says exactly which endpoints are cold.
+		e.WarmupLeft = e.WarmupLeft.Round(time.Second)
 		// An engine may be unreachable from control only; an entry's report then keeps it in use.
 		e.Down = member.EjectedByVotes(votes[e.ID], entries) || lt.unresponsive.Has(e.Addr.String()) && !lt.ReportedReachable(e.ID)
 		e.Loading = lt.lastCommand[e.ID].loading
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -77,6 +77,7 @@
 	Unanswered      = declare(321, "unanswered", "error", "The handler of a request ended without a response though the client had not left; the entry sent one of its own. stage says how far it was. Report it with this line.")
 	OriginUnknown   = declare(322, "unresumed", "warn", "A client resumes a stream of which nobody knows at which build of its endpoint's software it began, or control couldn't be asked. The request is rejected.")
 	EndpointLimited = declare(319, "limited", "info", "An endpoint named a limit for the requests of all entries together, changed it or, with limited=false, ended it.")
+	ColdSeen        = declare(323, "coldseen", "info", "The leader noticed that an endpoint's process has ended, before the platform's list shows it: it counts as cold, and entries send to it by turns.")
 	Fenced          = declare(307, "fenced", "warn", "A command with an old epoch was rejected.")
 )
 
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -95,6 +95,25 @@
 	return it, true
 }
 
+// PopPreferred is Pop, but of the items with the rank of the one that is first, the first that is preferred goes before the others.
+func (q *Queue[T]) PopPreferred(preferred func(T) bool) (*Item[T], bool) {
+	first, ok := q.Peek()
+	if !ok {
+		return nil, false
+	}
+	var best *Item[T]
+	for _, it := range q.items {
+		if it.Rank == first.Rank && (best == nil || before(it, best)) && preferred(it.Value) {
+			best = it
+		}
+	}
+	if best == nil || best == first {
+		return q.Pop()
+	}
+	q.Remove(best)
+	return best, true
+}
+
 // Peek returns the item that Pop would return, without removing it.
 func (q *Queue[T]) Peek() (*Item[T], bool) {
 	if len(q.items) == 0 {
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -170,6 +170,7 @@
 func (e *Entry) retry(ctx context.Context, j *job, to *member.Endpoint, out *relay, outcome, reason string, status int) (bool, *failure) {
 	endangers := false
 	if outcome == outcomeLost || outcome == outcomeBrokenOff {
+		e.recordLost(to)
 		endangers = e.recordBrokenRun(ctx, j, to) && !e.canLoseMore(j.pool, to)
 	}
 	if out.isContinuable() && (j.givenUp || !endangers && j.route.Repeatable() && j.possibleRuns < j.route.Attempts && e.allowRetry(j.pool)) {
--- /dev/null
+++ b/pass/cold_test.go
@@ -0,0 +1,206 @@
+package pass_test
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"egretshunt/board"
+	"egretshunt/check"
+	"egretshunt/clock"
+	"egretshunt/ctrl"
+	"egretshunt/limit"
+	"egretshunt/member"
+	"egretshunt/pass"
+	"egretshunt/value"
+)
+
+// coldLag is how far the list of a fixture with cold endpoints lags.
+const coldLag = 300 * time.Millisecond
+
+// newColdFixture returns a fixture whose endpoints tolerate some requests a second while they are cold.
+func newColdFixture(t *testing.T, rate float64, cold ctrl.Cold, responses ...func(*pass.Send) (*pass.Reply, error)) *fixture {
+	t.Helper()
+	draft := fixtureDraft()
+	draft.Pools[0].ColdRate, draft.Pools[0].ColdTime = rate, 3*time.Second
+	set, err := board.New(draft)
+	check.NoError(t, err)
+	fx := newFixtureWith(t, pass.Config{
+		RolloutTimeout: time.Hour, ColdExcess: 1.5, ColdSlack: 5, ListLag: coldLag, Decode: func([]byte) (*board.Set, error) { return set, nil },
+	}, responses...)
+	fx.feed.cold.Store(&cold)
+	return fx
+}
+
+// coldFor returns that some endpoints are cold for a time, by a list read now.
+func coldFor(d time.Duration, ids ...string) ctrl.Cold {
+	c := ctrl.Cold{ListedAt: clock.Now(), Until: map[string]time.Duration{}}
+	for _, id := range ids {
+		c.Until[id] = clock.Now() + d
+	}
+	return c
+}
+
+func withTurn(c ctrl.Cold, index, count int) ctrl.Cold {
+	c.Turn = limit.Turn{Index: index, Count: count}
+	return c
+}
+
+// callMany sends requests one after another and returns how many reached each endpoint.
+func (fx *fixture) callMany(n int, path string) map[string]int {
+	for i := range n {
+		fx.call(path, "k", func(c *pass.Call) { c.ID = fmt.Sprint("many", i) })
+	}
+	return fx.backend.sendsTo()
+}
+
+// TestColdEndpointNeedsTurn guards against endpoints that get requests without a bound though they are cold, for any of the reasons for
+// which they count as cold.
+func TestColdEndpointNeedsTurn(t *testing.T) {
+	all := []string{"w0", "w1", "w2", "w3"}
+	stale := coldFor(0)
+	stale.ListedAt -= 2100 * time.Millisecond
+	for name, c := range map[string]struct {
+		rate float64
+		cold ctrl.Cold
+		want []string
+	}{
+		"warm":                      {20, coldFor(0), all},
+		"one is cold":               {20, coldFor(time.Hour, "w0"), all[1:]},
+		"one was cold":              {20, coldFor(-time.Millisecond, "w0"), all},
+		"all are cold":              {20, coldFor(time.Hour, all...), nil},
+		"the list is old":           {20, stale, nil},
+		"there is none":             {20, ctrl.Cold{}, nil},
+		"the pool has no bound":     {0, stale, all},
+		"another entry's turn":      {20, withTurn(coldFor(time.Hour, "w0"), 1, 1000_000_000), all[1:]},
+		"its endpoints are unknown": {20, coldFor(time.Hour, "gone"), all},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for _, path := range []string{"/safe/x", "/once/x", "/stream/x", "/resume/x"} {
+				fx := newColdFixture(t, c.rate, c.cold, respondWith(200, "ok"))
+				if path == "/stream/x" || path == "/resume/x" {
+					fx = newColdFixture(t, c.rate, c.cold, respondWith(200, eventA))
+				}
+				sends := fx.callMany(40, path)
+				for _, id := range all {
+					if !slices.Contains(c.want, id) {
+						check.Equal(t, path+" to "+id, sends[id], 0)
+					}
+				}
+				check.Equal(t, path+" is served", len(sends) > 0, len(c.want) > 0)
+			}
+		})
+	}
+}
+
+// TestRejectionTellsTurn guards against requests that wait for a turn that comes too late, and against clients that aren't told when to
+// come again.
+func TestRejectionTellsTurn(t *testing.T) {
+	cold := withTurn(coldFor(time.Hour, "w0"), 0, 100)
+	// The last turn was just before: at 20 requests a second the next one comes in some 5 s, but the client leaves after 2 s.
+	cold.Turn.Clock = -clock.Now()
+	fx := newColdFixture(t, 20, cold, respondWith(200, "ok"))
+	fx.keepEndpoints(1)
+	statuses := map[int]int{}
+	var after float64
+	for range 3 {
+		got, _ := fx.call("/once/x", "k")
+		statuses[got.Code]++
+		after, _ = strconv.ParseFloat(got.Header().Get("Retry-After"), 64)
+	}
+	check.Equal(t, "no turn is missed", statuses[503] >= 2, true)
+	check.Equal(t, fmt.Sprintf("Retry-After %.3f", after), after > 0.05 && after <= 10, true)
+}
+
+// TestRequestsWaitForTurns guards against requests that are rejected though a turn comes in time, and against turns that are used too often.
+func TestRequestsWaitForTurns(t *testing.T) {
+	var mu sync.Mutex
+	var sent []time.Time
+	fx := newColdFixture(t, 20, withTurn(coldFor(time.Hour, "w0"), 0, 1), func(s *pass.Send) (*pass.Reply, error) {
+		mu.Lock()
+		sent = append(sent, time.Now())
+		mu.Unlock()
+		return respondWith(200, "ok")(s)
+	})
+	fx.keepEndpoints(1)
+	var work sync.WaitGroup
+	for i := range 30 {
+		work.Go(func() {
+			got, _ := fx.call("/once/x", "k", func(c *pass.Call) { c.ID = fmt.Sprint(i) })
+			check.Equal(t, "status", got.Code, 200)
+		})
+	}
+	work.Wait()
+	check.Equal(t, "requests", len(sent), 30)
+	check.Equal(t, "they were spread", sent[29].Sub(sent[0]) > 1300*time.Millisecond, true)
+}
+
+// TestEndedProcessIsCold guards against a process that started again and isn't known to be cold yet: the entry has seen the former one end.
+func TestEndedProcessIsCold(t *testing.T) {
+	for name, respond := range map[string]func(*pass.Send) (*pass.Reply, error){"response lost": lost, "not sent": notSent} {
+		t.Run(name, func(t *testing.T) {
+			fx := newColdFixture(t, 20, coldFor(0), respond, respondWith(200, "ok"))
+			fx.call("/once/x", "k")
+			ended := fx.backend.sends[0].To.ID
+			before := fx.backend.sendsTo()[ended]
+			check.Equal(t, "sends while the list may show the former process", fx.callMany(30, "/once/x")[ended], before)
+			time.Sleep(coldLag + 10*time.Millisecond)
+			cold := coldFor(0)
+			fx.feed.cold.Store(&cold)
+			check.Equal(t, "sent to by a later list", fx.callMany(30, "/once/x")[ended] > before, true)
+		})
+	}
+}
+
+// TestDownEndpointsObeyBound guards against cold endpoints that get all requests because all of their pool are down or ejected.
+func TestDownEndpointsObeyBound(t *testing.T) {
+	for name, c := range map[string]struct {
+		cold ctrl.Cold
+		want bool
+	}{
+		"without a turn": {coldFor(time.Hour, "w0", "w1", "w2", "w3"), false},
+		"by turns":       {withTurn(coldFor(time.Hour, "w0", "w1", "w2", "w3"), 0, 1), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fx := newColdFixture(t, 20, c.cold, respondWith(200, "ok"))
+			endpoints := slices.Clone(fx.feed.list.Endpoints)
+			for i := range endpoints {
+				endpoints[i].Down = true
+			}
+			fx.feed.list = (&member.List{Endpoints: endpoints}).Index()
+			began := time.Now()
+			sends := fx.callMany(40, "/once/x")
+			total := sends["w0"] + sends["w1"] + sends["w2"] + sends["w3"]
+			check.Equal(t, "some were sent", total > 0, c.want)
+			most := 4 * (limit.ColdBound{Rate: 20, Excess: 1.5, Slack: 5}).Most() * (1 + time.Since(began).Seconds())
+			check.Equal(t, "within the bound", float64(total) <= most, true)
+		})
+	}
+}
+
+// TestColdEndpointWithLimitNeedsBoth guards against an endpoint that has named a limit and is cold, and gets requests by one of the two.
+func TestColdEndpointWithLimitNeedsBoth(t *testing.T) {
+	run := limit.EndpointRun{ID: "w0"}
+	for name, c := range map[string]struct {
+		cold    ctrl.Cold
+		permits int
+		want    bool
+	}{
+		"a permit":          {coldFor(time.Hour, "w0"), 5, false},
+		"a turn":            {withTurn(coldFor(time.Hour, "w0"), 0, 1), 0, false},
+		"a permit and turn": {withTurn(coldFor(time.Hour, "w0"), 0, 1), 5, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fx := newColdFixture(t, 20, c.cold, naming(2, respondWith(200, "ok")))
+			fx.keepEndpoints(1)
+			fx.feed.RecordRate(run, value.Some(2.0), time.Time{})
+			fx.feed.permit(run, c.permits)
+			check.Equal(t, "sent", fx.callMany(1, "/once/x")["w0"] > 0, c.want)
+		})
+	}
+}
--- a/pass/ended.go
+++ b/pass/ended.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"egretshunt/clock"
 	"egretshunt/limit"
 	"egretshunt/member"
 )
@@ -24,7 +25,10 @@
 func (e *Entry) setEnded(to *member.Endpoint, ended bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.endpointState(to).ended = ended
+	s := e.endpointState(to)
+	if s.ended = ended; ended {
+		s.lostAt = clock.Now()
+	}
 }
 
 // countRunning returns how many endpoints of a pool, without the one with the ID, run and take requests, as far as this entry knows, and how
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -60,6 +60,8 @@
 	PermitCount(run limit.EndpointRun) int
 	TakePermit(run limit.EndpointRun) bool
 	Permitted() <-chan struct{}
+	// Cold returns what control says of cold endpoints, and when this entry may send to them.
+	Cold() *ctrl.Cold
 	// BeginStream records that a resumable stream is about to begin at a build, or goes on there, and EndStream that it ended:
 	// completed, or broken off. AwaitStart waits until control has recorded the latest start; an error says that it hasn't.
 	BeginStream(start origin.Start)
@@ -92,6 +94,11 @@
 	// RolloutTimeout is how long after a target version of weights was set all new prompts must run
 	// on it; zero means no bound.
 	RolloutTimeout time.Duration
+	// ColdExcess and ColdSlack bound the requests that a cold endpoint gets in any second from all entries; see limit.ColdBound. The rates
+	// are those of the pools.
+	ColdExcess, ColdSlack float64
+	// ListLag is how far the list of endpoints lags behind them.
+	ListLag time.Duration
 	// Wait returns how long work waits for the processor of this process; nil means that the entry
 	// measures it.
 	Wait func() time.Duration
@@ -151,6 +158,8 @@
 	linkTokens map[netip.AddrPort]*int
 	// rateQueues hold the requests that wait for a permit, by pool.
 	rateQueues map[string]*rateQueue
+	// coldTurns are this entry's turns at cold endpoints.
+	coldTurns *limit.ColdTurns
 	// unanswered holds the runs whose endpoint may have ended without a sign.
 	unanswered limit.UnansweredRuns
 	// targets holds the target versions of each model's weights by this entry's clock.
@@ -194,6 +203,8 @@
 	ended bool
 	// endedAt is when nothing last listened at the endpoint's address; zero if something always did.
 	endedAt time.Time
+	// lostAt is when a connection to it was last refused or ended, by clock.Now; zero if none was.
+	lostAt time.Duration
 	// leavingAt is when the endpoint said that it is leaving; zero if it hasn't.
 	leavingAt time.Time
 	// replaced is set once another endpoint has responded at the address.
@@ -229,7 +240,7 @@
 	}
 	e := &Entry{
 		config: c, meters: newMeters(c.Metrics), started: time.Now(), targets: map[string]fence.Targets{}, endpointStates: map[string]*endpointState{}, retryBudgets: map[string]*limit.RetryLimiter{}, pendingSave: map[string]pendingSave{},
-		prefillRates: map[string]float64{}, linkTokens: map[netip.AddrPort]*int{}, rateQueues: map[string]*rateQueue{}, rateWaiting: make(chan struct{}, 1),
+		prefillRates: map[string]float64{}, linkTokens: map[netip.AddrPort]*int{}, rateQueues: map[string]*rateQueue{}, coldTurns: limit.NewColdTurns(clock.Now()), rateWaiting: make(chan struct{}, 1),
 		held: limit.NewHeld(cmp.Or(c.MaxHeldBytes, defaultMaxHeldBytes)),
 	}
 	c.Metrics.NewGauge("egretshunt_pass_held_bytes", func() float64 { return float64(e.held.Bytes()) })
@@ -301,6 +312,9 @@
 			e.generation++
 		}
 	}
+	if list != nil {
+		e.coldTurns.Keep(func(id string) bool { return list.Find(id) != nil })
+	}
 	for at, tokens := range e.linkTokens {
 		if *tokens == 0 && (e.topology == nil || e.topology.sourceAt(at) == notSource) {
 			delete(e.linkTokens, at)
--- a/pass/failure.go
+++ b/pass/failure.go
@@ -35,6 +35,8 @@
 	reasonTooMany  = "too many requests at once"
 	// reasonLimited: the endpoints have named limits for the requests that they take.
 	reasonLimited = "endpoints limit their requests"
+	// reasonCold: the endpoints that are left are cold, and get requests by turns.
+	reasonCold = "endpoints are cold"
 	// reasonUncounted: by this entry's reports control may quarantine the request.
 	reasonUncounted = "endpoints ended under it, which control has yet to count"
 	// reasonLastEndpoint: it is kept from the last endpoint of its pool that runs.
--- a/pass/fallback.go
+++ b/pass/fallback.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"egretshunt/clock"
 	"egretshunt/event"
 	"egretshunt/limit"
 	"egretshunt/member"
@@ -23,6 +24,8 @@
 type fallbackList struct {
 	list *member.List
 	at   time.Time
+	// askedAt is when the call for it began, by clock.Now.
+	askedAt time.Duration
 }
 
 // fallbackDue reports whether this entry should read the endpoint list now.
@@ -51,12 +54,13 @@
 func (e *Entry) refreshFallback(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
+	askedAt := clock.Now()
 	endpoints, err := e.config.Fallback(ctx)
 	if err != nil {
 		e.config.Events.Emit(event.ListUnreadable, "source", "own", "err", err)
 		return
 	}
-	e.fallback.Store(&fallbackList{list: (&member.List{Endpoints: endpoints}).Index(), at: time.Now()})
+	e.fallback.Store(&fallbackList{list: (&member.List{Endpoints: endpoints}).Index(), at: time.Now(), askedAt: askedAt})
 }
 
 // list returns the best available endpoint list: control's, or the entry's own while control is
--- a/pass/feed_test.go
+++ b/pass/feed_test.go
@@ -53,6 +53,8 @@
 	noOrigins bool
 	// awaited counts the starts that were waited for.
 	awaited int
+	// cold is what control says of cold endpoints.
+	cold atomic.Pointer[ctrl.Cold]
 	// uncounted makes control have all requests' crashes yet to count.
 	uncounted bool
 }
@@ -203,6 +205,16 @@
 	return true
 }
 
+// Cold implements pass.View.
+func (f *feed) Cold() *ctrl.Cold {
+	if c := f.cold.Load(); c != nil {
+		return c
+	}
+	return &noCold
+}
+
+var noCold ctrl.Cold
+
 // Permitted implements pass.View; the entry looks for permits of its own accord.
 func (f *feed) Permitted() <-chan struct{} { return nil }
 
--- a/pass/metrics.go
+++ b/pass/metrics.go
@@ -46,6 +46,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("egretshunt_pass_repeats_total{pool=%q,allowed=\"%t\"}", pool, allowed)).Inc()
 }
 
+// coldTurn counts a request that used a turn at a cold endpoint.
+func (m meters) coldTurn(pool string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("egretshunt_pass_cold_turns_total{pool=%q}", pool)).Inc()
+}
+
 // reuse counts prompt tokens by where they were expected to come from: moved means fetched from a
 // store or engine, computed means computed by the endpoint, found means in the endpoint's cache.
 func (m meters) reuse(source string, tokens int) {
--- a/pass/place.go
+++ b/pass/place.go
@@ -106,6 +106,9 @@
 		// It has expired meanwhile.
 		return nil, nil, true
 	}
+	if all.cold != nil && !all.cold.take(t.ids[c.to.ID]) {
+		return nil, nil, true
+	}
 	if all.limited {
 		e.rateQueue(j.pool).passed++
 	}
@@ -138,13 +141,17 @@
 // eligibility is which candidates may receive a request.
 type eligibility struct {
 	candidates []*candidate
-	// full reports that others have asked for time, limited that some have named limits, onlyPermits that all those left have.
+	// full reports that others have asked for time, limited that some have named limits or are cold, onlyPermits that all those left are.
 	full, limited, onlyPermits bool
+	// cold is the bound of the pool; nil if it has none.
+	cold *coldPool
 }
 
 // eligible returns the candidates that may receive the request; they are valid until the next call. The caller holds mu.
 func (e *Entry) eligible(j *job, t *topology, now time.Time) eligibility {
-	got := eligibility{onlyPermits: true, candidates: e.scratch.eligible[:0]}
+	got := eligibility{onlyPermits: true, candidates: e.scratch.eligible[:0], cold: e.coldPoolOf(t, j.pool)}
+	// waiting is set if an endpoint that is down or ejected is cold and has no turn.
+	waiting := false
 	ejected := e.scratch.ejected[:0]
 	required, builds := e.requiredVersion(j, now), e.config.View.View().Builds
 	j.required = required
@@ -152,6 +159,7 @@
 		to, s := c.to, c.state
 		run := runOf(to)
 		limited := e.isLimited(run)
+		_, cold := got.cold.isCold(c)
 		up := !to.Down && s.health.Fit(now)
 		switch {
 		case !j.mayGoOnAt(to, s, builds, now):
@@ -159,20 +167,22 @@
 		case required > 0 && s.version(to, j.call.Model) < required:
 		case now.Before(s.fullUntil):
 			got.full = true
-		case limited && e.config.View.PermitCount(run) == 0:
+		case limited && e.config.View.PermitCount(run) == 0, cold && got.cold.turns(to) == 0:
 			got.limited = got.limited || up
+			waiting = waiting || cold && !up
 		case !up:
 			ejected = append(ejected, c)
 		default:
 			got.candidates = append(got.candidates, c)
-			got.limited = got.limited || limited
-			got.onlyPermits = got.onlyPermits && limited
+			got.limited = got.limited || limited || cold
+			got.onlyPermits = got.onlyPermits && (limited || cold)
 		}
 	}
 	e.scratch.eligible, e.scratch.ejected = got.candidates, ejected
 	if len(got.candidates) == 0 && !got.full && !got.limited {
 		// If every endpoint is down or ejected, these reports carry no information: use them all.
 		got.candidates = ejected
+		got.limited = len(ejected) == 0 && waiting
 	}
 	return got
 }
--- a/pass/place_reference_test.go
+++ b/pass/place_reference_test.go
@@ -27,6 +27,7 @@
 // placeView is a View of cached parts and of the other entries' work.
 type placeView struct {
 	unusedView
+	cold    *ctrl.Cold
 	view    *ctrl.View
 	work    *tally.Snapshot
 	holders map[string][]block.Holder
@@ -42,6 +43,7 @@
 func (v *placeView) EngineClock(time.Duration) int64    { return v.clock }
 func (v *placeView) Permitted() <-chan struct{}         { return nil }
 func (v *placeView) List() *member.List                 { return nil }
+func (v *placeView) Cold() *ctrl.Cold                   { return v.cold }
 
 // referencePlacement chooses as placements did when each endpoint that caches a part had a plan of
 // its own, made from all of the part's holders.
@@ -195,7 +197,7 @@
 		list.Endpoints = append(list.Endpoints, to)
 	}
 	list.Index()
-	view := &placeView{view: &ctrl.View{Weights: map[string]ctrl.Weights{"m": {Model: "m", Version: uint64(1 + r.IntN(2))}}}, holders: map[string][]block.Holder{}, clock: int64(r.IntN(10)), entries: 1 + r.IntN(20)}
+	view := &placeView{cold: &ctrl.Cold{}, view: &ctrl.View{Weights: map[string]ctrl.Weights{"m": {Model: "m", Version: uint64(1 + r.IntN(2))}}}, holders: map[string][]block.Holder{}, clock: int64(r.IntN(10)), entries: 1 + r.IntN(20)}
 	catalog := block.NewCatalog()
 	for _, part := range parts {
 		for _, version := range []uint64{1, 2} {
--- a/pass/rate.go
+++ b/pass/rate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"egretshunt/event"
@@ -34,8 +35,11 @@
 	permitted []time.Time
 }
 
-// rateWaiter is a request that waits for a permit.
-type rateWaiter struct{ ready chan struct{} }
+// rateWaiter is a request that waits for a permit or a turn. prefers is the endpoint that ranks first for its subject, if that is known.
+type rateWaiter struct {
+	ready   chan struct{}
+	prefers string
+}
 
 func runOf(to *member.Endpoint) limit.EndpointRun {
 	return limit.EndpointRun{ID: to.ID, Born: to.Born}
@@ -73,8 +77,11 @@
 	// rate is the sum of the limits, permits the number of permits on hand.
 	rate    float64
 	permits int
-	// unlimited is set if others take requests without a permit.
+	// unlimited is set if others take requests without a permit or a turn.
 	unlimited bool
+	// free is how many requests may be sent now, by permits and turns; cold is what is known of the cold endpoints.
+	free int
+	cold coldRuns
 }
 
 // limitedRuns returns the endpoints of a pool that have named limits. The caller holds mu.
@@ -85,17 +92,41 @@
 		return got
 	}
 	now := time.Now()
-	for _, to := range list.Pool(pool) {
-		s, run := e.endpointState(to), runOf(to)
-		if to.Down || s.isAvoided(to) || !s.health.Fit(now) || now.Before(s.fullUntil) {
+	t := e.topologyOf(list, e.tableSet())
+	bound := e.coldPoolOf(t, pool)
+	// last are the cold endpoints that are down or ejected: they get requests if there are no others.
+	var last coldRuns
+	for _, c := range t.pools[pool] {
+		to, s, run := c.to, c.state, runOf(c.to)
+		if s.isAvoided(to) || now.Before(s.fullUntil) {
+			continue
+		}
+		until, cold := bound.isCold(c)
+		if to.Down || !s.health.Fit(now) {
+			if cold {
+				last.add(bound, to, until, bound.turns(to))
+			}
 			continue
 		}
 		rate, named := e.config.View.NamedRate(run)
-		if !named {
+		free := math.MaxInt
+		if named {
+			permits := e.config.View.PermitCount(run)
+			got.runs, got.rate, got.permits = append(got.runs, run), got.rate+rate, got.permits+permits
+			free = permits
+		}
+		if cold {
+			free = min(free, bound.turns(to))
+			got.cold.add(bound, to, until, free)
+		}
+		if named || cold {
+			got.free += free
+		} else {
 			got.unlimited = true
-			continue
 		}
-		got.runs, got.rate, got.permits = append(got.runs, run), got.rate+rate, got.permits+e.config.View.PermitCount(run)
+	}
+	if !got.unlimited && len(got.runs)+got.cold.count == 0 {
+		got.cold, got.free = last, len(last.ready)
 	}
 	return got
 }
@@ -120,9 +151,13 @@
 	return wants
 }
 
-// permitWait returns how long one more request of a pool would wait for a permit, by the permits of the last permitWindow, or by an equal
-// share of the limits. The caller holds mu.
-func (e *Entry) permitWait(q *rateQueue, ahead int, rate float64, now time.Time) time.Duration {
+// permitWait returns how long one more request of a pool would wait for a turn, or for a permit, by the permits of the last permitWindow or
+// an equal share of the limits. The caller holds mu.
+func (e *Entry) permitWait(q *rateQueue, ahead int, limited limitedRuns, now time.Time) time.Duration {
+	rate := limited.rate
+	if len(limited.runs) == 0 && limited.cold.count > 0 {
+		return limited.cold.wait(ahead)
+	}
 	for len(q.permitted) > 0 && now.Sub(q.permitted[0]) > permitWindow {
 		q.permitted = q.permitted[1:]
 	}
@@ -141,12 +176,13 @@
 	if p := j.route.Patience; p > 0 {
 		left = min(left, p-now.Sub(j.call.Arrived))
 	}
-	w := &rateWaiter{make(chan struct{})}
+	w := &rateWaiter{ready: make(chan struct{})}
 	item := &limit.Item[*rateWaiter]{Account: j.account, Rank: uint32(max(j.rank, 0)), Cost: 1, Value: w}
 	e.mu.Lock()
 	q := e.rateQueue(j.pool)
-	rate := e.limitedRuns(j.pool).rate
-	wait := e.permitWait(q, int(q.queue.Ahead(item.Account, item.Rank)), rate, now)
+	limited := e.limitedRuns(j.pool)
+	w.prefers = limited.cold.preferred(j)
+	wait := e.permitWait(q, int(q.queue.Ahead(item.Account, item.Rank)), limited, now)
 	rejected := wait > left
 	if !rejected {
 		if dropped := q.queue.Push(item); dropped == item {
@@ -162,7 +198,7 @@
 	default:
 	}
 	if rejected {
-		return j.finalFailure(reasonLimited, max(wait, fullRetryAfter))
+		return j.finalFailure(limited.reason(), max(wait, fullRetryAfter))
 	}
 	timeout := time.NewTimer(left)
 	defer timeout.Stop()
@@ -178,7 +214,8 @@
 		// It has been woken at the same moment; its permit is for the next one.
 		q.woken--
 	}
-	return j.finalFailure(reasonLimited, max(e.permitWait(q, q.queue.Len(), rate, time.Now()), fullRetryAfter))
+	limited = e.limitedRuns(j.pool)
+	return j.finalFailure(limited.reason(), max(e.permitWait(q, q.queue.Len(), limited, time.Now()), fullRetryAfter))
 }
 
 // runRateQueues wakes waiting requests as permits come, until ctx ends. Those that still find no endpoint wait again: they are
@@ -214,13 +251,13 @@
 			continue
 		}
 		limited := e.limitedRuns(pool)
-		permits := limited.permits
-		if limited.unlimited || len(limited.runs) == 0 {
+		permits := limited.free
+		if limited.unlimited || len(limited.runs)+limited.cold.count == 0 {
 			// A limit has ended, or there is nothing to wait for.
 			permits = q.queue.Len() + q.woken
 		}
 		for permits > q.woken && q.queue.Len() > 0 {
-			item, _ := q.queue.Pop()
+			item := limited.cold.pop(q.queue)
 			q.permitted = append(q.permitted, now)
 			q.wake(item)
 		}
--- a/pass/topology.go
+++ b/pass/topology.go
@@ -39,6 +39,8 @@
 	amounts []*int
 	// used are the amounts that the last snapshot has set.
 	used []*int
+	// cold are the bounds on requests to cold endpoints.
+	cold coldBounds
 }
 
 // notSource is the index of a holder that is neither a store nor a listed engine.
@@ -51,6 +53,8 @@
 	// place is the index of its data centre, source its index among the sources.
 	place, source int
 	others        otherWork
+	// coldUntil is until when it is cold, as control says.
+	coldUntil time.Duration
 }
 
 // otherWork is the prompt tokens that the other entries have outstanding at an endpoint: those to
@@ -92,6 +96,9 @@
 	if work := e.config.View.OtherWork(); work != t.work {
 		t.installWork(work)
 	}
+	if known := e.config.View.Cold(); known != t.cold.known {
+		t.installCold(known)
+	}
 	return t
 }
 
@@ -117,6 +124,7 @@
 			c.source = t.byAddr[c.to.Addr]
 		}
 	}
+	t.cold = e.newColdBounds(t)
 	return t
 }
 
--- a/route/place.go
+++ b/route/place.go
@@ -101,6 +101,17 @@
 // rendezvous returns the rendezvous hashing rank of an endpoint for a subject.
 func rendezvous(subject, id string) uint64 { return newSubjectHash(subject).rank(id) }
 
+// Preferred returns the endpoint that rendezvous hashing ranks first for a subject; "" without endpoints.
+func Preferred(subject string, ids []string) string {
+	hash, best, highest := newSubjectHash(subject), "", uint64(0)
+	for _, id := range ids {
+		if rank := hash.rank(id); best == "" || rank > highest {
+			best, highest = id, rank
+		}
+	}
+	return best
+}
+
 // UniformHash maps a request's identity to a pseudo-random number in [0, 1).
 func UniformHash(id string) float64 {
 	h := fnv.New64a()
