Tests of the leader's knowledge; benchmark with each second endpoint cold

errors.Is doesn't see through the errors of other layers, so that a refused connection to an engine was no sign: TestLeaderKnowsColdEndpoints and TestFormerProcessIsWarmAgain failed for that.

--- a/ctrl/cold.go
+++ b/ctrl/cold.go
@@ -4,11 +4,14 @@
 	"errors"
 	"io"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"egretshunt/board"
 	"egretshunt/clock"
 	"egretshunt/event"
@@ -236,10 +239,19 @@
 
 // isConnEnd reports whether an error says that a peer refused or ended the connection. A time-out doesn't: the peer may be slow.
 func isConnEnd(err error) bool {
-	for _, end := range []error{syscall.ECONNREFUSED, syscall.ECONNRESET, syscall.EPIPE, io.EOF, io.ErrUnexpectedEOF} {
-		if errors.Is(err, end) {
+	for err != nil {
+		if slices.ContainsFunc(connEnds, func(end error) bool { return errors.Is(err, end) }) {
 			return true
 		}
+		// errors.Is doesn't look into causes that an error of another layer hides.
+		layer := errorx.Cast(err)
+		if layer == nil {
+			return false
+		}
+		err = layer.Cause()
 	}
 	return false
 }
+
+// connEnds are the errors of connections that the peer refused or ended.
+var connEnds = []error{syscall.ECONNREFUSED, syscall.ECONNRESET, syscall.EPIPE, io.EOF, io.ErrUnexpectedEOF}
--- a/ctrl/leader_test.go
+++ b/ctrl/leader_test.go
@@ -66,13 +66,18 @@
 // from it. The function reachable stands for FeedConfig.Heard.
 func (sp *staticPlatform) startFeed(t *testing.T, reachable func() []string) *ctrl.Feed {
 	t.Helper()
-	set, err := board.New(board.Draft{Number: 1, Pools: []board.Pool{{Name: "s", Store: &board.Store{Addr: sp.store, Tokens: 1000, Managed: true}}}})
+	return startFeedOf(t, sp, reachable, board.Pool{Name: "s", Store: &board.Store{Addr: sp.store, Tokens: 1000, Managed: true}})
+}
+
+func startFeedOf(t *testing.T, p ctrl.Platform, reachable func() []string, pools ...board.Pool) *ctrl.Feed {
+	t.Helper()
+	set, err := board.New(board.Draft{Number: 1, Pools: pools})
 	check.NoError(t, err)
 	c := newCluster(t, 1)
 	n := c.node(c.leader())
 	hub := ctrl.NewHub(n)
 	tasks := ctrl.NewLeaderTasks(ctrl.LeaderTasksConfig{
-		Member: func() (*ctrl.Node, *ctrl.Hub) { return n, hub }, Holder: "n", Platform: sp,
+		Member: func() (*ctrl.Node, *ctrl.Hub) { return n, hub }, Holder: "n", Platform: p,
 		Decode: func([]byte) (*board.Set, error) { return set, nil }, ListInterval: 100 * time.Millisecond, RetainTime: time.Minute,
 	})
 	t.Cleanup(tasks.Close)
--- a/pass/bench_test.go
+++ b/pass/bench_test.go
@@ -12,6 +12,7 @@
 	"egretshunt/block"
 	"egretshunt/board"
 	"egretshunt/check"
+	"egretshunt/clock"
 	"egretshunt/ctrl"
 	"egretshunt/limit"
 	"egretshunt/member"
@@ -20,7 +21,7 @@
 )
 
 // BenchmarkServe forwards requests with 10 to 600 endpoints in the list: prompts of which no
-// endpoint, few, or all hold a part, beside stores, and requests without parts. It shows how an
+// endpoint, few, or all hold a part, beside stores, requests without parts, and prompts while each second endpoint is cold. It shows how an
 // entry's processor time per request depends on their number.
 func BenchmarkServe(b *testing.B) {
 	for _, size := range []int{10, 48, 180, 600} {
@@ -28,6 +29,9 @@
 			b.Run(fmt.Sprint(size, "/", name), func(b *testing.B) { benchmarkServe(b, benchCase{endpoints: size, holders: holders, prompts: true}) })
 		}
 		b.Run(fmt.Sprint(size, "/plain"), func(b *testing.B) { benchmarkServe(b, benchCase{endpoints: size}) })
+		b.Run(fmt.Sprint(size, "/cold"), func(b *testing.B) {
+			benchmarkServe(b, benchCase{endpoints: size, holders: 3, prompts: true, cold: true})
+		})
 	}
 }
 
@@ -35,6 +39,8 @@
 type benchCase struct {
 	endpoints, holders int
 	prompts            bool
+	// cold makes each second endpoint cold.
+	cold bool
 }
 
 // benchStores is the number of stores of the benchmark.
@@ -58,7 +64,7 @@
 }
 
 func newBenchEntry(b testing.TB, c benchCase) *pass.Entry {
-	pools := []board.Pool{{Name: "p", Engine: &board.Engine{Tokens: 90000, TokenBytes: 1000, Bandwidth: 370e9}}}
+	pools := []board.Pool{{Name: "p", ColdRate: 20, Engine: &board.Engine{Tokens: 90000, TokenBytes: 1000, Bandwidth: 370e9}}}
 	places := []string{"a", "b", "c", "d", "e"}
 	for i := range benchStores {
 		pools = append(pools, board.Pool{Name: fmt.Sprint("s", i), Store: &board.Store{
@@ -87,14 +93,22 @@
 			catalog.Apply([]block.CatalogChange{{Store: to.Addr, Name: block.PartName(block.Salt(3, ""), "sys"), Tokens: 500}})
 		}
 	}
+	cold := ctrl.Cold{ListedAt: clock.Now() + time.Hour, Turn: limit.Turn{Index: 5, Count: 42}, Until: map[string]time.Duration{}}
+	for i, to := range endpoints {
+		if c.cold && i%2 == 0 {
+			cold.Until[to.ID] = clock.Now() + time.Hour
+		}
+	}
 	where := map[string][]block.Holder{}
 	name := block.PartName(block.Salt(3, ""), "sys")
 	where[name] = catalog.Holders(name)
+	view := &benchView{
+		feed: feed{view: &ctrl.View{Set: &ctrl.TableSetDocument{Number: 1}}, list: (&member.List{Endpoints: endpoints}).Index(), where: where},
+		work: tally.SnapshotOf(1, work),
+	}
+	view.cold.Store(&cold)
 	return pass.New(pass.Config{
-		View: &benchView{
-			feed: feed{view: &ctrl.View{Set: &ctrl.TableSetDocument{Number: 1}}, list: (&member.List{Endpoints: endpoints}).Index(), where: where},
-			work: tally.SnapshotOf(1, work),
-		},
+		View: view, ColdExcess: 1.5, ColdSlack: 5,
 		Backend:      &scriptedBackend{responses: []func(*pass.Send) (*pass.Reply, error){respondWith(200, eventA)}},
 		Decode:       func([]byte) (*board.Set, error) { return set, nil },
 		RetryLimiter: limit.RetryLimiterConfig{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}, RolloutTimeout: time.Hour,
