--- a/pass/feed_test.go
+++ b/pass/feed_test.go
@@ -55,6 +55,8 @@
 	noOrigins bool
 	// awaited counts the starts that were waited for.
 	awaited int
+	// cold is what control says of cold endpoints.
+	cold atomic.Pointer[ctrl.Cold]
 	// uncounted makes control have all requests' crashes yet to count.
 	uncounted bool
 }
@@ -73,6 +75,12 @@
 	return f.list
 }
 
+// SinceEvacuation returns how long ago an evacuation in the view ended, whose group time is that of the wall clock.
+func (f *feed) SinceEvacuation(place string) (time.Duration, bool) {
+	s, ok := f.View().Place(place)
+	return time.Since(s.At), ok && !s.Evacuated
+}
+
 func (f *feed) Changed() <-chan struct{}           { return nil }
 func (f *feed) Fresh() bool                        { return !f.stale }
 func (f *feed) Age() time.Duration                 { return f.age }
@@ -208,6 +216,16 @@
 	return true
 }
 
+// Cold implements pass.View.
+func (f *feed) Cold() *ctrl.Cold {
+	if c := f.cold.Load(); c != nil {
+		return c
+	}
+	return &noCold
+}
+
+var noCold ctrl.Cold
+
 // Permitted implements pass.View; the entry looks for permits of its own accord.
 func (f *feed) Permitted() <-chan struct{} { return nil }
 
