board: a check names every problem of a draft

Control named only the first problem of a table set, so an operator found the others one by one. board.Check collects all of them with the path of the value; New is built on it and still returns the first as Invalid.

TestCheckNamesEveryProblem fails if the checks of one route stop at its first problem.

--- a/board/board.go
+++ b/board/board.go
@@ -2,14 +2,13 @@
 // and path prefix, weighted pools, client accounts with their keys, and limits on what clients
 // send.
 //
-// It owns the checks of a set and the lookups that the request path makes in it. A set is replaced
+// It owns the checks of a set (Check) and the lookups that the request path makes in it. A set is replaced
 // as a whole by one with a higher number; ctrl replicates it, and the adapter that reads the
 // operator's document builds it with New.
 package board
 
 import (
 	"net/netip"
-	"slices"
 	"strings"
 	"time"
 
@@ -154,83 +153,15 @@
 	stores []*Pool
 }
 
-// New checks a draft and returns the set, or an Invalid error.
+// New checks a draft and returns the set, or an Invalid error with its first problem.
 func New(d Draft) (*Set, error) {
-	s := &Set{
-		Number: d.Number, RequireKeys: d.RequireKeys, Limits: d.Limits,
-		routes: map[string][]*Route{}, pools: map[string]*Pool{}, keys: map[string]*Account{},
-	}
-	for i := range d.Pools {
-		p := &d.Pools[i]
-		if p.Name == "" || s.pools[p.Name] != nil {
-			return nil, Invalid.New("pool %d: the name %q is empty or a duplicate", i, p.Name)
-		}
-		s.pools[p.Name] = p
-		if p.Store != nil {
-			s.stores = append(s.stores, p)
-		}
-	}
-	slices.SortFunc(s.stores, func(a, b *Pool) int { return strings.Compare(a.Name, b.Name) })
-	for i := range d.Accounts {
-		if err := s.addAccount(&d.Accounts[i]); err != nil {
-			return nil, err
-		}
-	}
-	for i := range d.Routes {
-		if err := s.addRoute(&d.Routes[i]); err != nil {
-			return nil, err
-		}
-	}
-	for _, hostRoutes := range s.routes {
-		slices.SortFunc(hostRoutes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	s, problems := Check(d)
+	if s == nil {
+		return nil, Invalid.New("%s: %s", problems[0].Path, problems[0].Text)
 	}
 	return s, nil
 }
 
-func (s *Set) addAccount(a *Account) error {
-	if a.Name == "" {
-		return Invalid.New("an account's name is empty")
-	}
-	for _, k := range a.Keys {
-		if holder := s.keys[k]; k == "" || holder != nil && holder.Name != a.Name {
-			return Invalid.New("account %s: a key is empty or also belongs to another account", a.Name)
-		}
-		s.keys[k] = a
-	}
-	return nil
-}
-
-func (s *Set) addRoute(r *Route) error {
-	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") || r.Host == "" {
-		return Invalid.New("route %s: host %q is empty, or prefix %q does not begin and end with /", r.Name, r.Host, r.Prefix)
-	}
-	host := strings.ToLower(r.Host)
-	for _, other := range s.routes[host] {
-		if other.Prefix == r.Prefix {
-			return Invalid.New("routes %s and %s have the same host and prefix", other.Name, r.Name)
-		}
-	}
-	if r.Timeout <= 0 {
-		return Invalid.New("route %s: the timeout must be positive", r.Name)
-	}
-	total := 0.0
-	for _, share := range r.Split {
-		if s.pools[share.Pool] == nil {
-			return Invalid.New("route %s: pool %q does not exist", r.Name, share.Pool)
-		}
-		if share.Weight < 0 {
-			return Invalid.New("route %s: a weight is negative", r.Name)
-		}
-		total += float64(share.Weight)
-	}
-	if total <= 0 {
-		return Invalid.New("route %s: the sum of the weights must be positive", r.Name)
-	}
-	r.Attempts = max(r.Attempts, 1)
-	s.routes[host] = append(s.routes[host], r)
-	return nil
-}
-
 // Match returns the route of the host with the longest prefix of the path, or nil.
 func (s *Set) Match(host, path string) *Route {
 	for _, r := range s.routes[strings.ToLower(host)] {
