--- a/table/rows.go
+++ b/table/rows.go
@@ -8,6 +8,7 @@
 package table
 
 import (
+	"fmt"
 	"net/netip"
 	"regexp"
 	"slices"
@@ -135,39 +136,31 @@
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
 
-func checkName(field, name string) error {
-	if !namePattern.MatchString(name) {
-		return Invalid.New("%s %q: want 1 to 63 of a-z, 0-9, dot, dash, underscore, beginning with a letter or digit", field, name)
-	}
-	return nil
-}
+// Check validates the row without regard to other rows; it returns the first problem.
+func (r *Route) Check() error { return firstError(r.Problems()) }
 
-// Check validates the row without regard to other rows.
-func (r *Route) Check() error {
-	if err := checkName("route name", r.Name); err != nil {
-		return err
-	}
-	if err := checkName("account", r.Account); err != nil {
-		return err
-	}
-	if err := checkName("target", r.Target); err != nil {
-		return err
-	}
+// Problems validates the row without regard to other rows.
+func (r *Route) Problems() []Problem {
+	var p problems
+	p.checkName("name", "route name", r.Name)
+	p.checkName("account", "account", r.Account)
+	p.checkName("target", "target", r.Target)
 	if len(r.Pools) == 0 {
-		return Invalid.New("route %s: pools is empty; name at least one pool", r.Name)
+		p.add("pools", Invalid.New("route %s: pools is empty; name at least one pool", r.Name))
 	}
 	switch r.Class {
 	case "", Urgent, Normal, Batch:
 	default:
-		return Invalid.New("route %s: class %q: want urgent, normal or batch", r.Name, r.Class)
+		p.add("class", Invalid.New("route %s: class %q: want urgent, normal or batch", r.Name, r.Class))
 	}
 	if r.Stale != "" && r.Stale != StaleRefuse && r.Stale != StaleServe {
-		return Invalid.New("route %s: stale %q: want refuse or serve", r.Name, r.Stale)
+		p.add("stale", Invalid.New("route %s: stale %q: want refuse or serve", r.Name, r.Stale))
 	}
-	return r.checkNumbers()
+	r.checkNumbers(&p)
+	return p
 }
 
-func (r *Route) checkNumbers() error {
+func (r *Route) checkNumbers(p *problems) {
 	for _, n := range []struct {
 		key    string
 		number float64
@@ -180,46 +173,47 @@
 		{"limits.flight", float64(r.Limits.MaxInFlight)},
 	} {
 		if n.number < 0 || n.number != n.number {
-			return Invalid.New("route %s: %s is %v: want zero or more", r.Name, n.key, n.number)
+			p.add(n.key, Invalid.New("route %s: %s is %v: want zero or more", r.Name, n.key, n.number))
 		}
 	}
 	if r.Retry < 0 || r.Retry > 1 {
-		return Invalid.New("route %s: retry is %v: want 0 to 1, the share of requests that may be retried", r.Name, r.Retry)
+		p.add("retry", Invalid.New("route %s: retry is %v: want 0 to 1, the share of requests that may be retried", r.Name, r.Retry))
 	}
-	return nil
 }
 
-// Check validates the row without regard to other rows.
-func (p *Pool) Check() error {
-	if err := checkName("pool name", p.Name); err != nil {
-		return err
-	}
-	if err := checkName("place", p.Place); err != nil {
-		return err
-	}
+// Check validates the row without regard to other rows; it returns the first problem.
+func (p *Pool) Check() error { return firstError(p.Problems()) }
+
+// Problems validates the row without regard to other rows.
+func (p *Pool) Problems() []Problem {
+	var found problems
+	found.checkName("name", "pool name", p.Name)
+	found.checkName("place", "place", p.Place)
 	switch p.Kind {
 	case Service, Store:
 	case Model:
 		if p.Model == "" || p.Version == "" {
-			return Invalid.New("pool %s: a model pool needs model and version", p.Name)
+			found.add("model", Invalid.New("pool %s: a model pool needs model and version", p.Name))
 		}
 	default:
-		return Invalid.New("pool %s: kind %q: want model, service or store", p.Name, p.Kind)
+		found.add("kind", Invalid.New("pool %s: kind %q: want model, service or store", p.Name, p.Kind))
 	}
 	endpointNames := value.Set[string]{}
-	for _, e := range p.Endpoints {
-		if err := checkName("endpoint", e.Name); err != nil {
-			return err
+	for i, e := range p.Endpoints {
+		if found.full() {
+			break
 		}
+		field := fmt.Sprintf("endpoints[%d].", i)
+		found.checkName(field+"name", "endpoint", e.Name)
 		if endpointNames.Has(e.Name) {
-			return Invalid.New("pool %s: endpoint %s stands twice", p.Name, e.Name)
+			found.add(field+"name", Invalid.New("pool %s: endpoint %s stands twice", p.Name, e.Name))
 		}
 		if !e.Addr.IsValid() || e.Addr.Port() == 0 {
-			return Invalid.New("pool %s: endpoint %s: addr is missing or has port 0", p.Name, e.Name)
+			found.add(field+"addr", Invalid.New("pool %s: endpoint %s: addr is missing or has port 0", p.Name, e.Name))
 		}
 		endpointNames.Add(e.Name)
 	}
-	return nil
+	return found
 }
 
 // Endpoint returns the endpoint of that name in the pool.
--- a/table/state.go
+++ b/table/state.go
@@ -221,8 +221,8 @@
 	if c.Table != "routes" && c.Table != "pools" {
 		return nil, Invalid.New("there is no table %q; want routes or pools", c.Table)
 	}
-	if current := t.rowVersion(c.Table, c.Name); current != c.Base {
-		return nil, Conflict.New("%s %s has version %d, not %d", c.Table, c.Name, current, c.Base)
+	if err := t.checkBase(c); err != nil {
+		return nil, err
 	}
 	next := t.clone()
 	next.Rev++
@@ -235,6 +235,14 @@
 	return nil, Invalid.New("there is no operation %q; want put or delete", c.Op)
 }
 
+// checkBase checks that the change is based on the current version of its row.
+func (t *Tables) checkBase(c Change) error {
+	if current := t.rowVersion(c.Table, c.Name); current != c.Base {
+		return Conflict.New("%s %s has version %d, not %d", c.Table, c.Name, current, c.Base)
+	}
+	return nil
+}
+
 func (t *Tables) rowVersion(table, name string) uint64 {
 	if r, ok := t.Routes[name]; ok && table == "routes" {
 		return r.Rev
@@ -245,35 +253,33 @@
 	return 0
 }
 
-func (t *Tables) applyPut(c Change) error {
+func (t *Tables) applyPut(c Change) error { return firstError(t.put(c)) }
+
+// put applies a put in place and returns no problems, or leaves the tables unchanged and returns all of them.
+func (t *Tables) put(c Change) []Problem {
 	if c.Table == "pools" {
 		p := &Pool{}
 		if err := decodeStrict(c.Body, p); err != nil {
-			return err
+			return []Problem{{Err: err}}
 		}
 		p.Name, p.Rev = c.Name, t.Rev
-		if err := p.Check(); err != nil {
-			return err
-		}
-		if err := t.checkPoolUsers(p.Name, p); err != nil {
-			return err
+		found := problems(p.Problems())
+		found.add("name", t.checkPoolUsers(p.Name, p))
+		if len(found) == 0 {
+			t.Pools[p.Name] = p
 		}
-		t.Pools[p.Name] = p
-		return nil
+		return found
 	}
 	r := &Route{}
 	if err := decodeStrict(c.Body, r); err != nil {
-		return err
+		return []Problem{{Err: err}}
 	}
 	r.Name, r.Rev = c.Name, t.Rev
-	if err := r.Check(); err != nil {
-		return err
-	}
-	if err := t.checkRouteRefs(r); err != nil {
-		return err
+	found := append(r.Problems(), t.checkRouteRefs(r)...)
+	if len(found) == 0 {
+		t.setRoute(r)
 	}
-	t.setRoute(r)
-	return nil
+	return found
 }
 
 func (t *Tables) applyDelete(c Change) error {
--- a/table/tables.go
+++ b/table/tables.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
 
@@ -117,21 +118,24 @@
 }
 
 // checkRouteRefs checks a route against the pools that it names and the other routes.
-func (t *Tables) checkRouteRefs(r *Route) error {
+func (t *Tables) checkRouteRefs(r *Route) []Problem {
+	var p problems
 	if other, ok := t.byKey[RouteKey{r.Account, r.Target}]; ok && other.Name != r.Name {
-		return Inconsistent.New("route %s: route %s already leads account %s to %s", r.Name, other.Name, r.Account, r.Target)
+		p.add("target", Inconsistent.New("route %s: route %s already leads account %s to %s", r.Name, other.Name, r.Account, r.Target))
 	}
-	for _, name := range r.Pools {
-		if err := t.checkPoolRef(r, name, false); err != nil {
-			return err
+	for i, name := range r.Pools {
+		if p.full() {
+			break
 		}
+		p.add(fmt.Sprintf("pools[%d]", i), t.checkPoolRef(r, name, false))
 	}
-	for _, name := range r.Stores {
-		if err := t.checkPoolRef(r, name, true); err != nil {
-			return err
+	for i, name := range r.Stores {
+		if p.full() {
+			break
 		}
+		p.add(fmt.Sprintf("stores[%d]", i), t.checkPoolRef(r, name, true))
 	}
-	return nil
+	return p
 }
 
 func (t *Tables) checkPoolRef(r *Route, name string, store bool) error {
@@ -171,7 +175,7 @@
 		if first != nil && first.Name < r.Name {
 			continue
 		}
-		if err := candidate.checkRouteRefs(r); err != nil {
+		if err := firstError(candidate.checkRouteRefs(r)); err != nil {
 			first, reason = r, err
 		}
 	}
