conf: problems of settings with their keys

conf.Check returns all problems, unknown keys beside invalid values, each with its key; Parse is built on it. Before, unknown keys hid all other problems. Tests of conf unchanged.

--- a/conf/conf.go
+++ b/conf/conf.go
@@ -5,6 +5,7 @@
 package conf
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"net/netip"
@@ -124,23 +125,51 @@
 	return s, nil
 }
 
+// Problem is a reason why settings are rejected.
+type Problem struct {
+	// Key is the setting, such as entry.open; empty if the text is no TOML.
+	Key string
+	// Line is set if the text is no TOML or a value has the wrong type.
+	Line int
+	// Text is the reason; it includes the key.
+	Text string
+}
+
 // Parse decodes settings, sets default values and validates them.
 func Parse(text string) (*Settings, error) {
+	s, problems := Check(text)
+	if s != nil {
+		return s, nil
+	}
+	reasons := make([]string, len(problems))
+	for i, p := range problems {
+		reasons[i] = p.Text
+	}
+	if problems[0].Line > 0 {
+		return nil, Unreadable.New("%s", strings.Join(reasons, "; "))
+	}
+	return nil, Invalid.New("%s", strings.Join(reasons, "; "))
+}
+
+// Check decodes settings, sets default values and validates them. It returns the settings, or nil and all problems; the
+// first value of a wrong type is the only problem.
+func Check(text string) (*Settings, []Problem) {
 	s := &Settings{}
 	meta, err := toml.Decode(text, s)
 	if err != nil {
-		return nil, Unreadable.New("%s", tomlReason(err))
-	}
-	if unknown := meta.Undecoded(); len(unknown) > 0 {
-		names := make([]string, len(unknown))
-		for i, k := range unknown {
-			names[i] = k.String()
+		p := Problem{Line: 1, Text: tomlReason(err)}
+		if e, ok := errors.AsType[toml.ParseError](err); ok {
+			p.Key, p.Line = e.LastKey, e.Position.Line
 		}
-		return nil, Invalid.New("unknown key: %s", strings.Join(names, ", "))
+		return nil, []Problem{p}
+	}
+	var problems []Problem
+	for _, k := range meta.Undecoded() {
+		problems = append(problems, Problem{Key: k.String(), Text: "unknown key: " + k.String()})
 	}
 	s.SetDefaults()
-	if problems := s.Validate(); len(problems) > 0 {
-		return nil, Invalid.New("%s", strings.Join(problems, "; "))
+	if problems = append(problems, s.Validate()...); len(problems) > 0 {
+		return nil, problems
 	}
 	return s, nil
 }
@@ -152,8 +181,8 @@
 	return err.Error()
 }
 
-// Validate returns the problems of the settings, each with its key and the reason.
-func (s *Settings) Validate() []string {
+// Validate returns the problems of the settings.
+func (s *Settings) Validate() []Problem {
 	c := &checker{}
 	c.requireSet("node", s.Node != "", "names this process")
 	c.requireSet("place", s.Place != "", "names the data centre")
@@ -181,17 +210,17 @@
 	return c.problems
 }
 
-type checker struct{ problems []string }
+type checker struct{ problems []Problem }
 
 func (c *checker) requireSet(key string, ok bool, purpose string) {
 	if !ok {
-		c.problems = append(c.problems, fmt.Sprintf("%s is missing: it %s", key, purpose))
+		c.problems = append(c.problems, Problem{Key: key, Text: fmt.Sprintf("%s is missing: it %s", key, purpose)})
 	}
 }
 
 func (c *checker) requireValid(key string, ok bool, reason string) {
 	if !ok {
-		c.problems = append(c.problems, fmt.Sprintf("%s: %s", key, reason))
+		c.problems = append(c.problems, Problem{Key: key, Text: fmt.Sprintf("%s: %s", key, reason)})
 	}
 }
 
