prog: check takes table sets and exports, compares with the version in force

egretshunt check detects what a file is, reads standard input, compares with a file (--against) or a running system (--control), prints text or JSON, and exits with 0 without findings, 1 with errors, 2 with warnings only.

--- a/prog/ctl_tables.go
+++ b/prog/ctl_tables.go
@@ -219,12 +219,11 @@
 	if err != nil {
 		return err
 	}
-	var file admin.TableExport
-	meta, err := toml.Decode(string(data), &file)
+	file, unknown, err := decodeTables(data)
 	if err != nil {
 		return Usage.New("%s: %v", i.File, err)
 	}
-	if unknown := meta.Undecoded(); len(unknown) > 0 {
+	if len(unknown) > 0 {
 		return Usage.New("%s: unknown key: %s", i.File, unknown[0])
 	}
 	var current admin.TableExport
@@ -252,6 +251,15 @@
 	return nil
 }
 
+// decodeTables decodes an export as TOML; unknown are the keys that it must not have.
+func decodeTables(data []byte) (file admin.TableExport, unknown []string, err error) {
+	meta, err := toml.Decode(string(data), &file)
+	for _, key := range meta.Undecoded() {
+		unknown = append(unknown, key.String())
+	}
+	return file, unknown, err
+}
+
 func (i *importArgs) put(a *ctlArgs, path string, versions map[string]uint64, row any, out io.Writer) error {
 	q := url.Values{"base": {strconv.FormatUint(versions[path], 10)}, "id": {newID()}}
 	fmt.Fprintf(out, "%s: ", path)
--- a/prog/prog.go
+++ b/prog/prog.go
@@ -46,7 +46,7 @@
 	Store   *roleArgs    `arg:"subcommand:store" help:"run a store of KV blocks"`
 	Host    *hostArgs    `arg:"subcommand:host" help:"run a role on the consortium's platform"`
 	Ctl     *ctlArgs     `arg:"subcommand:ctl" help:"operate a system"`
-	Check   *checkArgs   `arg:"subcommand:check" help:"check a settings file"`
+	Check   *checkArgs   `arg:"subcommand:check" help:"check settings, a table set or an export of tables"`
 	Trace   *traceArgs   `arg:"subcommand:trace" help:"show a request's path through the logs of several processes"`
 	Key     *keyArgs     `arg:"subcommand:key" help:"generate a key, or hash one"`
 	Load    *loadArgs    `arg:"subcommand:load" help:"send synthetic load to entries"`
@@ -64,10 +64,12 @@
 	return `Examples:
   egretshunt demo --shape caroni
   egretshunt check samples/caroni/entry-0.toml
+  egretshunt check --against inforce.json tableset.json
   egretshunt entry samples/caroni/entry-0.toml
   egretshunt load --entry http://127.0.0.1:8080 --key "$KEY" --rate 20
   egretshunt ctl --admin 127.0.0.1:9001 --key "$KEY" routes list
-Exit codes: 0 success, 1 failure or violated guarantee, 2 invalid command line, 3 invalid settings, 4 requests aborted at shutdown, 5 rejected by the control plane.`
+Exit codes: 0 success, 1 failure or violated guarantee, 2 invalid command line, 3 invalid settings, 4 requests aborted at shutdown, 5 rejected by the control plane.
+check exits with 0 if it finds nothing, 1 if it finds errors, 2 if it finds warnings only.`
 }
 
 // Main runs the command in argv, without the program's name, and returns the exit code.
@@ -126,6 +128,9 @@
 	if err == nil {
 		return exitOK
 	}
+	if found := (*foundError)(nil); errors.As(err, &found) {
+		return found.code
+	}
 	fmt.Fprintln(stderr, "egretshunt:", err)
 	var aborted *abortedError
 	switch {
