--- a/prog/check.go
+++ b/prog/check.go
@@ -121,7 +121,7 @@
 			return lint.Report{}, err
 		}
 		if config.Settings, err = platform.ParseSettings(text); err != nil {
-			return lint.Report{}, err
+			return lint.Report{}, Failed.Wrap(err, "read %s", a.Settings)
 		}
 	}
 	switch {
@@ -171,11 +171,11 @@
 	}
 	file, unknown, err := decodeTables(text)
 	if err != nil {
-		line, field := 1, ""
+		line, field, reason := 1, "", err.Error()
 		if e, ok := errors.AsType[toml.ParseError](err); ok {
-			line, field = e.Position.Line, e.LastKey
+			line, field, reason = e.Position.Line, e.LastKey, e.Message
 		}
-		d.fail(line, field, "%v", err)
+		d.fail(line, field, "%s", reason)
 		return d
 	}
 	for _, key := range unknown {
@@ -257,7 +257,7 @@
 		if a.Keys != "" {
 			keys, err := conf.LoadKeys(a.Keys)
 			if err != nil {
-				return report, err
+				return report, Failed.Wrap(err, "read the keys")
 			}
 			d.lint.Accounts = value.Set[string]{}
 			for _, account := range keys {
--- a/prog/check_test.go
+++ b/prog/check_test.go
@@ -64,6 +64,9 @@
 		"tables, a warning":   {[]string{replaced(t, tablesFile, "/KEY", "/")}, 2, "tables.toml:55: warning: pools[1].lookup: "},
 		"changed tables":      {[]string{"--against", tablesFile, replaced(t, tablesFile, `version = "v1"`, `version = "v2"`)}, 0, "tables.toml:8: change: pools[0].version: pool workers: \"v1\" → \"v2\"; its engines load these weights"},
 		"no file":             {[]string{"none.json"}, 1, ""},
+		"no keys":             {[]string{"--keys", tablesFile, tablesFile}, 1, ""},
+		"no settings":         {[]string{"--settings", inForceSet, inForceSet}, 1, ""},
+		"nothing in force":    {[]string{"--against", "none.json", inForceSet}, 1, ""},
 		"settings compared":   {[]string{"--against", settings, settings}, 2, ""},
 		"two in force":        {[]string{"--against", inForceSet, "--control", "127.0.0.1:1", nextSet}, 2, ""},
 	} {
