lint: lines of a document without decoding what isn't wanted; reports keep to their lines

Control characters in names are escaped in the text report, and the text of a problem is cut at 300 bytes: a name may be as long as the document.

--- a/board/check.go
+++ b/board/check.go
@@ -16,6 +16,9 @@
 // MaxProblems bounds the problems that one check collects: a document of the largest size could have millions.
 const MaxProblems = 1000
 
+// maxProblemBytes bounds the text of a problem, which may name values as long as the document.
+const maxProblemBytes = 300
+
 // Problems collects up to MaxProblems problems.
 type Problems []Problem
 
@@ -25,7 +28,11 @@
 // Add adds a problem of the value at the path.
 func (p *Problems) Add(path, format string, args ...any) {
 	if !p.Full() {
-		*p = append(*p, Problem{path, fmt.Sprintf(format, args...)})
+		text := fmt.Sprintf(format, args...)
+		if len(text) > maxProblemBytes {
+			text = strings.ToValidUTF8(text[:maxProblemBytes], "") + " ..."
+		}
+		*p = append(*p, Problem{path, text})
 	}
 }
 
--- a/lint/lines.go
+++ b/lint/lines.go
@@ -67,56 +67,101 @@
 		return l
 	}
 	line, counted := 1, 0
-	walkJSON(text, l.wanted, func(w *wantedPath, at int) {
-		line += bytes.Count(text[counted:at], []byte("\n"))
-		counted = at
-		w.line = line
+	c := jsonCursor{text: text}
+	c.walk(l.wanted, func(w *wantedPath) {
+		line += bytes.Count(text[counted:c.at], []byte("\n"))
+		counted, w.line = c.at, line
 	})
 	return l
 }
 
-// walkJSON calls found for each wanted value, with the offset after its first token; it stops where the text is no JSON.
-func walkJSON(text []byte, root *wantedPath, found func(w *wantedPath, at int)) {
-	d := json.NewDecoder(bytes.NewReader(text))
-	d.UseNumber()
-	// walk reads one value; w is nil for values that aren't wanted.
-	var walk func(w *wantedPath, depth int) bool
-	walk = func(w *wantedPath, depth int) bool {
-		token, err := d.Token()
-		if err != nil || depth > maxDepth {
-			return false
-		}
-		if w != nil {
-			found(w, int(d.InputOffset()))
+// jsonCursor walks through a JSON document. It passes over what isn't wanted without decoding it: documents may have
+// millions of values. Where the text is no JSON it ends early.
+type jsonCursor struct {
+	text []byte
+	at   int
+}
+
+// next passes over spaces and separators and returns the next byte, or 0 at the end.
+func (c *jsonCursor) next() byte {
+	for ; c.at < len(c.text); c.at++ {
+		if b := c.text[c.at]; b != ' ' && b != '\t' && b != '\r' && b != '\n' && b != ',' && b != ':' {
+			return b
 		}
-		opening, composite := token.(json.Delim)
-		if !composite {
+	}
+	return 0
+}
+
+// walk passes over one value and calls found at the start of each wanted one in it; it returns false where the text ends early.
+func (c *jsonCursor) walk(w *wantedPath, found func(*wantedPath)) bool {
+	opening := c.next()
+	if opening == 0 {
+		return false
+	}
+	found(w)
+	if len(w.children) == 0 || opening != '{' && opening != '[' {
+		return c.skip()
+	}
+	c.at++
+	for i := 0; ; i++ {
+		b := c.next()
+		if b == '}' || b == ']' {
+			c.at++
 			return true
 		}
-		for i := 0; d.More(); i++ {
-			var child *wantedPath
-			name := ""
-			if opening == '{' {
-				key, err := d.Token()
-				if err != nil {
-					return false
-				}
-				name, _ = key.(string)
-			}
-			if w != nil && w.children != nil {
-				if opening == '[' {
-					name = strconv.Itoa(i)
-				}
-				child = w.children[strings.ToLower(name)]
-			}
-			if !walk(child, depth+1) {
+		name := ""
+		if opening == '{' {
+			start := c.at
+			if b != '"' || !c.skip() || json.Unmarshal(c.text[start:c.at], &name) != nil {
 				return false
 			}
+		} else {
+			name = strconv.Itoa(i)
+		}
+		child, wanted := w.children[strings.ToLower(name)]
+		if wanted && !c.walk(child, found) || !wanted && !c.skip() {
+			return false
+		}
+	}
+}
+
+// skip passes over one value.
+func (c *jsonCursor) skip() bool {
+	c.next()
+	for depth := 0; c.at < len(c.text); {
+		switch b := c.text[c.at]; b {
+		case '"':
+			c.skipString()
+		case '{', '[':
+			depth++
+			c.at++
+		case '}', ']':
+			depth--
+			c.at++
+		default:
+			c.at++
+			for depth == 0 && c.at < len(c.text) && !strings.ContainsRune(" \t\r\n,:{}[]\"", rune(c.text[c.at])) {
+				c.at++
+			}
+		}
+		if depth <= 0 {
+			return depth == 0
+		}
+	}
+	return false
+}
+
+func (c *jsonCursor) skipString() {
+	for c.at++; c.at < len(c.text); c.at++ {
+		switch c.text[c.at] {
+		case '\\':
+			c.at++
+		case '"':
+			c.at++
+			return
 		}
-		_, err = d.Token()
-		return err == nil
 	}
-	walk(root, 0)
+	c.at = len(c.text)
 }
 
 // JSONPath returns the path of the value whose first token ends at the offset, as in json.UnmarshalTypeError, and the
--- a/lint/lines_test.go
+++ b/lint/lines_test.go
@@ -16,6 +16,8 @@
 	for path, want := range map[string]int{"": 0, "A": 1, "a[0]": 2, "A[0].b": 3, "A[0].gone": 2, "A[1][1].C": 5, "D.e": 6, "none": 1} {
 		check.Equal(t, path, lines.Line(path), want)
 	}
+	quoted := "{\"x\":[\"\\\"]}\",\"\\\\\"],\n\"\\u0061\":1}"
+	check.Equal(t, "after "+quoted, JSONLines([]byte(quoted), []string{"a"}).Line("a"), 2)
 	check.Equal(t, "no JSON", JSONLines([]byte("{\n\"a\":1,]"), []string{"a"}).Line("a"), 2)
 	deep := strings.Repeat("[", 1<<20)
 	check.Equal(t, "too deep", JSONLines([]byte(deep), []string{"a"}).Line("a"), 1)
--- a/lint/lint.go
+++ b/lint/lint.go
@@ -12,6 +12,9 @@
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
+	"strings"
+	"unicode"
 )
 
 // Level is the severity of a finding.
@@ -89,14 +92,14 @@
 // WriteText writes a line for each finding and each change, and one with their number.
 func (r *Report) WriteText(out io.Writer) error {
 	for _, f := range r.Findings {
-		fmt.Fprintf(out, "%s: %s: %s%s\n", r.at(f.Line), f.Level, field(f.Field), f.Text)
+		fmt.Fprintf(out, "%s: %s: %s%s\n", r.at(f.Line), f.Level, field(f.Field), oneLine(f.Text))
 	}
 	for _, c := range r.Changes {
 		effect := ""
 		if c.Effect != "" {
 			effect = "; " + c.Effect
 		}
-		fmt.Fprintf(out, "%s: change: %s%s%s\n", r.at(c.Line), field(c.Field), c.Text, effect)
+		fmt.Fprintf(out, "%s: change: %s%s\n", r.at(c.Line), field(c.Field), oneLine(c.Text+effect))
 	}
 	state := "valid"
 	if n := r.Count(Error); n > 0 {
@@ -119,6 +122,16 @@
 	return fmt.Sprintf("%s:%d", r.File, line)
 }
 
+// oneLine escapes control characters, which names in a document may have, so that each finding has a line of its own and
+// terminals run no commands.
+func oneLine(text string) string {
+	if !strings.ContainsFunc(text, unicode.IsControl) {
+		return text
+	}
+	quoted := strconv.Quote(text)
+	return quoted[1 : len(quoted)-1]
+}
+
 // count returns a number of things, such as 2 errors.
 func count(n int, noun string) string {
 	if n != 1 {
