--- a/lint/change.go
+++ b/lint/change.go
@@ -12,7 +12,7 @@
 )
 
 // routeEffects and poolEffects say what a change of a field does, where the difference alone doesn't. A field without a
-// text is reported with its values only.
+// text is reported with its values only. The fields of homes and cold endpoints are those that the page names.
 var (
 	routeEffects = map[string]string{
 		"Kind":             "whether its requests may be repeated changes",
@@ -20,12 +20,15 @@
 		"Rank":             "its requests are served earlier or later than those of other routes",
 		"Attempts":         "the bound on endpoints that may run one request changes",
 		"Resumable":        "whether a broken stream may continue at another endpoint changes",
+		"Regions":          "its requests run in these regions only; without any, in all",
 		"NamesPromptParts": "whether its requests can use cached prompt parts changes",
 	}
 	poolEffects = map[string]string{
-		"Conns":  "the connections to each endpoint are bounded anew",
-		"Engine": "placement and cached parts are estimated by the new values",
-		"Store":  "cached parts in the store may have to be read and saved anew",
+		"Conns":    "the connections to each endpoint are bounded anew",
+		"ColdTime": "endpoints that start get few requests for this long",
+		"ColdRate": "cold endpoints get at most this many requests a second; without a rate there is no bound",
+		"Engine":   "placement and cached parts are estimated by the new values",
+		"Store":    "cached parts in the store may have to be read and saved anew",
 	}
 )
 
@@ -119,6 +122,7 @@
 
 var accountEffects = map[string]string{
 	"Rank":     "its requests are served earlier or later than those of other accounts",
+	"Regions":  "its requests run in these regions only; without any, in all",
 	"Isolated": "whether it shares cached prompt parts changes, so those it used are computed anew",
 }
 
