--- a/prog/check.go
+++ b/prog/check.go
@@ -77,7 +77,7 @@
 
 // check checks the text as what it looks like.
 func (a *checkArgs) check(text []byte) (lint.Report, error) {
-	isJSON := bytes.HasPrefix(bytes.TrimLeft(text, " \t\r\n"), []byte("{"))
+	isJSON := looksLikeJSON(text)
 	switch {
 	case isJSON && platform.IsConfiguration(text):
 		return a.checkTableSet(text)
@@ -90,6 +90,11 @@
 	return checkSettings(text), nil
 }
 
+// looksLikeJSON reports whether a document is an object in JSON, perhaps after a byte order mark.
+func looksLikeJSON(text []byte) bool {
+	return bytes.HasPrefix(bytes.TrimLeft(text, "\ufeff \t\r\n"), []byte("{"))
+}
+
 func checkSettings(text []byte) lint.Report {
 	report := lint.Report{Kind: "settings"}
 	settings, problems := conf.Check(string(text))
@@ -307,7 +312,7 @@
 		if err != nil {
 			return nil, err
 		}
-		d := readTableDocument(text, bytes.HasPrefix(bytes.TrimLeft(text, " \t\r\n"), []byte("{")))
+		d := readTableDocument(text, looksLikeJSON(text))
 		if len(d.findings) > 0 {
 			return nil, Failed.New("%s can't be read: %s", a.Against, d.findings[0].Text)
 		}
