ctrl: followers keep evacuations on disk

A node on the agents' path goes on with its cached tables without control where a route says so; after a restart it knew of no evacuation and would have sent to the place. It now saves the places beside the tables, before a view is used.

TestNodeKeepsEvacuationOverRestart was seen to fail without loadPlaces.

--- a/ctrl/evacuation.go
+++ b/ctrl/evacuation.go
@@ -1,11 +1,15 @@
 package ctrl
 
 import (
+	"encoding/json"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"egretshunt/clock"
+	"egretshunt/disk"
 	"egretshunt/event"
 	"egretshunt/table"
 )
@@ -142,3 +146,36 @@
 		}
 	}
 }
+
+// placesFile is the name of the file that holds the installed places.
+const placesFile = "places"
+
+// savePlaces writes the places of a new view to disk, if they differ, as tables are: a node that restarts without control goes on with
+// its tables, and must not send to what was evacuated.
+func (f *Follower) savePlaces(former, next *View) error {
+	if slices.EqualFunc(former.Places, next.Places, func(a, b PlaceState) bool { return a.Place == b.Place && a.Evacuated == b.Evacuated }) {
+		return nil
+	}
+	_, err := f.persist(f.placeSaves, placesFile, next.Places)
+	return err
+}
+
+// loadPlaces restores the places into the first view, which any view of control replaces.
+func (f *Follower) loadPlaces() {
+	if f.config.FS == nil {
+		return
+	}
+	data, err := disk.Load(f.config.FS, placesFile)
+	if errorx.IsOfType(err, disk.Missing) {
+		return
+	}
+	first := *f.View()
+	if err == nil {
+		err = json.Unmarshal(data, &first.Places)
+	}
+	if err != nil {
+		f.config.Events.Emit(event.Damaged, "file", placesFile, "err", err)
+		return
+	}
+	f.view.Store(&first)
+}
--- a/ctrl/evacuation_cluster_test.go
+++ b/ctrl/evacuation_cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"slices"
 	"sync"
 	"testing"
@@ -12,6 +13,7 @@
 	"egretshunt/ctrl"
 	"egretshunt/fake"
 	"egretshunt/quorum"
+	"egretshunt/wire"
 )
 
 // evacuate proposes the beginning or end of an evacuation to one member after another until one returns a result.
@@ -140,3 +142,29 @@
 	c.setIsolated(former, false)
 	c.checkEvacuated("once the partition has ended", "a")
 }
+
+// Guards against a node that restarts without control and sends to what was evacuated: its tables let it go on.
+func TestNodeKeepsEvacuationOverRestart(t *testing.T) {
+	c := newCluster(t, 1)
+	addr, keys := serveControl(t, ctrl.ServerConfig{Node: c.node(c.leader())})
+	d := fake.NewDisk()
+	start := func(from ...netip.AddrPort) *ctrl.Follower {
+		pool := wire.NewPool(wire.PoolConfig{Keys: keys})
+		t.Cleanup(pool.Close)
+		f, err := ctrl.NewFollower(ctrl.FollowerConfig{Node: "n", Role: "entry", Pool: pool, FS: d, Upstreams: func() []netip.AddrPort { return from }})
+		check.NoError(t, err)
+		return f
+	}
+	for _, end := range []bool{false, true} {
+		f := start(addr)
+		c.evacuate(ctrl.Evacuation{Place: "a", End: end})
+		check.Eventually(t, "the node knows", func() bool { return f.View().IsEvacuated("a") == !end })
+		d.CrashAfter(0)
+		f.Close()
+		d.Restart(0)
+		alone := start()
+		check.Equal(t, "evacuated after a restart", alone.View().IsEvacuated("a"), !end)
+		check.Equal(t, "control's views replace that", alone.View().Rev, uint64(0))
+		alone.Close()
+	}
+}
--- a/ctrl/follow.go
+++ b/ctrl/follow.go
@@ -34,10 +34,11 @@
 	saveTimeout = 250 * time.Millisecond
 )
 
-// saveRequest asks for tables to be written to disk; done receives whether they were.
+// saveRequest asks for the content of a file to be written to disk; done receives whether it was.
 type saveRequest struct {
-	tables *table.Tables
-	done   chan bool
+	file    string
+	content any
+	done    chan bool
 }
 
 // FollowerConfig constructs a Follower.
@@ -83,7 +84,8 @@
 	// upstreamRoster identifies the roster behind the last response.
 	upstreamRoster atomic.Uint64
 
-	saveRequests chan saveRequest
+	// saveRequests and placeSaves hold the newest tables and places that wait to be written.
+	saveRequests, placeSaves chan saveRequest
 	// closing is closed by Close.
 	closing <-chan struct{}
 
@@ -110,7 +112,7 @@
 		c.Events = event.Discard()
 	}
 	f := &Follower{
-		config: c, roster: NewRoster(c.Lease), saveRequests: make(chan saveRequest, 1), changed: newNotifier(),
+		config: c, roster: NewRoster(c.Lease), saveRequests: make(chan saveRequest, 1), placeSaves: make(chan saveRequest, 1), changed: newNotifier(),
 		incarnation: rand.Uint64(),
 	}
 	f.tables.Store(table.Empty())
@@ -119,6 +121,7 @@
 	if err := f.loadCache(); err != nil {
 		return nil, err
 	}
+	f.loadPlaces()
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel, f.closing = cancel, ctx.Done()
 	f.running.Go(func() { f.pullLoop(ctx) })
@@ -354,7 +357,7 @@
 			return Malformed.Wrap(err, "install tables")
 		}
 		if next != old {
-			saved, err := f.persist(next)
+			saved, err := f.persist(f.saveRequests, cacheFile, next)
 			if err != nil {
 				return err
 			}
@@ -371,6 +374,9 @@
 		return err
 	}
 	if former := f.View(); v.Rev > former.Rev {
+		if err := f.savePlaces(former, v); err != nil {
+			return err
+		}
 		f.view.Store(v)
 		reportPlaces(f.config.Events, former, v)
 		f.changed.announce()
@@ -387,20 +393,20 @@
 // Changed returns a channel that is closed at the next change of tables or view.
 func (f *Follower) Changed() <-chan struct{} { return f.changed.wait() }
 
-// persist writes tables to disk before they are used, so that a restart doesn't revert to
+// persist writes tables or places to disk before they are used, so that a restart doesn't revert to
 // older ones. It waits for a stalled disk no longer than saveTimeout: the disk must not delay
 // a change that revokes a key.
-func (f *Follower) persist(t *table.Tables) (saved bool, err error) {
+func (f *Follower) persist(requests chan saveRequest, file string, content any) (saved bool, err error) {
 	if f.config.FS == nil {
 		return false, nil
 	}
-	// Only the newest tables need to be written.
+	// Only the newest need to be written.
 	select {
-	case <-f.saveRequests:
+	case <-requests:
 	default:
 	}
-	job := saveRequest{t, make(chan bool, 1)}
-	f.saveRequests <- job
+	job := saveRequest{file, content, make(chan bool, 1)}
+	requests <- job
 	timeout := time.NewTimer(saveTimeout)
 	defer timeout.Stop()
 	select {
@@ -413,25 +419,31 @@
 	}
 }
 
-// saveLoop writes tables to disk on request.
+// saveLoop writes tables and places to disk on request.
 func (f *Follower) saveLoop(ctx context.Context) {
 	for {
 		select {
 		case job := <-f.saveRequests:
-			data, err := json.Marshal(job.tables)
-			if err == nil {
-				err = disk.Save(f.config.FS, cacheFile, data)
-			}
-			if err != nil {
-				f.config.Events.Emit(event.DiskFull, "file", cacheFile, "err", err)
-			}
-			job.done <- err == nil
+			f.save(job)
+		case job := <-f.placeSaves:
+			f.save(job)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+func (f *Follower) save(job saveRequest) {
+	data, err := json.Marshal(job.content)
+	if err == nil {
+		err = disk.Save(f.config.FS, job.file, data)
+	}
+	if err != nil {
+		f.config.Events.Emit(event.DiskFull, "file", job.file, "err", err)
+	}
+	job.done <- err == nil
+}
+
 // watchFreshness emits an event when the tables become fresh or stale.
 func (f *Follower) watchFreshness(ctx context.Context) {
 	t := time.NewTicker(f.config.Lease / 8)
