--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -53,6 +53,15 @@
 	Settled          = declare(213, "settled", "info", "An operator settled a request whose outcome was unknown.")
 )
 
+// Events of evacuations.
+var (
+	EvacuationAsked     = declare(240, "evacasked", "info", "An operator asks to begin the evacuation of a data centre or, with evacuated=false, to end it.")
+	EvacuationAccepted  = declare(241, "evacuated", "info", "A majority holds the beginning or end of an evacuation; changed=false says that the data centre was in that state before.")
+	EvacuationRefused   = declare(242, "evacrefused", "warn", "The beginning or end of an evacuation was not accepted; err gives the reason. With status 503 it isn't known whether it takes effect.")
+	EvacuationInstalled = declare(243, "evacinstalled", "info", "This node sends nothing new to the endpoints of a data centre or, with evacuated=false, does so again.")
+	AllEvacuated        = declare(244, "evacall", "warn", "All known data centres are evacuated: requests are rejected until one evacuation ends.")
+)
+
 // Events of the data path.
 var (
 	ResponseCut     = declare(300, "cut", "warn", "A response was cut off before its end, and the client was told; outcome is that of the last attempt that failed, left the time to the deadline.")
@@ -77,6 +86,7 @@
 	Unanswered      = declare(321, "unanswered", "error", "The handler of a request ended without a response though the client had not left; the entry sent one of its own. stage says how far it was. Report it with this line.")
 	OriginUnknown   = declare(322, "unresumed", "warn", "A client resumes a stream of which nobody knows at which build of its endpoint's software it began, or control couldn't be asked. The request is rejected.")
 	EndpointLimited = declare(319, "limited", "info", "An endpoint named a limit for the requests of all entries together, changed it or, with limited=false, ended it.")
+	ColdSeen        = declare(323, "coldseen", "info", "The leader noticed that an endpoint's process has ended, before the platform's list shows it: it counts as cold, and entries send to it by turns.")
 	Fenced          = declare(307, "fenced", "warn", "A command with an old epoch was rejected.")
 )
 
--- a/pass/failure.go
+++ b/pass/failure.go
@@ -35,6 +35,8 @@
 	reasonTooMany  = "too many requests at once"
 	// reasonLimited: the endpoints have named limits for the requests that they take.
 	reasonLimited = "endpoints limit their requests"
+	// reasonCold: the endpoints that are left are cold, and get requests by turns.
+	reasonCold = "endpoints are cold"
 	// reasonUncounted: by this entry's reports control may quarantine the request.
 	reasonUncounted = "endpoints ended under it, which control has yet to count"
 	// reasonLastEndpoint: it is kept from the last endpoint of its pool that runs.
@@ -43,6 +45,10 @@
 	reasonOriginUnknown = "where its stream began isn't known"
 	// reasonBuildGone: no endpoint of that build is listed.
 	reasonBuildGone = "no endpoint runs the software that began its stream"
+	// reasonEvacuated: all endpoints that may run it are in evacuated data centres.
+	reasonEvacuated = "evacuated"
+	// reasonHomes: it is bound to regions none of which has an endpoint for it.
+	reasonHomes = "homes"
 )
 
 // notRun reports whether the failure's status says that the request has not run and won't.
