--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -186,6 +186,14 @@
 
 // handleSendError handles an attempt that returned no response.
 func (e *Entry) handleSendError(ctx context.Context, j *job, to *member.Endpoint, out *relay, err error, began time.Time) (bool, *failure) {
+	if errorx.IsOfType(err, Ended) {
+		e.endAttemptUnscored(to)
+		e.recordLost(to)
+		// It may be tried again by a turn.
+		j.tried = j.tried[:len(j.tried)-1]
+		e.recordAttempt(j, to, outcomeNotSent, "again", 0)
+		return true, nil
+	}
 	if isNotSent(err) {
 		if endOf(ctx) != nil {
 			e.endAttemptUnscored(to)
--- a/pass/call.go
+++ b/pass/call.go
@@ -28,6 +28,8 @@
 	NotSent = namespace.NewType("notsent")
 	// Refused is the subtype of NotSent for endpoints at whose address nothing listens.
 	Refused = NotSent.NewSubtype("refused")
+	// Ended is the subtype of NotSent for endpoints whose process may have ended since the last request, where Send.SameProcess is set.
+	Ended = NotSent.NewSubtype("ended")
 	// Lost is the type of errors of attempts that may have run and whose response did not
 	// arrive completely.
 	Lost = namespace.NewType("lost")
@@ -104,6 +106,9 @@
 	FetchDeadlineMs int64
 	// LastEventID is the ID of the last event that the client has received.
 	LastEventID string
+	// SameProcess is set if the request isn't to be sent once a connection shows that the endpoint's process has ended: another one there
+	// is cold.
+	SameProcess bool
 	// Silent is called if the endpoint takes nothing more of the request for some time before it responds; acknowledges says whether it still
 	// acknowledges what it has taken. It returns whether the attempt is to be given up, as lost: another follows. It may be nil.
 	Silent func(acknowledges bool) (giveUp bool)
--- a/pass/cold.go
+++ b/pass/cold.go
@@ -95,15 +95,15 @@
 }
 
 // take uses a turn at an endpoint if it is cold, and reports whether the request may be sent.
-func (p *coldPool) take(c *candidate) bool {
+func (p *coldPool) take(c *candidate) (sendable, turn bool) {
 	if _, cold := p.isCold(c); !cold {
-		return true
+		return true, false
 	}
 	if !p.entry.coldTurns.Take(c.to.ID, p.pace, p.turn, p.now) {
-		return false
+		return false, false
 	}
 	p.entry.meters.coldTurn(c.to.Pool)
-	return true
+	return true, true
 }
 
 // next returns when the turns at an endpoint come; false if there are none.
--- a/pass/cold_test.go
+++ b/pass/cold_test.go
@@ -15,6 +15,7 @@
 	"egretshunt/limit"
 	"egretshunt/member"
 	"egretshunt/pass"
+	"egretshunt/route"
 	"egretshunt/value"
 )
 
@@ -204,3 +205,88 @@
 		})
 	}
 }
+
+// TestEndedConnectionSendsElsewhere guards against requests that go to a process of which the connection shows that it isn't the former one,
+// and against ones that are lost for that.
+func TestEndedConnectionSendsElsewhere(t *testing.T) {
+	ended := func(s *pass.Send) (*pass.Reply, error) {
+		if s.SameProcess {
+			return nil, pass.Ended.New("closed")
+		}
+		return respondWith(200, "ok")(s)
+	}
+	for name, c := range map[string]struct {
+		endpoints int
+		cold      ctrl.Cold
+		status    int
+	}{
+		"another endpoint": {2, coldFor(0), 503},
+		"its turn":         {1, withTurn(coldFor(0), 0, 1), 200},
+		"no turn":          {1, coldFor(0), 503},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fx := newColdFixture(t, 20, c.cold, ended)
+			fx.keepEndpoints(c.endpoints)
+			got, _ := fx.call("/once/x", "k")
+			check.Equal(t, "status", got.Code, c.status)
+			unbound := 0
+			for _, s := range fx.backend.sends {
+				if s.SameProcess {
+					unbound++
+				}
+			}
+			check.Equal(t, "attempts without a turn", unbound, c.endpoints)
+		})
+	}
+}
+
+// TestTurnGoesToItsSubject guards against a turn at a cold endpoint for the request that came first, though another one would warm it better.
+func TestTurnGoesToItsSubject(t *testing.T) {
+	var mu sync.Mutex
+	var order []string
+	cold := withTurn(coldFor(time.Hour, "w0", "w1"), 0, 20)
+	cold.Turn.Clock = -clock.Now()
+	fx := newColdFixture(t, 20, cold, func(s *pass.Send) (*pass.Reply, error) {
+		mu.Lock()
+		order = append(order, s.Call.ID+" "+s.To.ID)
+		mu.Unlock()
+		return respondWith(200, eventA)(s)
+	})
+	fx.keepEndpoints(2)
+	var work sync.WaitGroup
+	subjects := map[string]string{}
+	for _, id := range []string{"w0", "w1"} {
+		for i := 0; ; i++ {
+			if s := fmt.Sprint("subject", i); route.Preferred(s, []string{"w0", "w1"}) == id {
+				subjects[id] = s
+				break
+			}
+		}
+	}
+	call := func(id, subject string) {
+		work.Go(func() {
+			fx.call("/stream/x", "k", func(c *pass.Call) {
+				c.ID, c.Parts = id, []pass.Part{{ID: "sys", Tokens: 500}, {ID: subject, Tokens: 8000}, {ID: "own", Tokens: 300}}
+			})
+		})
+		time.Sleep(10 * time.Millisecond)
+	}
+	// The first turn may come while the first ones arrive.
+	for i := range 3 {
+		call(fmt.Sprint("a", i), subjects["w0"])
+	}
+	for i := range 3 {
+		call(fmt.Sprint("b", i), subjects["w1"])
+	}
+	work.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	matched := 0
+	for _, o := range order {
+		if o[0] == 'a' && o[len(o)-1] == '0' || o[0] == 'b' && o[len(o)-1] == '1' {
+			matched++
+		}
+	}
+	check.Equal(t, fmt.Sprint("requests at their subject's endpoint: ", order), matched >= len(order)-1 && len(order) > 1, true)
+}
--- a/pass/place.go
+++ b/pass/place.go
@@ -54,6 +54,8 @@
 	predictedFirstToken time.Duration
 	tokensAhead         int
 	urgency             int
+	// unbound is set if no turn was used though the endpoint's pool has a bound on requests to cold ones.
+	unbound bool
 	// firstTokenSettled is set once the first token has arrived or can't arrive any more.
 	firstTokenSettled bool
 }
@@ -106,8 +108,12 @@
 		// It has expired meanwhile.
 		return nil, nil, true
 	}
-	if all.cold != nil && !all.cold.take(t.ids[c.to.ID]) {
-		return nil, nil, true
+	if all.cold != nil {
+		sendable, turn := all.cold.take(t.ids[c.to.ID])
+		if !sendable {
+			return nil, nil, true
+		}
+		c.unbound = !turn
 	}
 	if all.limited {
 		e.rateQueue(j.pool).passed++
@@ -316,7 +322,7 @@
 // newSend builds the request of one attempt.
 func (e *Entry) newSend(j *job, c *placement, lastEventID string) *Send {
 	now := time.Now()
-	s := &Send{Call: j.call, To: c.to, Account: j.account, TimeLeft: j.deadline.Sub(now) - reportMargin, Urgency: c.urgency, LastEventID: lastEventID, Version: c.version}
+	s := &Send{Call: j.call, To: c.to, Account: j.account, TimeLeft: j.deadline.Sub(now) - reportMargin, Urgency: c.urgency, LastEventID: lastEventID, Version: c.version, SameProcess: c.unbound}
 	if len(j.call.Parts) == 0 {
 		return s
 	}
