--- a/pass/cold.go
+++ b/pass/cold.go
@@ -111,6 +111,17 @@
 	return p.entry.coldTurns.Next(to.ID, p.pace, p.turn, p.now)
 }
 
+// coldCount returns how many endpoints are cold, as control says.
+func (e *Entry) coldCount() float64 {
+	n, now := 0, clock.Now()
+	for _, until := range e.config.View.Cold().Until {
+		if now < until {
+			n++
+		}
+	}
+	return float64(n)
+}
+
 // recordLost records that a connection to an endpoint was refused or ended: its process may have ended, and the next one is cold.
 func (e *Entry) recordLost(to *member.Endpoint) {
 	e.mu.Lock()
--- a/pass/cold_test.go
+++ b/pass/cold_test.go
@@ -24,14 +24,19 @@
 
 // newColdFixture returns a fixture whose endpoints tolerate some requests a second while they are cold.
 func newColdFixture(t *testing.T, rate float64, cold ctrl.Cold, responses ...func(*pass.Send) (*pass.Reply, error)) *fixture {
+	t.Helper()
+	return newColdFixtureWith(t, pass.Config{RolloutTimeout: time.Hour}, rate, cold, responses...)
+}
+
+// newColdFixtureWith is newColdFixture with some of the entry's configuration set.
+func newColdFixtureWith(t *testing.T, c pass.Config, rate float64, cold ctrl.Cold, responses ...func(*pass.Send) (*pass.Reply, error)) *fixture {
 	t.Helper()
 	draft := fixtureDraft()
 	draft.Pools[0].ColdRate, draft.Pools[0].ColdTime = rate, 3*time.Second
 	set, err := board.New(draft)
 	check.NoError(t, err)
-	fx := newFixtureWith(t, pass.Config{
-		RolloutTimeout: time.Hour, ColdExcess: 1.5, ColdSlack: 5, ListLag: coldLag, Decode: func([]byte) (*board.Set, error) { return set, nil },
-	}, responses...)
+	c.ColdExcess, c.ColdSlack, c.ListLag, c.Decode = 1.5, 5, coldLag, func([]byte) (*board.Set, error) { return set, nil }
+	fx := newFixtureWith(t, c, responses...)
 	fx.feed.cold.Store(&cold)
 	return fx
 }
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -246,6 +246,7 @@
 	c.Metrics.NewGauge("egretshunt_pass_held_bytes", func() float64 { return float64(e.held.Bytes()) })
 	c.Metrics.NewGauge("egretshunt_pass_processor_wait_seconds", func() float64 { return e.waitForProcessor().Seconds() })
 	c.Metrics.NewGauge("egretshunt_pass_backlog_tokens", func() float64 { return float64(e.backlog()) })
+	c.Metrics.NewGauge("egretshunt_pass_cold_endpoints", e.coldCount)
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	e.ending, e.endRequests = context.WithCancel(context.Background())
--- a/pass/metrics_test.go
+++ b/pass/metrics_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"regexp"
 	"testing"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -16,7 +17,8 @@
 // docs/METRICS.md must list exactly the metrics that entries export.
 func TestMetricsAreDocumented(t *testing.T) {
 	set := metrics.NewSet()
-	fx := newFixtureWith(t, pass.Config{Metrics: set}, notRun(503, ""), lost, respondTruncated(eventA), respondWith(200, eventB))
+	cold := withTurn(coldFor(time.Hour, "w0", "w1", "w2", "w3"), 0, 1)
+	fx := newColdFixtureWith(t, pass.Config{Metrics: set}, 20, cold, notRun(503, ""), lost, respondTruncated(eventA), respondWith(200, eventB))
 	fx.call("/safe/x", "k")
 	fx.call("/once/x", "no key")
 	fx.call("/resume/x", "k", func(c *pass.Call) { c.Model, c.Parts = "m", []pass.Part{{ID: "own", Tokens: 100}} })
