--- a/pass/cold.go
+++ b/pass/cold.go
@@ -1,6 +1,7 @@
 package pass
 
 import (
+	"slices"
 	"time"
 
 	"egretshunt/clock"
@@ -19,6 +20,15 @@
 	// known is what control last said; marked are the candidates that are cold by it.
 	known  *ctrl.Cold
 	marked []*candidate
+	// places is until when the endpoints of each place are cold since its evacuation ended, by the place's index.
+	places []time.Duration
+}
+
+// evacuationView is a View that knows evacuations.
+type evacuationView interface {
+	// SinceEvacuation returns how long ago the latest evacuation of a place ended, or a little less; false if it is evacuated or wasn't
+	// lately.
+	SinceEvacuation(place string) (ago time.Duration, ok bool)
 }
 
 // newColdBounds returns the bounds of a topology's table set.
@@ -62,6 +72,8 @@
 	// listedAt is when the list was read; own is set if this entry read it.
 	listedAt time.Duration
 	own      bool
+	// places are those of coldBounds.
+	places []time.Duration
 }
 
 // coldPoolOf returns the bound of a pool; nil if it has none. The caller holds mu.
@@ -74,6 +86,16 @@
 	if read := e.fallback.Load(); read != nil && read.list == t.list {
 		p.listedAt, p.own = read.askedAt, true
 	}
+	t.cold.places = slices.Grow(t.cold.places[:0], len(t.places))[:len(t.places)]
+	clear(t.cold.places)
+	if view, ok := e.config.View.(evacuationView); ok {
+		for i, place := range t.places {
+			if ago, ended := view.SinceEvacuation(place); ended {
+				t.cold.places[i] = p.now + limit.ColdAfterEvacuation(ago)
+			}
+		}
+	}
+	p.places = t.cold.places
 	return p
 }
 
@@ -82,7 +104,7 @@
 	if p == nil {
 		return 0, false
 	}
-	signs := limit.ColdSigns{Until: c.coldUntil, LostAt: c.state.lostAt, ListedAt: p.listedAt, ListLag: p.entry.config.ListLag}
+	signs := limit.ColdSigns{Until: max(c.coldUntil, p.places[c.place]), LostAt: c.state.lostAt, ListedAt: p.listedAt, ListLag: p.entry.config.ListLag}
 	if p.own && c.to.WarmupLeft > 0 {
 		signs.Until = max(signs.Until, p.listedAt+c.to.WarmupLeft)
 	}
--- a/pass/cold_test.go
+++ b/pass/cold_test.go
@@ -295,3 +295,20 @@
 	}
 	check.Equal(t, fmt.Sprint("requests at their subject's endpoint: ", order), matched >= len(order)-1 && len(order) > 1, true)
 }
+
+// TestEndOfEvacuationIsCold guards against endpoints that get all requests at once after their data centre's evacuation, in which they have
+// become cold.
+func TestEndOfEvacuationIsCold(t *testing.T) {
+	for ago, want := range map[time.Duration]bool{2 * time.Second: false, 3100 * time.Millisecond: true} {
+		t.Run(ago.String(), func(t *testing.T) {
+			fx := newColdFixture(t, 20, coldFor(0), respondWith(200, "ok"))
+			endpoints := slices.Clone(fx.feed.list.Endpoints)
+			for i := range endpoints {
+				endpoints[i].Place = "back"
+			}
+			fx.feed.list = (&member.List{Endpoints: endpoints}).Index()
+			fx.feed.evacuationEnded = map[string]time.Duration{"back": ago}
+			check.Equal(t, "sent to", len(fx.callMany(4, "/once/x")) > 0, want)
+		})
+	}
+}
--- a/pass/feed_test.go
+++ b/pass/feed_test.go
@@ -55,6 +55,8 @@
 	awaited int
 	// cold is what control says of cold endpoints.
 	cold atomic.Pointer[ctrl.Cold]
+	// evacuationEnded is how long ago the evacuation of each place ended.
+	evacuationEnded map[string]time.Duration
 	// uncounted makes control have all requests' crashes yet to count.
 	uncounted bool
 }
@@ -205,6 +207,12 @@
 	return true
 }
 
+// SinceEvacuation tells how long ago an evacuation ended.
+func (f *feed) SinceEvacuation(place string) (ago time.Duration, ok bool) {
+	ago, ok = f.evacuationEnded[place]
+	return ago, ok
+}
+
 // Cold implements pass.View.
 func (f *feed) Cold() *ctrl.Cold {
 	if c := f.cold.Load(); c != nil {
