--- a/ctrl/cold.go
+++ b/ctrl/cold.go
@@ -53,8 +53,10 @@
 // install takes over the cold endpoints and the turn of a reply. The leader's state was current at a time or later.
 func (g *coldGuard) install(reply *wire.Synced, current time.Duration) {
 	now, was := clock.Now(), g.known.Load()
+	// Within a term the latest estimate is the closest; a new leader sends the list that it has read.
+	earliest := was.ListedAt
 	if reply.GetLife() != g.life {
-		g.life, g.carried = reply.GetLife(), was.Until
+		g.life, g.carried, earliest = reply.GetLife(), was.Until, 0
 	}
 	next := &Cold{Turn: was.Turn, ListedAt: was.ListedAt, Until: make(map[string]time.Duration, len(reply.GetCold()))}
 	for id, until := range g.carried {
@@ -67,14 +69,16 @@
 		next.Until[id] = max(next.Until[id], now+time.Duration(c.GetLeftMs())*time.Millisecond)
 	}
 	if ms := reply.GetListageMs(); ms > 0 {
-		next.ListedAt = max(was.ListedAt, current-time.Duration(ms-1)*time.Millisecond)
+		next.ListedAt = max(earliest, current-time.Duration(ms-1)*time.Millisecond)
 	}
-	offset := g.clock.Observe(reply.GetLife(), time.Duration(reply.GetGroupUs())*time.Microsecond, now)
-	if reply.GetSlots() > 0 {
-		next.Turn.Index, next.Turn.Count = int(reply.GetSlot()), int(reply.GetSlots())
-	}
-	if next.Turn.Count > 0 {
-		next.Turn.Clock = offset
+	if us := reply.GetGroupUs(); us != 0 {
+		offset := g.clock.Observe(reply.GetLife(), time.Duration(us)*time.Microsecond, now)
+		if reply.GetSlots() > 0 {
+			next.Turn.Index, next.Turn.Count = int(reply.GetSlot()), int(reply.GetSlots())
+		}
+		if next.Turn.Count > 0 {
+			next.Turn.Clock = offset
+		}
 	}
 	g.rev = reply.GetColdrev()
 	g.known.Store(next)
--- a/ctrl/coldguard_test.go
+++ b/ctrl/coldguard_test.go
@@ -27,6 +27,9 @@
 	check.Equal(t, "what the former leader said stays", len(same.Until), 2)
 	last := install(&wire.Synced{Life: 2, GroupUs: 1e15, ListageMs: 101})
 	check.Equal(t, "what this leader said ends with its word", last.Until["b"], time.Duration(0))
+	older := install(&wire.Synced{Life: 4, GroupUs: 1e15, ListageMs: 1501})
+	check.Equal(t, "a new leader's list may be older", older.ListedAt < last.ListedAt, true)
+	last = older
 	unread := install(&wire.Synced{Life: 3, GroupUs: 1e15})
 	check.Equal(t, "a leader without a list changes no age", unread.ListedAt, last.ListedAt)
 }
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -97,7 +97,7 @@
 	// ColdExcess and ColdSlack bound the requests that a cold endpoint gets in any second from all entries; see limit.ColdBound. The rates
 	// are those of the pools.
 	ColdExcess, ColdSlack float64
-	// ListLag is how far the list of endpoints lags behind them.
+	// ListLag is how far the list of endpoints lags behind them; zero means defaultListLag.
 	ListLag time.Duration
 	// Wait returns how long work waits for the processor of this process; nil means that the entry
 	// measures it.
@@ -226,6 +226,8 @@
 const (
 	// defaultMaxHeldBytes is the default of Config.MaxHeldBytes.
 	defaultMaxHeldBytes = 64 << 20
+	// defaultListLag is the default of Config.ListLag.
+	defaultListLag = 2 * time.Second
 	// FreeHeldBytes is how much of a response is held whatever the others hold, in bytes: most are shorter.
 	FreeHeldBytes = 16 << 10
 )
@@ -238,6 +240,7 @@
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewSet()
 	}
+	c.ListLag = cmp.Or(c.ListLag, defaultListLag)
 	e := &Entry{
 		config: c, meters: newMeters(c.Metrics), started: time.Now(), targets: map[string]fence.Targets{}, endpointStates: map[string]*endpointState{}, retryBudgets: map[string]*limit.RetryLimiter{}, pendingSave: map[string]pendingSave{},
 		prefillRates: map[string]float64{}, linkTokens: map[netip.AddrPort]*int{}, rateQueues: map[string]*rateQueue{}, coldTurns: limit.NewColdTurns(clock.Now()), rateWaiting: make(chan struct{}, 1),
