--- a/pass/cold_test.go
+++ b/pass/cold_test.go
@@ -15,6 +15,7 @@
 	"egretshunt/limit"
 	"egretshunt/member"
 	"egretshunt/pass"
+	"egretshunt/route"
 	"egretshunt/value"
 )
 
@@ -23,14 +24,19 @@
 
 // newColdFixture returns a fixture whose endpoints tolerate some requests a second while they are cold.
 func newColdFixture(t *testing.T, rate float64, cold ctrl.Cold, responses ...func(*pass.Send) (*pass.Reply, error)) *fixture {
+	t.Helper()
+	return newColdFixtureWith(t, pass.Config{RolloutTimeout: time.Hour}, rate, cold, responses...)
+}
+
+// newColdFixtureWith is newColdFixture with some of the entry's configuration set.
+func newColdFixtureWith(t *testing.T, c pass.Config, rate float64, cold ctrl.Cold, responses ...func(*pass.Send) (*pass.Reply, error)) *fixture {
 	t.Helper()
 	draft := fixtureDraft()
 	draft.Pools[0].ColdRate, draft.Pools[0].ColdTime = rate, 3*time.Second
 	set, err := board.New(draft)
 	check.NoError(t, err)
-	fx := newFixtureWith(t, pass.Config{
-		RolloutTimeout: time.Hour, ColdExcess: 1.5, ColdSlack: 5, ListLag: coldLag, Decode: func([]byte) (*board.Set, error) { return set, nil },
-	}, responses...)
+	c.ColdExcess, c.ColdSlack, c.ListLag, c.Decode = 1.5, 5, coldLag, func([]byte) (*board.Set, error) { return set, nil }
+	fx := newFixtureWith(t, c, responses...)
 	fx.feed.cold.Store(&cold)
 	return fx
 }
@@ -205,28 +211,106 @@
 	}
 }
 
-// TestReopenedPlaceIsCold guards against a rush to the endpoints of a data centre whose evacuation has just ended: they may have become cold,
-// which the list doesn't show yet.
-func TestReopenedPlaceIsCold(t *testing.T) {
-	for ago, served := range map[time.Duration]bool{time.Second: false, 4 * time.Second: true} {
-		t.Run(fmt.Sprint("ended ", ago, " ago"), func(t *testing.T) {
-			fx := newColdFixture(t, 20, coldFor(0), respondWith(200, "ok"))
-			view := *fx.feed.View()
-			for _, place := range fx.places() {
-				view.Places = append(view.Places, ctrl.PlaceState{Place: place, At: time.Now().Add(-ago)})
+// TestEndedConnectionSendsElsewhere guards against requests that go to a process of which the connection shows that it isn't the former one,
+// and against ones that are lost for that.
+func TestEndedConnectionSendsElsewhere(t *testing.T) {
+	ended := func(s *pass.Send) (*pass.Reply, error) {
+		if s.SameProcess {
+			return nil, pass.Ended.New("closed")
+		}
+		return respondWith(200, "ok")(s)
+	}
+	for name, c := range map[string]struct {
+		endpoints int
+		cold      ctrl.Cold
+		status    int
+	}{
+		"another endpoint": {2, coldFor(0), 503},
+		"its turn":         {1, withTurn(coldFor(0), 0, 1), 200},
+		"no turn":          {1, coldFor(0), 503},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fx := newColdFixture(t, 20, c.cold, ended)
+			fx.keepEndpoints(c.endpoints)
+			got, _ := fx.call("/once/x", "k")
+			check.Equal(t, "status", got.Code, c.status)
+			unbound := 0
+			for _, s := range fx.backend.sends {
+				if s.SameProcess {
+					unbound++
+				}
 			}
-			fx.feed.view = &view
-			check.Equal(t, "is served", len(fx.callMany(10, "/safe/x")) > 0, served)
+			check.Equal(t, "attempts without a turn", unbound, c.endpoints)
 		})
 	}
 }
 
-// places returns the places of the fixture's endpoints, sorted.
-func (fx *fixture) places() []string {
-	var places []string
-	for _, to := range fx.feed.list.Endpoints {
-		places = append(places, to.Place)
+// TestTurnGoesToItsSubject guards against a turn at a cold endpoint for the request that came first, though another one would warm it better.
+func TestTurnGoesToItsSubject(t *testing.T) {
+	var mu sync.Mutex
+	var order []string
+	cold := withTurn(coldFor(time.Hour, "w0", "w1"), 0, 20)
+	cold.Turn.Clock = -clock.Now()
+	fx := newColdFixture(t, 20, cold, func(s *pass.Send) (*pass.Reply, error) {
+		mu.Lock()
+		order = append(order, s.Call.ID+" "+s.To.ID)
+		mu.Unlock()
+		return respondWith(200, eventA)(s)
+	})
+	fx.keepEndpoints(2)
+	var work sync.WaitGroup
+	subjects := map[string]string{}
+	for _, id := range []string{"w0", "w1"} {
+		for i := 0; ; i++ {
+			if s := fmt.Sprint("subject", i); route.Preferred(s, []string{"w0", "w1"}) == id {
+				subjects[id] = s
+				break
+			}
+		}
+	}
+	call := func(id, subject string) {
+		work.Go(func() {
+			fx.call("/stream/x", "k", func(c *pass.Call) {
+				c.ID, c.Parts = id, []pass.Part{{ID: "sys", Tokens: 500}, {ID: subject, Tokens: 8000}, {ID: "own", Tokens: 300}}
+			})
+		})
+		time.Sleep(10 * time.Millisecond)
+	}
+	// The first turn may come while the first ones arrive.
+	for i := range 3 {
+		call(fmt.Sprint("a", i), subjects["w0"])
+	}
+	for i := range 3 {
+		call(fmt.Sprint("b", i), subjects["w1"])
+	}
+	work.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	matched := 0
+	for _, o := range order {
+		if o[0] == 'a' && o[len(o)-1] == '0' || o[0] == 'b' && o[len(o)-1] == '1' {
+			matched++
+		}
+	}
+	check.Equal(t, fmt.Sprint("requests at their subject's endpoint: ", order), matched >= len(order)-1 && len(order) > 1, true)
+}
+
+// TestEndOfEvacuationIsCold guards against endpoints that get all requests at once after their data centre's evacuation, in which they have
+// become cold.
+func TestEndOfEvacuationIsCold(t *testing.T) {
+	for ago, want := range map[time.Duration]bool{2 * time.Second: false, 3100 * time.Millisecond: true} {
+		t.Run(ago.String(), func(t *testing.T) {
+			fx := newColdFixture(t, 20, coldFor(0), respondWith(200, "ok"))
+			endpoints := slices.Clone(fx.feed.list.Endpoints)
+			for i := range endpoints {
+				endpoints[i].Place = "back"
+			}
+			fx.feed.list = (&member.List{Endpoints: endpoints}).Index()
+			view := *fx.feed.View()
+			view.Places = []ctrl.PlaceState{{Place: "back", At: time.Now().Add(-ago)}}
+			fx.feed.view = &view
+			check.Equal(t, "sent to", len(fx.callMany(4, "/once/x")) > 0, want)
+		})
 	}
-	slices.Sort(places)
-	return slices.Compact(places)
 }
