--- a/limit/cold.go
+++ b/limit/cold.go
@@ -217,6 +217,8 @@
 	// known is set once a list was read: which of its incarnations are new isn't known.
 	known bool
 	runs  map[string]warmup
+	// cold holds the IDs of those that may be cold: few of many, which each sync asks for.
+	cold map[string]bool
 }
 
 // warmup is until when an endpoint is cold: as the list says, since its incarnation is new, and since it was seen to have restarted.
@@ -228,11 +230,12 @@
 func (w warmup) until() time.Duration { return max(w.listed, w.fresh, w.restarted) }
 
 // NewWarmups returns the knowledge of a leader that has seen no list.
-func NewWarmups() *Warmups { return &Warmups{runs: map[string]warmup{}} }
+func NewWarmups() *Warmups { return &Warmups{runs: map[string]warmup{}, cold: map[string]bool{}} }
 
 // List records a list that was read by a call at a time.
 func (w *Warmups) List(runs []ListedRun, askedAt, now time.Duration) {
 	next := make(map[string]warmup, len(runs))
+	clear(w.cold)
 	for _, r := range runs {
 		was, known := w.runs[r.ID]
 		if known && was.born != r.Born || !known && w.known {
@@ -242,7 +245,9 @@
 		if r.WarmupLeft > 0 {
 			was.listed = askedAt + r.WarmupLeft
 		}
-		next[r.ID] = was
+		if next[r.ID] = was; was.until() > now {
+			w.cold[r.ID] = true
+		}
 	}
 	w.runs, w.known = next, true
 }
@@ -256,7 +261,7 @@
 	}
 	news = r.until() <= now
 	r.restarted = now + coldTime
-	w.runs[id] = r
+	w.runs[id], w.cold[id] = r, true
 	return news
 }
 
@@ -271,10 +276,14 @@
 // Cold returns the incarnations that are cold.
 func (w *Warmups) Cold(now time.Duration) []ColdRun {
 	var cold []ColdRun
-	for id, r := range w.runs {
-		if left := r.until() - now; left > 0 {
-			cold = append(cold, ColdRun{EndpointRun{id, r.born}, left})
+	for id := range w.cold {
+		r := w.runs[id]
+		left := r.until() - now
+		if left <= 0 {
+			delete(w.cold, id)
+			continue
 		}
+		cold = append(cold, ColdRun{EndpointRun{id, r.born}, left})
 	}
 	return cold
 }
