One owner of a process's memory for traffic: limit.Budget

Cause: what clients make a process hold is bounded nowhere (bodies, headers, connections) or in two separate sums (held responses).

limit.Budget counts connections at a fixed cost, and headers, bodies and responses by the capacity of their buffers. Up to 32 KiB of each holder come from a part that larger ones can't use. A part that is full gets room from the holder that has waited longest for its peer: a body after 1 s, a response that isn't read after 10 s, idle connections and incomplete headers at once. Nothing uses it yet. The retry budget of the agents' path, which had the name, is limit.RetryBudget now.

Not taken: a heap by waiting time. A scan of all holders runs only while a part is full, and holders are as many as connections (some hundreds).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -115,7 +115,7 @@
 type routeAdmission struct {
 	limits      table.Limits
 	bucket      *limit.Bucket
-	retryBudget *limit.Budget
+	retryBudget *limit.RetryBudget
 	inFlight    int
 }
 
@@ -241,7 +241,7 @@
 	defer e.mu.Unlock()
 	g, ok := e.admissions[r.Name]
 	if !ok || g.limits != r.Limits {
-		g = &routeAdmission{limits: r.Limits, bucket: limit.NewBucket(r.Limits.Rate, r.Limits.Burst), retryBudget: limit.NewBudget(r.Retry)}
+		g = &routeAdmission{limits: r.Limits, bucket: limit.NewBucket(r.Limits.Rate, r.Limits.Burst), retryBudget: limit.NewRetryBudget(r.Retry)}
 		e.admissions[r.Name] = g
 	}
 	if g.limits.MaxInFlight > 0 && g.inFlight >= g.limits.MaxInFlight {
--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -38,15 +38,15 @@
 	return 0, true
 }
 
-// Budget allows retries in proportion to first attempts, so that retries don't multiply the load
+// RetryBudget allows retries in proportion to first attempts, so that retries don't multiply the load
 // when all endpoints fail. The zero value allows none.
-type Budget struct {
+type RetryBudget struct {
 	// ratio is how many retries are allowed per first attempt.
 	ratio  float64
 	tokens float64
 }
 
-// Bounds of a Budget.
+// Bounds of a RetryBudget.
 const (
 	// DefaultRetryRatio is the retries allowed per request when a route sets no ratio.
 	DefaultRetryRatio = 0.1
@@ -54,19 +54,19 @@
 	maxRetryTokens = 10
 )
 
-// NewBudget returns a budget with one retry available.
-func NewBudget(ratio float64) *Budget {
+// NewRetryBudget returns a budget with one retry available.
+func NewRetryBudget(ratio float64) *RetryBudget {
 	if ratio <= 0 {
 		ratio = DefaultRetryRatio
 	}
-	return &Budget{ratio: ratio, tokens: 1}
+	return &RetryBudget{ratio: ratio, tokens: 1}
 }
 
 // Earn credits one first attempt.
-func (b *Budget) Earn() { b.tokens = min(maxRetryTokens, b.tokens+b.ratio) }
+func (b *RetryBudget) Earn() { b.tokens = min(maxRetryTokens, b.tokens+b.ratio) }
 
 // Spend takes one retry and reports whether one was available.
-func (b *Budget) Spend() bool {
+func (b *RetryBudget) Spend() bool {
 	if b.tokens < 1 {
 		return false
 	}
--- /dev/null
+++ b/limit/budget.go
@@ -0,0 +1,424 @@
+package limit
+
+import (
+	"bytes"
+	"io"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Use is what memory is held for.
+type Use int
+
+// Uses of memory.
+const (
+	// UseConn is a client's connection: a goroutine, buffers, and the kernel's buffers.
+	UseConn Use = iota
+	// UseHeader is the header of a request, beyond what its connection counts.
+	UseHeader
+	// UseBody is the body of a request, from its first byte to the end of the request.
+	UseBody
+	// UseResponse is a response that is held back until it is complete.
+	UseResponse
+	uses
+)
+
+// String returns the use's label in metrics and log lines.
+func (u Use) String() string { return [uses]string{"connection", "header", "body", "response"}[u] }
+
+// Stage is what a holder of memory waits for.
+type Stage int32
+
+// Stages. Holders in later ones are aborted only if there are none in earlier ones.
+const (
+	// Busy holders don't wait for their peer, and are never aborted.
+	Busy Stage = iota
+	// Idle connections have no request.
+	Idle
+	// InHeader connections have an incomplete header.
+	InHeader
+	// InBody holders wait for the rest of a body.
+	InBody
+	// Unread holders wait for their client to read a response.
+	Unread
+	stages
+)
+
+// String returns the stage's label in metrics and log lines.
+func (s Stage) String() string {
+	return [stages]string{"busy", "idle", "header", "body", "unread"}[s]
+}
+
+const (
+	// BodyPatience is how long a body must have been without a further byte to be aborted for others.
+	BodyPatience = time.Second
+	// UnreadPatience is how long a client must have read nothing of a response that is aborted for others.
+	UnreadPatience = 10 * time.Second
+)
+
+// patience is how long a holder must have waited in each stage to be aborted for others.
+var patience = [stages]time.Duration{InBody: BodyPatience, Unread: UnreadPatience}
+
+const (
+	// SocketBuffer is the size to set for both of the kernel's buffers of a client's connection. Linux takes twice as much.
+	SocketBuffer = 16 << 10
+	// ConnBytes is what a connection counts: goroutines and buffers of net/http (measured: 24 KiB) and the kernel's buffers.
+	ConnBytes = 24<<10 + 2*2*SocketBuffer
+	// SmallBytes is what each holder may keep of the part that large ones can't use.
+	SmallBytes = 32 << 10
+
+	// defaultMemory is the memory of a VM that doesn't know its own.
+	defaultMemory = 512 << 20
+	// Shares of the memory. The rest is for the program, its tables and the garbage between two collections.
+	connShare, smallShare, largeShare = 0.4, 0.1, 0.2
+	// clientShare is the share of all connections that one client address may have.
+	clientShare = 0.75
+)
+
+// BudgetConfig constructs a Budget. Zero fields get defaults.
+type BudgetConfig struct {
+	// Memory is the VM's memory, in bytes; the bounds below are shares of it by default.
+	Memory int64
+	// Conns bounds the clients' connections, ClientConns those of one client address.
+	Conns, ClientConns int
+	// Small and Large bound the bytes of all holders together: up to SmallBytes of each, and beyond that.
+	Small, Large int64
+	// Now reads a monotonic clock.
+	Now func() time.Duration
+	// Aborted is called after a holder was aborted for others; nil means nothing. It must not call the Budget.
+	Aborted func(Abort)
+}
+
+// Abort is a holder that was aborted for others.
+type Abort struct {
+	Use   Use
+	Stage Stage
+	// Bytes is what it held, Waited for how long it had waited for its peer.
+	Bytes  int64
+	Waited time.Duration
+}
+
+// Budget is the owner of a process's memory for traffic. What a client can make the process hold is counted here before it is allocated, by the
+// capacity of buffers. It is safe for concurrent use. A nil Budget grants everything.
+//
+// A server takes a Hold for each connection with Conn, and a Hold for each body that it reads or response that it holds back:
+//
+//	h := budget.Hold(limit.UseBody, func(limit.Stage) bool { return controller.SetReadDeadline(time.Now()) == nil })
+//	defer h.Release()
+//	h.Wait(limit.InBody)
+//	data, whole, err := h.Read(r.Body, most+1, r.ContentLength)
+//	h.Wait(limit.Busy)
+//
+// There are three parts: connections at a fixed cost each, the first SmallBytes of each holder, and what holders keep beyond that. So
+// ordinary requests are accepted while large ones fill their part. A part that is full gets room from the holder that has waited longest for its
+// peer, and long enough (see Stage); without one, the memory isn't granted.
+type Budget struct {
+	config BudgetConfig
+
+	// mu guards the rest.
+	mu           sync.Mutex
+	small, large int64
+	holders      map[*Hold]struct{}
+	clients      map[netip.Addr]int
+	stats        BudgetStats
+}
+
+// BudgetStats are the sums of a Budget.
+type BudgetStats struct {
+	// Bytes is held now, Refused how often memory was not granted, by use.
+	Bytes   [uses]int64
+	Refused [uses]uint64
+	// Aborted is how many holders were aborted, by stage.
+	Aborted [stages]uint64
+	// Conns is the number of connections.
+	Conns int
+}
+
+// Uses returns all uses, for metrics.
+func Uses() []Use { return []Use{UseConn, UseHeader, UseBody, UseResponse} }
+
+// Stages returns the stages in which holders may be aborted, for metrics.
+func Stages() []Stage { return []Stage{Idle, InHeader, InBody, Unread} }
+
+// NewBudget returns a Budget of which nothing is held.
+func NewBudget(c BudgetConfig) *Budget {
+	orDefault := func(n *int64, fallback int64) {
+		if *n <= 0 {
+			*n = fallback
+		}
+	}
+	orDefault(&c.Memory, defaultMemory)
+	orDefault(&c.Small, int64(smallShare*float64(c.Memory)))
+	orDefault(&c.Large, int64(largeShare*float64(c.Memory)))
+	if most := max(int(connShare*float64(c.Memory))/ConnBytes, 1); c.Conns <= 0 || c.Conns > most {
+		c.Conns = most
+	}
+	if c.ClientConns <= 0 {
+		c.ClientConns = max(int(clientShare*float64(c.Conns)), 1)
+	}
+	if c.Now == nil {
+		began := time.Now()
+		c.Now = func() time.Duration { return time.Since(began) }
+	}
+	return &Budget{config: c, holders: map[*Hold]struct{}{}, clients: map[netip.Addr]int{}}
+}
+
+// Config returns the bounds in force.
+func (b *Budget) Config() BudgetConfig { return b.config }
+
+// Stats returns the present sums.
+func (b *Budget) Stats() BudgetStats {
+	if b == nil {
+		return BudgetStats{}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.stats
+}
+
+// Bytes returns how many bytes of headers, bodies and responses are held.
+func (b *Budget) Bytes() int64 {
+	s := b.Stats()
+	return s.Bytes[UseHeader] + s.Bytes[UseBody] + s.Bytes[UseResponse]
+}
+
+// Hold is what one holder keeps of a Budget. Its methods are safe for concurrent use with an abort; otherwise one goroutine uses it.
+type Hold struct {
+	budget *Budget
+	use    Use
+	client netip.Addr
+	// abort makes the holder give up; it reports whether it does. It is called without locks.
+	abort func(Stage) bool
+
+	stage atomic.Int32
+	// since is when the holder last heard of its peer, or began to wait for it, by the Budget's clock.
+	since atomic.Int64
+
+	// The Budget's mu guards the rest.
+	small, large int64
+	// aborting is set while abort is called, aborted once the holder gave up.
+	aborting, aborted bool
+}
+
+// Hold returns a holder that keeps nothing yet. Abort is called, from any goroutine, when the holder is to give up in the stage that it has
+// set; it reports whether the holder does. Nil means that it can't be aborted. A holder must be released.
+func (b *Budget) Hold(use Use, abort func(Stage) bool) *Hold {
+	h := &Hold{budget: b, use: use, abort: abort}
+	if b != nil {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.holders[h] = struct{}{}
+	}
+	return h
+}
+
+// Conn returns the holder of a client's connection, in the stage Idle, or nil if there is no room for it. At the bound of all connections, or of
+// those of its address, the one that has been Idle for longest is aborted, then those in later stages.
+func (b *Budget) Conn(client netip.Addr, abort func(Stage) bool) *Hold {
+	h := &Hold{budget: b, use: UseConn, client: client, abort: abort}
+	if b == nil {
+		return h
+	}
+	h.Wait(Idle)
+	isOfClient := func(other *Hold) bool { return other.use == UseConn && other.client == client }
+	isConn := func(other *Hold) bool { return other.use == UseConn }
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for {
+		fits := isConn
+		switch {
+		case b.clients[client] >= b.config.ClientConns:
+			fits = isOfClient
+		case b.stats.Conns < b.config.Conns:
+			b.stats.Conns++
+			b.stats.Bytes[UseConn] += ConnBytes
+			b.clients[client]++
+			b.holders[h] = struct{}{}
+			return h
+		}
+		if !b.abortOne(fits) {
+			b.stats.Refused[UseConn]++
+			return nil
+		}
+	}
+}
+
+// Keep reports whether the holder may keep so many bytes in all; if so, it does. It is asked before the bytes are allocated.
+func (h *Hold) Keep(bytes int) bool {
+	b := h.budget
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for !h.aborted {
+		small := min(int64(bytes), SmallBytes)
+		isSmallFull := small > h.small && b.small+small-h.small > b.config.Small
+		if isSmallFull {
+			// It may take the place of large ones.
+			small = h.small
+		}
+		large := int64(bytes) - small
+		if large <= h.large || b.large+large-h.large <= b.config.Large {
+			h.set(small, large)
+			return true
+		}
+		if !b.abortOne(func(other *Hold) bool {
+			return other != h && (other.large > 0 || isSmallFull && other.small > 0)
+		}) {
+			break
+		}
+	}
+	b.stats.Refused[h.use]++
+	return false
+}
+
+// set sets what the holder keeps. The caller holds mu.
+func (h *Hold) set(small, large int64) {
+	h.budget.small += small - h.small
+	h.budget.large += large - h.large
+	h.budget.stats.Bytes[h.use] += small + large - h.small - h.large
+	h.small, h.large = small, large
+}
+
+// Wait says what the holder waits for from now on.
+func (h *Hold) Wait(s Stage) {
+	if h.budget != nil {
+		h.since.Store(int64(h.budget.config.Now()))
+		h.stage.Store(int32(s))
+	}
+}
+
+// Heard says that the holder's peer has sent or taken something.
+func (h *Hold) Heard() {
+	if h.budget != nil {
+		h.since.Store(int64(h.budget.config.Now()))
+	}
+}
+
+// Aborted reports whether the holder was aborted; what it kept counts no more.
+func (h *Hold) Aborted() bool {
+	if h.budget == nil {
+		return false
+	}
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	return h.aborted
+}
+
+// Release gives everything back. Further calls do nothing.
+func (h *Hold) Release() {
+	if h.budget == nil {
+		return
+	}
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	h.release()
+}
+
+// release is Release; the caller holds mu.
+func (h *Hold) release() {
+	b := h.budget
+	if _, ok := b.holders[h]; !ok {
+		return
+	}
+	delete(b.holders, h)
+	h.set(0, 0)
+	if h.use != UseConn {
+		return
+	}
+	b.stats.Conns--
+	b.stats.Bytes[UseConn] -= ConnBytes
+	if b.clients[h.client]--; b.clients[h.client] == 0 {
+		delete(b.clients, h.client)
+	}
+}
+
+// abortOne aborts the holder that is the first to go of those that fit, and reports whether there was one. The caller holds mu, which is
+// free while the holder learns of it.
+func (b *Budget) abortOne(fits func(*Hold) bool) bool {
+	for {
+		h, stage, waited := b.longestWaiting(fits)
+		if h == nil {
+			return false
+		}
+		a := Abort{Use: h.use, Stage: stage, Bytes: h.small + h.large, Waited: waited}
+		h.aborting = true
+		b.mu.Unlock()
+		gone := h.abort(stage)
+		if gone && b.config.Aborted != nil {
+			b.config.Aborted(a)
+		}
+		b.mu.Lock()
+		h.aborting = false
+		if gone {
+			h.aborted = true
+			h.release()
+			b.stats.Aborted[stage]++
+			return true
+		}
+		// It has just heard of its peer.
+		h.Heard()
+		h.stage.CompareAndSwap(int32(stage), int32(Busy))
+	}
+}
+
+// longestWaiting returns the holder that is the first to go of those that fit; nil if there is none. The caller holds mu.
+func (b *Budget) longestWaiting(fits func(*Hold) bool) (first *Hold, stage Stage, waited time.Duration) {
+	now := b.config.Now()
+	for h := range b.holders {
+		s := Stage(h.stage.Load())
+		w := now - time.Duration(h.since.Load())
+		if s == Busy || h.abort == nil || h.aborting || w < patience[s] || first != nil && (s > stage || s == stage && w <= waited) || !fits(h) {
+			continue
+		}
+		first, stage, waited = h, s, w
+	}
+	return first, stage, waited
+}
+
+// Read keeps and returns what source holds, most bytes of it at most; sized is how many it is known to hold, or below zero. Whole is set if that
+// is all. If it isn't, and fewer came than most, no more may be kept, or the holder was aborted.
+func (h *Hold) Read(source io.Reader, most, sized int64) (data []byte, whole bool, err error) {
+	const first = 2 << 10
+	for int64(len(data)) < most {
+		if int64(len(data)) == sized {
+			// Nothing more is expected, so that no larger buffer is taken to learn of the end.
+			var one [1]byte
+			n, err := source.Read(one[:])
+			if n == 0 && err == io.EOF {
+				return data, true, nil
+			}
+			if n == 0 && err != nil {
+				return nil, false, err
+			}
+			source = io.MultiReader(bytes.NewReader(one[:n]), source)
+			sized = -1
+		}
+		if len(data) == cap(data) {
+			size := int64(max(2*cap(data), first))
+			if sized > int64(len(data)) {
+				size = min(max(size, SmallBytes), sized)
+			}
+			size = min(size, most)
+			if !h.Keep(int(size)) {
+				return data, false, nil
+			}
+			data = append(make([]byte, 0, size), data...)
+		}
+		n, err := source.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if n > 0 {
+			h.Heard()
+		}
+		if err == io.EOF {
+			return data, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+	return data, false, nil
+}
--- /dev/null
+++ b/limit/budget_test.go
@@ -0,0 +1,151 @@
+package limit_test
+
+import (
+	"errors"
+	"io"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"egretshunt/check"
+	"egretshunt/limit"
+)
+
+// budgetFixture is a Budget with a clock that the test sets.
+type budgetFixture struct {
+	*limit.Budget
+	now     time.Duration
+	aborted []limit.Abort
+}
+
+func newBudgetFixture(c limit.BudgetConfig) *budgetFixture {
+	x := &budgetFixture{}
+	c.Now = func() time.Duration { return x.now }
+	c.Aborted = func(a limit.Abort) { x.aborted = append(x.aborted, a) }
+	x.Budget = limit.NewBudget(c)
+	return x
+}
+
+// body returns a holder that waits for the rest of a body of which so many bytes are held.
+func (x *budgetFixture) body(t *testing.T, bytes int, yields bool) *limit.Hold {
+	t.Helper()
+	h := x.Hold(limit.UseBody, func(limit.Stage) bool { return yields })
+	check.Equal(t, "kept", h.Keep(bytes), true)
+	h.Wait(limit.InBody)
+	return h
+}
+
+const mebibyte = 1 << 20
+
+// TestBudgetKeepsRoomForSmall guards against small bodies that are rejected because large ones fill the memory.
+func TestBudgetKeepsRoomForSmall(t *testing.T) {
+	x := newBudgetFixture(limit.BudgetConfig{Small: 2 * limit.SmallBytes, Large: 2 * mebibyte})
+	x.body(t, limit.SmallBytes+2*mebibyte, true)
+	large, small := x.Hold(limit.UseBody, nil), x.Hold(limit.UseBody, nil)
+	check.Equal(t, "large beside a large one", large.Keep(limit.SmallBytes+1), false)
+	check.Equal(t, "refused", x.Stats().Refused[limit.UseBody], uint64(1))
+	check.Equal(t, "small", small.Keep(limit.SmallBytes), true)
+	check.Equal(t, "bytes", x.Bytes(), int64(2*limit.SmallBytes+2*mebibyte))
+}
+
+// TestBudgetAbortsLongestWaiting guards against bodies that stop short of their end and fill the memory for others.
+func TestBudgetAbortsLongestWaiting(t *testing.T) {
+	x := newBudgetFixture(limit.BudgetConfig{Small: mebibyte, Large: 3 * mebibyte})
+	first, second, running := x.body(t, mebibyte, true), x.body(t, mebibyte, true), x.body(t, mebibyte, true)
+	running.Wait(limit.Busy)
+	x.now = limit.BodyPatience / 2
+	first.Heard()
+	next := x.Hold(limit.UseBody, nil)
+	check.Equal(t, "while none has waited long enough", next.Keep(mebibyte), false)
+	x.now = limit.BodyPatience
+	check.Equal(t, "once one has", next.Keep(mebibyte), true)
+	check.Equal(t, "aborted", []bool{first.Aborted(), second.Aborted(), running.Aborted()}, []bool{false, true, false})
+	check.Equal(t, "aborts", x.aborted, []limit.Abort{{Use: limit.UseBody, Stage: limit.InBody, Bytes: mebibyte, Waited: limit.BodyPatience}})
+	check.Equal(t, "an aborted one keeps nothing", second.Keep(1), false)
+	second.Release()
+	for _, h := range []*limit.Hold{first, running, next, next} {
+		h.Release()
+	}
+	check.Equal(t, "bytes in the end", x.Bytes(), int64(0))
+}
+
+// TestBudgetPassesOverThoseThatHeard guards against the abort of a holder whose peer has just sent something.
+func TestBudgetPassesOverThoseThatHeard(t *testing.T) {
+	x := newBudgetFixture(limit.BudgetConfig{Small: mebibyte, Large: 2 * mebibyte})
+	heard := x.body(t, mebibyte, false)
+	x.now = time.Millisecond
+	silent := x.body(t, mebibyte, true)
+	x.now = limit.BodyPatience + time.Millisecond
+	check.Equal(t, "kept", x.Hold(limit.UseBody, nil).Keep(mebibyte), true)
+	check.Equal(t, "aborted", []bool{heard.Aborted(), silent.Aborted()}, []bool{false, true})
+}
+
+// TestBudgetOfConns guards against connections beyond the bounds, and against the loss of requests that were read.
+func TestBudgetOfConns(t *testing.T) {
+	a, b := netip.MustParseAddr("10.0.0.1"), netip.MustParseAddr("10.0.0.2")
+	x := newBudgetFixture(limit.BudgetConfig{Conns: 4})
+	open := func(from netip.Addr, s limit.Stage) *limit.Hold {
+		x.now += time.Millisecond
+		h := x.Conn(from, func(limit.Stage) bool { return true })
+		if h != nil {
+			h.Wait(s)
+		}
+		return h
+	}
+	busy, header, idle := open(a, limit.Busy), open(a, limit.InHeader), open(a, limit.Idle)
+	check.Equal(t, "bound of one address", x.Config().ClientConns, 3)
+	check.Equal(t, "in place of the idle one of its address", open(a, limit.Busy) != nil, true)
+	check.Equal(t, "idle one aborted", idle.Aborted(), true)
+	check.Equal(t, "another address", open(b, limit.Busy) != nil, true)
+	check.Equal(t, "in place of the one with an incomplete header", open(b, limit.Busy) != nil, true)
+	check.Equal(t, "aborted", []bool{header.Aborted(), busy.Aborted()}, []bool{true, false})
+	check.Equal(t, "none is left to abort", open(b, limit.Busy) == nil, true)
+	busy.Release()
+	check.Equal(t, "room again", open(b, limit.InBody) != nil, true)
+	check.Equal(t, "a body that has just begun stays", open(a, limit.Busy) == nil, true)
+	x.now += limit.BodyPatience
+	check.Equal(t, "one that stopped doesn't", open(a, limit.Busy) != nil, true)
+	s := x.Stats()
+	check.Equal(t, "sums", []any{s.Conns, s.Bytes[limit.UseConn], s.Refused[limit.UseConn]}, []any{4, int64(4 * limit.ConnBytes), uint64(2)})
+}
+
+// TestBudgetRead guards against buffers that are allocated before they are granted, and against ends that are taken for the bound.
+func TestBudgetRead(t *testing.T) {
+	broken := errors.New("broken off")
+	for name, c := range map[string]struct {
+		source      io.Reader
+		most, sized int64
+		length      int
+		whole       bool
+		err         error
+	}{
+		"sized":             {strings.NewReader(strings.Repeat("x", 100_000)), mebibyte, 100_000, 100_000, true, nil},
+		"without a size":    {iotest.HalfReader(strings.NewReader(strings.Repeat("x", 100_000))), mebibyte, -1, 100_000, true, nil},
+		"empty":             {strings.NewReader(""), mebibyte, 0, 0, true, nil},
+		"longer than sized": {strings.NewReader(strings.Repeat("x", 100)), mebibyte, 10, 100, true, nil},
+		"over the bound":    {strings.NewReader(strings.Repeat("x", 101)), 100, -1, 100, false, nil},
+		"no room":           {strings.NewReader(strings.Repeat("x", mebibyte)), mebibyte, mebibyte, limit.SmallBytes * 4, false, nil},
+		"broken off":        {io.MultiReader(strings.NewReader("x"), iotest.ErrReader(broken)), mebibyte, 2, 0, false, broken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := newBudgetFixture(limit.BudgetConfig{Small: mebibyte, Large: 4 * limit.SmallBytes})
+			h := x.Hold(limit.UseBody, nil)
+			data, whole, err := h.Read(c.source, c.most, c.sized)
+			check.Equal(t, "result", []any{len(data), whole, err == c.err}, []any{c.length, c.whole, true})
+			check.Equal(t, "counted by capacity", err != nil || x.Bytes() == int64(cap(data)), true)
+		})
+	}
+}
+
+// TestNoBudget guards against parts of the system without a budget that can't hold anything.
+func TestNoBudget(t *testing.T) {
+	var b *limit.Budget
+	h := b.Hold(limit.UseBody, nil)
+	defer h.Release()
+	h.Wait(limit.InBody)
+	data, whole, err := h.Read(strings.NewReader("x"), 10, -1)
+	check.Equal(t, "read", []any{string(data), whole, err, h.Aborted()}, []any{"x", true, nil, false})
+	check.Equal(t, "connection", b.Conn(netip.Addr{}, nil) != nil, true)
+}
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -22,7 +22,7 @@
 }
 
 func TestBudgetBoundsRetryStorm(t *testing.T) {
-	b := limit.NewBudget(0.1)
+	b := limit.NewRetryBudget(0.1)
 	sent := 0
 	for range 1000 {
 		b.Earn()
