An entry holds bodies, headers, connections and responses under the budget

Cause: bodies were read whole whatever others held, connections were as many as clients opened, headers up to 1 MiB each, and kernel buffers grew without a bound of the process.

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"egretshunt/board"
+	"egretshunt/limit"
 )
 
 const (
@@ -40,6 +41,8 @@
 	// finishing is set once connections are closed as soon as they are without a request.
 	finishing atomic.Bool
 	listener  *listener
+	// budget counts the connections; nil counts nothing.
+	budget *limit.Budget
 	// open maps each open net.Conn of the server to its *conn.
 	open sync.Map
 }
@@ -67,7 +70,10 @@
 // Listener returns the listener that the server is to serve on, with which Conns also sees when a request begins to arrive. It is
 // called once.
 func (c *Conns) Listener(l net.Listener) net.Listener {
-	c.listener = &listener{Listener: l, ended: make(chan struct{})}
+	if c.budget != nil {
+		setBuffers(l)
+	}
+	c.listener = &listener{Listener: l, admit: c.admit, ended: make(chan struct{})}
 	return c.listener
 }
 
@@ -121,6 +127,7 @@
 		}
 	case http.StateClosed, http.StateHijacked:
 		tracked.begin()
+		tracked.release()
 		c.open.Delete(raw)
 	}
 }
@@ -129,10 +136,12 @@
 func (c *Conns) tracked(raw net.Conn) *conn {
 	own, ok := raw.(*conn)
 	if t, encrypted := raw.(interface{ NetConn() net.Conn }); encrypted && !ok {
-		own, ok = t.NetConn().(*conn)
+		if own, ok = t.NetConn().(*conn); ok {
+			own.setEncrypted()
+		}
 	}
 	if !ok {
-		own = &conn{Conn: raw}
+		own = c.newConn(raw)
 	}
 	known, _ := c.open.LoadOrStore(raw, own)
 	return known.(*conn)
@@ -195,6 +204,8 @@
 // listener accepts the connections of one server.
 type listener struct {
 	net.Listener
+	// admit returns the connection to serve; nil if it was closed.
+	admit func(net.Conn) *conn
 	// ended is closed once the server has learned that the listener accepts no more.
 	ended chan struct{}
 	once  sync.Once
@@ -203,8 +214,10 @@
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	raw, err := l.Listener.Accept()
-	if err == nil {
-		return &conn{Conn: raw}, nil
+	for ; err == nil; raw, err = l.Listener.Accept() {
+		if c := l.admit(raw); c != nil {
+			return c, nil
+		}
 	}
 	// net/http accepts again only after a temporary error.
 	var temporary interface{ Temporary() bool }
@@ -217,9 +230,16 @@
 // conn is one client connection and its timeout.
 type conn struct {
 	net.Conn
+	owner *Conns
+	// hold counts the connection, header its header beyond freeHeaderBytes; header is nil before.
+	hold, header *limit.Hold
 
-	// mu guards the fields below.
+	// mu guards the fields below, and header.
 	mu sync.Mutex
+	// headerBytes is how much of a request was read before its header was complete. inBody is set while the rest of its body is awaited,
+	// inWrite while a response is written, encrypted if the connection carries TLS.
+	headerBytes                int
+	inBody, inWrite, encrypted bool
 	// timer closes the connection on expiry. It is nil while a request is in progress.
 	timer *time.Timer
 	// since is when the connection began to wait for a request, heard when the first bytes of that request were read; zero before.
@@ -235,7 +255,11 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	c.beginRead(p)
 	n, err := c.Conn.Read(p)
+	if ended := c.endRead(n); ended != nil {
+		return 0, ended
+	}
 	if n == 0 {
 		return n, err
 	}
@@ -260,6 +284,7 @@
 		c.timer.Stop()
 	}
 	c.since, c.heard = time.Now(), c.ahead
+	c.awaitHeader()
 	var timer *time.Timer
 	timer = time.AfterFunc(limit(), func() {
 		c.mu.Lock()
@@ -292,6 +317,16 @@
 		c.timer = nil
 	}
 	c.ahead = time.Time{}
+	c.hold.Wait(limit.Busy)
+	if c.header != nil {
+		c.header.Wait(limit.Busy)
+	}
+}
+
+func (c *conn) setEncrypted() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.encrypted = true
 }
 
 // closeIdle closes the connection if it has been without a request for some time, and reports whether it is closed.
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -76,6 +76,7 @@
 	BadLimit        = declare(320, "limitbad", "warn", "An endpoint's answer named a limit that can't be read; it is ignored.")
 	Unanswered      = declare(321, "unanswered", "error", "The handler of a request ended without a response though the client had not left; the entry sent one of its own. stage says how far it was. Report it with this line.")
 	OriginUnknown   = declare(322, "unresumed", "warn", "A client resumes a stream of which nobody knows at which build of its endpoint's software it began, or control couldn't be asked. The request is rejected.")
+	BodyAborted     = declare(330, "aborted", "warn", "A client was given up that held memory: its request's body didn't arrive in time, or others needed the memory of a body that had stopped (the request has not run), or of a response that the client didn't read.")
 	EndpointLimited = declare(319, "limited", "info", "An endpoint named a limit for the requests of all entries together, changed it or, with limited=false, ended it.")
 	Fenced          = declare(307, "fenced", "warn", "A command with an old epoch was rejected.")
 )
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -1,7 +1,6 @@
 package pass
 
 import (
-	"cmp"
 	"context"
 	"net/netip"
 	"sync"
@@ -95,9 +94,8 @@
 	// Wait returns how long work waits for the processor of this process; nil means that the entry
 	// measures it.
 	Wait func() time.Duration
-	// MaxHeldBytes bounds the bytes of all responses together that are held back until an event or a response is complete, beyond
-	// FreeHeldBytes of each; zero means defaultMaxHeldBytes.
-	MaxHeldBytes int64
+	// Budget counts the bytes of responses that are held back until an event or a response is complete; nil means one of default size.
+	Budget *limit.Budget
 	// Policy selects the placement of prompts; "" means Predicted.
 	Policy  Policy
 	Events  *event.Log
@@ -111,8 +109,6 @@
 	started time.Time
 	cancel  context.CancelFunc
 	running sync.WaitGroup
-	// held counts the bytes of responses that are held back.
-	held *limit.Held
 	// lastDeadline is the latest deadline of requests that are still taken; nil unless the entry is being stopped.
 	lastDeadline atomic.Pointer[time.Time]
 	// ending ends with endRequests, when open requests must get their final answers.
@@ -212,12 +208,7 @@
 	listedAt time.Time
 }
 
-const (
-	// defaultMaxHeldBytes is the default of Config.MaxHeldBytes.
-	defaultMaxHeldBytes = 64 << 20
-	// FreeHeldBytes is how much of a response is held whatever the others hold, in bytes: most are shorter.
-	FreeHeldBytes = 16 << 10
-)
+const ()
 
 // New returns an entry and starts its background maintenance.
 func New(c Config) *Entry {
@@ -227,12 +218,14 @@
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewSet()
 	}
+	if c.Budget == nil {
+		c.Budget = limit.NewBudget(limit.BudgetConfig{})
+	}
 	e := &Entry{
 		config: c, meters: newMeters(c.Metrics), started: time.Now(), targets: map[string]fence.Targets{}, endpointStates: map[string]*endpointState{}, retryBudgets: map[string]*limit.RetryLimiter{}, pendingSave: map[string]pendingSave{},
 		prefillRates: map[string]float64{}, linkTokens: map[netip.AddrPort]*int{}, rateQueues: map[string]*rateQueue{}, rateWaiting: make(chan struct{}, 1),
-		held: limit.NewHeld(cmp.Or(c.MaxHeldBytes, defaultMaxHeldBytes)),
 	}
-	c.Metrics.NewGauge("egretshunt_pass_held_bytes", func() float64 { return float64(e.held.Bytes()) })
+	c.Metrics.NewGauge("egretshunt_pass_held_bytes", func() float64 { return float64(e.HeldBytes()) })
 	c.Metrics.NewGauge("egretshunt_pass_processor_wait_seconds", func() float64 { return e.waitForProcessor().Seconds() })
 	c.Metrics.NewGauge("egretshunt_pass_backlog_tokens", func() float64 { return float64(e.backlog()) })
 	ctx, cancel := context.WithCancel(context.Background())
@@ -366,8 +359,8 @@
 // InFlight returns the number of requests in progress.
 func (e *Entry) InFlight() int64 { return e.open.Load() }
 
-// HeldBytes returns how many bytes of responses are held back, beyond what each may hold.
-func (e *Entry) HeldBytes() int64 { return e.held.Bytes() }
+// HeldBytes returns how many bytes of responses are held back.
+func (e *Entry) HeldBytes() int64 { return e.config.Budget.Stats().Bytes[limit.UseResponse] }
 
 // endpointState returns the state of an endpoint's incarnation. The caller holds mu.
 func (e *Entry) endpointState(to *member.Endpoint) *endpointState {
--- a/pass/held_test.go
+++ b/pass/held_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"egretshunt/check"
+	"egretshunt/limit"
 	"egretshunt/member"
 	"egretshunt/pass"
 )
@@ -79,7 +80,7 @@
 				id := fmt.Sprint("id-", i)
 				exchanges[id] = &endlessExchange{left: c.bytes, filler: strings.Repeat("x", 4<<10), end: end, header: http.Header{}}
 			}
-			fx := newFixtureWith(t, pass.Config{MaxHeldBytes: most}, func(s *pass.Send) (*pass.Reply, error) {
+			fx := newFixtureWith(t, pass.Config{Budget: limit.NewBudget(limit.BudgetConfig{Small: requests * limit.SmallBytes, Large: most})}, func(s *pass.Send) (*pass.Reply, error) {
 				x, endless := exchanges[s.Call.ID]
 				if !endless {
 					return respondWith(200, eventA)(s)
@@ -109,7 +110,7 @@
 				return true
 			})
 			// What a response may hold whatever the others hold comes on top.
-			check.Equal(t, fmt.Sprint("bytes held are bounded: ", held()), held() <= most+requests*pass.FreeHeldBytes, true)
+			check.Equal(t, fmt.Sprint("bytes held are bounded: ", held()), held() <= most+requests*limit.SmallBytes, true)
 			got, _ := fx.call("/stream/x", "k", func(c *pass.Call) { c.ID = "sound" })
 			check.Equal(t, "a sound request's status and body", []any{got.Code, got.Body.String()}, []any{200, eventA})
 			close(end)
--- a/pass/relay.go
+++ b/pass/relay.go
@@ -26,8 +26,8 @@
 	lastEventID string
 	eventLines  int
 	sentBytes   int
-	// held counts the bytes that are held back.
-	held limit.Holder
+	// held counts the bytes that are held back, and the buffer through which others pass.
+	held *limit.Hold
 	// openBytes is how much of an incomplete event followed the last complete one.
 	openBytes int
 	// clientGone is set once a write to the client has failed.
@@ -39,8 +39,10 @@
 	bind func() error
 }
 
-func newRelay(w http.ResponseWriter, stream bool, held *limit.Held) *relay {
-	return &relay{w: w, stream: stream, held: held.Holder(FreeHeldBytes)}
+func newRelay(w http.ResponseWriter, stream bool, budget *limit.Budget) *relay {
+	return &relay{w: w, stream: stream, held: budget.Hold(limit.UseResponse, func(limit.Stage) bool {
+		return http.NewResponseController(w).SetWriteDeadline(time.Now()) == nil
+	})}
 }
 
 // head sends status and headers.
@@ -87,12 +89,15 @@
 	return r.relayBuffered(reply, first)
 }
 
+// passBytes is the size of the buffer through which the rest of a long response passes, minPassBytes that while memory is short.
+const passBytes, minPassBytes = 32 << 10, 4 << 10
+
 // relayBuffered relays a non-streaming response once it is complete. A response of at least
 // maxBufferedBytes, or of more than the entry may hold, is relayed as it arrives from there on.
 func (r *relay) relayBuffered(reply *Reply, first *time.Time) error {
 	tracker := body.NewTracker(reply.Header.Get("Content-Type"), reply.UntilClose)
 	source := io.TeeReader(reply.Body, tracker)
-	head, whole, err := r.held.Read(source, maxBufferedBytes)
+	head, whole, err := r.held.Read(source, maxBufferedBytes, -1)
 	if err != nil {
 		return err
 	}
@@ -112,8 +117,12 @@
 		return err
 	}
 	head = nil
-	r.held.Keep(0)
-	buf := make([]byte, 32<<10)
+	size := passBytes
+	if !r.held.Keep(size) {
+		size = minPassBytes
+		r.held.Keep(size)
+	}
+	buf := make([]byte, size)
 	for {
 		n, err := source.Read(buf)
 		if n > 0 {
@@ -241,13 +250,17 @@
 }
 
 func (r *relay) write(data []byte) error {
-	if len(data) > 0 {
-		n, err := r.w.Write(data)
+	r.held.Wait(limit.Unread)
+	defer r.held.Wait(limit.Busy)
+	for len(data) > 0 {
+		n, err := r.w.Write(data[:min(len(data), passBytes)])
 		r.sentBytes += n
 		if err != nil {
 			r.clientGone = true
 			return err
 		}
+		data = data[n:]
+		r.held.Heard()
 	}
 	if r.stream {
 		if err := http.NewResponseController(r.w).Flush(); err != nil {
--- a/pass/serve.go
+++ b/pass/serve.go
@@ -163,6 +163,28 @@
 	return now.Sub(e.firstPromptAt) < maxCatalogWait
 }
 
+// deadline returns when a request of a route must be answered.
+func deadline(r *board.Route, c *Call) time.Time {
+	wait := r.Timeout
+	if c.ClientTimeout > 0 && c.ClientTimeout < wait {
+		wait = c.ClientTimeout
+	}
+	return c.Arrived.Add(wait - responseMargin)
+}
+
+// Deadline returns when a request must be answered; it isn't known without a route.
+func (e *Entry) Deadline(c *Call) (at time.Time, known bool) {
+	set := e.tableSet()
+	if set == nil {
+		return time.Time{}, false
+	}
+	r := set.Match(c.Host, c.Path)
+	if r == nil {
+		return time.Time{}, false
+	}
+	return deadline(r, c), true
+}
+
 // admit resolves the route, account, pool and deadline of a request from the table set.
 func (e *Entry) admit(c *Call) (*job, *failure) {
 	j := &job{call: c, step: stageAdmission}
@@ -193,11 +215,7 @@
 		j.account, j.isolated, j.rank = a.Name, a.Isolated, a.Rank.Or(j.route.Rank)
 	}
 	j.pool = j.route.Pick(route.UniformHash(j.originID()))
-	wait := j.route.Timeout
-	if c.ClientTimeout > 0 && c.ClientTimeout < wait {
-		wait = c.ClientTimeout
-	}
-	j.deadline = c.Arrived.Add(wait - responseMargin)
+	j.deadline = deadline(j.route, c)
 	if last := e.lastDeadline.Load(); last != nil && j.deadline.After(*last) {
 		return j, refuse(reasonStopping, stoppingRetryAfter)
 	}
@@ -210,7 +228,8 @@
 // dispatch makes attempts until one has produced a response. A returned failure is still to be
 // written.
 func (e *Entry) dispatch(ctx context.Context, j *job, w http.ResponseWriter) *failure {
-	out := newRelay(w, j.route.Kind == board.Stream, e.held)
+	out := newRelay(w, j.route.Kind == board.Stream, e.config.Budget)
+	defer out.held.Release()
 	for {
 		j.step = stagePlacement
 		if out.headerSent && endOf(ctx) != nil {
