--- a/conns/bound.go
+++ b/conns/bound.go
@@ -130,6 +130,10 @@
 		c.hold.Wait(limit.InHeader)
 	}
 	c.headerBytes += n
+	if c.encrypted {
+		// A record may hold more than the header.
+		return nil
+	}
 	if most := c.owner.limits().Header; most > 0 && int64(c.headerBytes) > most+headerSlack {
 		c.end(tooLargeText)
 		return io.EOF
--- a/pass/relay.go
+++ b/pass/relay.go
@@ -89,8 +89,12 @@
 	return r.relayBuffered(reply, first)
 }
 
-// passBytes is the size of the buffer through which the rest of a long response passes, minPassBytes that while memory is short.
-const passBytes, minPassBytes = 32 << 10, 4 << 10
+const (
+	// passBytes is the size of the buffer through which the rest of a long response passes, minPassBytes that while memory is short.
+	passBytes, minPassBytes = 32 << 10, 4 << 10
+	// pieceBytes is how much is written at a time: a client that takes less than that in limit.UnreadPatience counts as one that reads nothing.
+	pieceBytes = 8 << 10
+)
 
 // relayBuffered relays a non-streaming response once it is complete. A response of at least
 // maxBufferedBytes, or of more than the entry may hold, is relayed as it arrives from there on.
@@ -253,7 +257,7 @@
 	r.held.Wait(limit.Unread)
 	defer r.held.Wait(limit.Busy)
 	for len(data) > 0 {
-		n, err := r.w.Write(data[:min(len(data), passBytes)])
+		n, err := r.w.Write(data[:min(len(data), pieceBytes)])
 		r.sentBytes += n
 		if err != nil {
 			r.clientGone = true
