--- a/conf/conf.go
+++ b/conf/conf.go
@@ -37,6 +37,7 @@
 	Wire    Wire             `toml:"wire" doc:"Connections between the system's own processes."`
 	Log     Log              `toml:"log" doc:"Event log."`
 	Ops     Ops              `toml:"ops" doc:"Metrics and health checks."`
+	Memory  Memory           `toml:"memory" doc:"Memory that clients may make the process hold."`
 	Entry   *Entry           `toml:"entry" doc:"Present on processes that serve client requests."`
 	Member  *Member          `toml:"member" doc:"Present on control VMs."`
 	Agent   *Agent           `toml:"agent" doc:"Present on agents, the processes that run beside an endpoint."`
@@ -165,6 +166,7 @@
 	c.requireSet("control", len(s.Control) > 0, "lists the control VMs")
 	c.requireValid("log.level", s.Log.Level == "" || event.Level(s.Log.Level) == nil, "must be debug, info, warn or error")
 	c.requireValid("log.queue", s.Log.Queue >= 0, "must not be negative")
+	s.Memory.check(c)
 	c.requireValid("roles", s.Entry != nil || s.Member != nil || s.Agent != nil || s.Store != nil, "at least one of the sections [entry], [member], [agent] and [store] is required")
 	if s.Entry != nil {
 		s.Entry.check(c)
--- a/conf/doc.go
+++ b/conf/doc.go
@@ -46,11 +46,27 @@
 	}
 }
 
+// hostDoc describes the settings of the subcommand host, which has no TOML file.
+const hostDoc = `
+## Environment of ` + "`egretshunt host`" + `
+
+The file that the platform names gives the VM's memory and descriptors, from which the bounds of section ` + "`[memory]`" + ` follow. Connections have 0.4 of the
+descriptors beyond 200 at most. The environment may set others:
+
+| variable | sets |
+| --- | --- |
+| ` + "`EGRETSHUNT_MAX_CONNS`" + ` | memory.conns |
+| ` + "`EGRETSHUNT_MAX_CLIENT_CONNS`" + ` | memory.client |
+| ` + "`EGRETSHUNT_SMALL_BYTES`" + ` | memory.small |
+| ` + "`EGRETSHUNT_LARGE_BYTES`" + ` | memory.large |
+`
+
 // Doc returns the reference page of the settings as Markdown.
 func Doc() string {
 	var b strings.Builder
 	b.WriteString("# Settings\n\nEach process is configured by one TOML file. A file with unknown keys or invalid values is rejected; `egretshunt check FILE` prints the reasons.\nThis page is generated from the code by `go test ./conf -run Doc -update`.\n")
 	writeSection(&b, "", reflect.TypeOf(Settings{}))
+	b.WriteString(hostDoc)
 	return b.String()
 }
 
