--- a/conns/bound_test.go
+++ b/conns/bound_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"egretshunt/board"
 	"egretshunt/check"
 	"egretshunt/conns"
@@ -166,3 +168,28 @@
 		})
 	}
 }
+
+// TestBoundOfKernelBuffers guards against kernel buffers that grow with what a client sends and doesn't read, beyond what the connection counts.
+func TestBoundOfKernelBuffers(t *testing.T) {
+	tracked := conns.Track(&http.Server{}, func() board.Limits { return board.Limits{} })
+	tracked.Bound(limit.NewBudget(limit.BudgetConfig{}))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	check.NoError(t, err)
+	defer l.Close()
+	bound := tracked.Listener(l)
+	client, err := net.Dial("tcp", l.Addr().String())
+	check.NoError(t, err)
+	defer client.Close()
+	server, err := bound.Accept()
+	check.NoError(t, err)
+	defer server.Close()
+	raw, err := server.(interface{ NetConn() net.Conn }).NetConn().(*net.TCPConn).SyscallConn()
+	check.NoError(t, err)
+	check.NoError(t, raw.Control(func(fd uintptr) {
+		for _, option := range []int{unix.SO_RCVBUF, unix.SO_SNDBUF} {
+			size, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, option)
+			check.NoError(t, err)
+			check.Equal(t, fmt.Sprintf("%d bytes are within what a connection counts", size), size <= 2*limit.SocketBuffer, true)
+		}
+	}))
+}
