Aborts end a read or write only while it is under way

Cause: a holder that is chosen while it waits may have finished when its abort comes. A read deadline set then ended the request that ran, a write deadline cut the end of a complete response off. Both are set under a lock now, and not after the read or write. A connection whose response has begun gets no second one when its body, which the server discards, is aborted.

--- a/conns/bound.go
+++ b/conns/bound.go
@@ -1,6 +1,7 @@
 package conns
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"net/netip"
@@ -94,7 +95,7 @@
 
 // end closes a connection whose request wasn't read to its end, with a last response. The caller holds mu.
 func (c *conn) end(response string) {
-	if !c.encrypted {
+	if !c.encrypted && !c.responded {
 		// An error means that the client takes nothing.
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(lastWriteTime))
 		_, _ = io.WriteString(c.Conn, response)
@@ -161,15 +162,20 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
-	c.setWriting(true)
-	defer c.setWriting(false)
+	c.setWriting(true, !bytes.HasPrefix(p, []byte(interimPrefix)))
+	defer c.setWriting(false, false)
 	return c.Conn.Write(p)
 }
 
-func (c *conn) setWriting(on bool) {
+// interimPrefix begins the response that asks for a body.
+const interimPrefix = "HTTP/1.1 100 "
+
+// setWriting notes the beginning or the end of a write, and whether it is of a final response.
+func (c *conn) setWriting(on, final bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inWrite = on
+	c.responded = c.responded || final
 	if on {
 		c.hold.Wait(limit.Unread)
 	} else {
--- a/conns/conns.go
+++ b/conns/conns.go
@@ -240,6 +240,8 @@
 	// inWrite while a response is written, encrypted if the connection carries TLS.
 	headerBytes                int
 	inBody, inWrite, encrypted bool
+	// responded is set once something of the response to the present request was written.
+	responded bool
 	// timer closes the connection on expiry. It is nil while a request is in progress.
 	timer *time.Timer
 	// since is when the connection began to wait for a request, heard when the first bytes of that request were read; zero before.
@@ -317,6 +319,7 @@
 		c.timer = nil
 	}
 	c.ahead = time.Time{}
+	c.responded = false
 	c.hold.Wait(limit.Busy)
 	if c.header != nil {
 		c.header.Wait(limit.Busy)
--- a/pass/relay.go
+++ b/pass/relay.go
@@ -5,7 +5,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
+	"sync"
 	"time"
 
 	"egretshunt/body"
@@ -35,14 +37,42 @@
 	// first is called at the first data of each response, begun before its first complete output is sent,
 	// onData whenever response data arrives, onEvent after events with an ID were sent.
 	first, begun, onData, onEvent func()
+	// writing guards the write deadline, whose expiry after the last write would cut the response off: inWrite is set while a write may be
+	// aborted, aborted once it was.
+	writing          sync.Mutex
+	inWrite, aborted bool
 	// bind is called before the first event of a response is sent; its error ends the response. Nil means that nothing is to be done.
 	bind func() error
 }
 
 func newRelay(w http.ResponseWriter, stream bool, budget *limit.Budget) *relay {
-	return &relay{w: w, stream: stream, held: budget.Hold(limit.UseResponse, func(limit.Stage) bool {
-		return http.NewResponseController(w).SetWriteDeadline(time.Now()) == nil
-	})}
+	r := &relay{w: w, stream: stream}
+	r.held = budget.Hold(limit.UseResponse, r.abortWrite)
+	return r
+}
+
+// abortWrite ends a write to a client that doesn't read, for others; it reports whether there was one.
+func (r *relay) abortWrite(limit.Stage) bool {
+	r.writing.Lock()
+	defer r.writing.Unlock()
+	if !r.inWrite || http.NewResponseController(r.w).SetWriteDeadline(time.Now()) != nil {
+		return false
+	}
+	r.aborted = true
+	return true
+}
+
+// setInWrite says whether a write may be aborted from now on, and reports whether one was.
+func (r *relay) setInWrite(on bool) (aborted bool) {
+	r.writing.Lock()
+	defer r.writing.Unlock()
+	r.inWrite = on
+	if on {
+		r.held.Wait(limit.Unread)
+	} else {
+		r.held.Wait(limit.Busy)
+	}
+	return r.aborted
 }
 
 // head sends status and headers.
@@ -253,9 +283,18 @@
 	}
 }
 
+// write sends data to the client.
 func (r *relay) write(data []byte) error {
-	r.held.Wait(limit.Unread)
-	defer r.held.Wait(limit.Busy)
+	r.setInWrite(true)
+	err := r.writePieces(data)
+	if aborted := r.setInWrite(false); aborted && err == nil {
+		r.clientGone = true
+		err = os.ErrDeadlineExceeded
+	}
+	return err
+}
+
+func (r *relay) writePieces(data []byte) error {
 	for len(data) > 0 {
 		n, err := r.w.Write(data[:min(len(data), pieceBytes)])
 		r.sentBytes += n
