A setting of the budget counts also above its default

Cause: a number of connections above what the memory's share gives was cut to it without a word. Descriptors are a field of the budget's configuration now, and bound the default alone. TestBudgetDefaults and TestBudgetEnvironment; the former fails without the change (633 for 1,000).

--- a/limit/budget.go
+++ b/limit/budget.go
@@ -73,6 +73,8 @@
 	defaultMemory = 512 << 20
 	// Shares of the memory. The rest is for the program, its tables and the garbage between two collections.
 	connShare, smallShare, largeShare = 0.4, 0.1, 0.2
+	// connFilesShare is the share of the descriptors that clients' connections may have. Each may need one to an endpoint, and some idle ones are kept.
+	connFilesShare = 0.4
 	// clientShare is the share of all connections that one client address may have.
 	clientShare = 0.75
 )
@@ -81,6 +83,8 @@
 type BudgetConfig struct {
 	// Memory is the VM's memory, in bytes; the bounds below are shares of it by default.
 	Memory int64
+	// Files is how many descriptors there are for connections; zero means enough.
+	Files int
 	// Conns bounds the clients' connections, ClientConns those of one client address.
 	Conns, ClientConns int
 	// Small and Large bound the bytes of all holders together: up to SmallBytes of each, and beyond that.
@@ -152,8 +156,12 @@
 	orDefault(&c.Memory, defaultMemory)
 	orDefault(&c.Small, int64(smallShare*float64(c.Memory)))
 	orDefault(&c.Large, int64(largeShare*float64(c.Memory)))
-	if most := max(int(connShare*float64(c.Memory))/ConnBytes, 1); c.Conns <= 0 || c.Conns > most {
-		c.Conns = most
+	if c.Conns <= 0 {
+		c.Conns = int(connShare*float64(c.Memory)) / ConnBytes
+		if c.Files > 0 {
+			c.Conns = min(c.Conns, int(connFilesShare*float64(c.Files)))
+		}
+		c.Conns = max(c.Conns, 1)
 	}
 	if c.ClientConns <= 0 {
 		c.ClientConns = max(int(clientShare*float64(c.Conns)), 1)
--- a/limit/budget_test.go
+++ b/limit/budget_test.go
@@ -111,6 +111,25 @@
 	check.Equal(t, "sums", []any{s.Conns, s.Bytes[limit.UseConn], s.Refused[limit.UseConn]}, []any{4, int64(4 * limit.ConnBytes), uint64(2)})
 }
 
+// TestBudgetDefaults guards against bounds that don't fit the VM, and against settings that don't count.
+func TestBudgetDefaults(t *testing.T) {
+	for name, c := range map[string]struct {
+		config limit.BudgetConfig
+		conns  int
+	}{
+		"by memory":      {limit.BudgetConfig{Memory: 136 * mebibyte, Files: 2670}, 633},
+		"by descriptors": {limit.BudgetConfig{Memory: 136 * mebibyte, Files: 440}, 176},
+		"by setting":     {limit.BudgetConfig{Memory: 136 * mebibyte, Files: 440, Conns: 1000}, 1000},
+		"tiny":           {limit.BudgetConfig{Memory: 1, Files: 1}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := limit.NewBudget(c.config).Config()
+			check.Equal(t, "connections, and those of a client", []int{got.Conns, got.ClientConns}, []int{c.conns, max(c.conns*3/4, 1)})
+			check.Equal(t, "parts", []int64{got.Small, got.Large}, []int64{c.config.Memory / 10, c.config.Memory / 5})
+		})
+	}
+}
+
 // TestBudgetRead guards against buffers that are allocated before they are granted, and against ends that are taken for the bound.
 func TestBudgetRead(t *testing.T) {
 	broken := errors.New("broken off")
