--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -190,6 +190,14 @@
 	if errorx.IsOfType(err, Withheld) {
 		return e.handleWithheld(ctx, j, to, out)
 	}
+	if errorx.IsOfType(err, Ended) {
+		e.endAttemptUnscored(to)
+		e.recordLost(to)
+		// It may be tried again by a turn.
+		j.tried = j.tried[:len(j.tried)-1]
+		e.recordAttempt(j, to, outcomeNotSent, "again", 0)
+		return true, nil
+	}
 	if isNotSent(err) {
 		if endOf(ctx) != nil {
 			e.endAttemptUnscored(to)
--- a/pass/cold.go
+++ b/pass/cold.go
@@ -1,6 +1,7 @@
 package pass
 
 import (
+	"slices"
 	"time"
 
 	"egretshunt/clock"
@@ -19,6 +20,8 @@
 	// known is what control last said; marked are the candidates that are cold by it.
 	known  *ctrl.Cold
 	marked []*candidate
+	// places is until when the endpoints of each place are cold since its evacuation ended, by the place's index.
+	places []time.Duration
 }
 
 // newColdBounds returns the bounds of a topology's table set.
@@ -62,8 +65,8 @@
 	// listedAt is when the list was read; own is set if this entry read it.
 	listedAt time.Duration
 	own      bool
-	// reopened is until when the endpoints of each place count as cold since its evacuation ended; nil if no place was evacuated.
-	reopened []time.Duration
+	// places are those of coldBounds.
+	places []time.Duration
 }
 
 // coldPoolOf returns the bound of a pool; nil if it has none. The caller holds mu.
@@ -76,17 +79,16 @@
 	if read := e.fallback.Load(); read != nil && read.list == t.list {
 		p.listedAt, p.own = read.askedAt, true
 	}
+	t.cold.places = slices.Grow(t.cold.places[:0], len(t.places))[:len(t.places)]
+	clear(t.cold.places)
 	if len(e.config.View.View().Places) > 0 {
-		p.reopened = e.scratch.reopened[:0]
-		for _, place := range t.places {
-			until := time.Duration(0)
+		for i, place := range t.places {
 			if ago, ended := e.config.View.SinceEvacuation(place); ended {
-				until = p.now + limit.ColdAfterEvacuation(ago)
+				t.cold.places[i] = p.now + limit.ColdAfterEvacuation(ago)
 			}
-			p.reopened = append(p.reopened, until)
 		}
-		e.scratch.reopened = p.reopened
 	}
+	p.places = t.cold.places
 	return p
 }
 
@@ -95,13 +97,10 @@
 	if p == nil {
 		return 0, false
 	}
-	signs := limit.ColdSigns{Until: c.coldUntil, LostAt: c.state.lostAt, ListedAt: p.listedAt, ListLag: p.entry.config.ListLag}
+	signs := limit.ColdSigns{Until: max(c.coldUntil, p.places[c.place]), LostAt: c.state.lostAt, ListedAt: p.listedAt, ListLag: p.entry.config.ListLag}
 	if p.own && c.to.WarmupLeft > 0 {
 		signs.Until = max(signs.Until, p.listedAt+c.to.WarmupLeft)
 	}
-	if p.reopened != nil {
-		signs.Until = max(signs.Until, p.reopened[c.place])
-	}
 	return signs.Cold(p.now)
 }
 
@@ -111,15 +110,15 @@
 }
 
 // take uses a turn at an endpoint if it is cold, and reports whether the request may be sent.
-func (p *coldPool) take(c *candidate) bool {
+func (p *coldPool) take(c *candidate) (sendable, turn bool) {
 	if _, cold := p.isCold(c); !cold {
-		return true
+		return true, false
 	}
 	if !p.entry.coldTurns.Take(c.to.ID, p.pace, p.turn, p.now) {
-		return false
+		return false, false
 	}
 	p.entry.meters.coldTurn(c.to.Pool)
-	return true
+	return true, true
 }
 
 // next returns when the turns at an endpoint come; false if there are none.
@@ -127,6 +126,17 @@
 	return p.entry.coldTurns.Next(to.ID, p.pace, p.turn, p.now)
 }
 
+// coldCount returns how many endpoints are cold, as control says.
+func (e *Entry) coldCount() float64 {
+	n, now := 0, clock.Now()
+	for _, until := range e.config.View.Cold().Until {
+		if now < until {
+			n++
+		}
+	}
+	return float64(n)
+}
+
 // recordLost records that a connection to an endpoint was refused or ended: its process may have ended, and the next one is cold.
 func (e *Entry) recordLost(to *member.Endpoint) {
 	e.mu.Lock()
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -99,14 +99,13 @@
 	// ColdExcess and ColdSlack bound the requests that a cold endpoint gets in any second from all entries; see limit.ColdBound. The rates
 	// are those of the pools.
 	ColdExcess, ColdSlack float64
-	// ListLag is how far the list of endpoints lags behind them.
+	// ListLag is how far the list of endpoints lags behind them; zero means defaultListLag.
 	ListLag time.Duration
 	// Wait returns how long work waits for the processor of this process; nil means that the entry
 	// measures it.
 	Wait func() time.Duration
-	// MaxHeldBytes bounds the bytes of all responses together that are held back until an event or a response is complete, beyond
-	// FreeHeldBytes of each; zero means defaultMaxHeldBytes.
-	MaxHeldBytes int64
+	// Budget counts the bytes of responses that are held back until an event or a response is complete; nil means one of default size.
+	Budget *limit.Budget
 	// RegionOf returns the region of a data centre, "" if it isn't known; nil means that none is.
 	RegionOf func(place string) string
 	// Policy selects the placement of prompts; "" means Predicted.
@@ -122,8 +121,6 @@
 	started time.Time
 	cancel  context.CancelFunc
 	running sync.WaitGroup
-	// held counts the bytes of responses that are held back.
-	held *limit.Held
 	// lastDeadline is the latest deadline of requests that are still taken; nil unless the entry is being stopped.
 	lastDeadline atomic.Pointer[time.Time]
 	// ending ends with endRequests, when open requests must get their final answers.
@@ -227,12 +224,8 @@
 	listedAt time.Time
 }
 
-const (
-	// defaultMaxHeldBytes is the default of Config.MaxHeldBytes.
-	defaultMaxHeldBytes = 64 << 20
-	// FreeHeldBytes is how much of a response is held whatever the others hold, in bytes: most are shorter.
-	FreeHeldBytes = 16 << 10
-)
+// defaultListLag is the default of Config.ListLag.
+const defaultListLag = 2 * time.Second
 
 // New returns an entry and starts its background maintenance.
 func New(c Config) *Entry {
@@ -242,15 +235,19 @@
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewSet()
 	}
+	c.ListLag = cmp.Or(c.ListLag, defaultListLag)
+	if c.Budget == nil {
+		c.Budget = limit.NewBudget(limit.BudgetConfig{})
+	}
 	e := &Entry{
 		config: c, meters: newMeters(c.Metrics), started: time.Now(), targets: map[string]fence.Targets{}, endpointStates: map[string]*endpointState{}, retryBudgets: map[string]*limit.RetryLimiter{}, pendingSave: map[string]pendingSave{},
 		prefillRates: map[string]float64{}, linkTokens: map[netip.AddrPort]*int{}, rateQueues: map[string]*rateQueue{}, coldTurns: limit.NewColdTurns(clock.Now()), rateWaiting: make(chan struct{}, 1),
-		held: limit.NewHeld(cmp.Or(c.MaxHeldBytes, defaultMaxHeldBytes)),
 	}
-	c.Metrics.NewGauge("egretshunt_pass_held_bytes", func() float64 { return float64(e.held.Bytes()) })
+	c.Metrics.NewGauge("egretshunt_pass_held_bytes", func() float64 { return float64(e.HeldBytes()) })
 	c.Metrics.NewGauge("egretshunt_pass_processor_wait_seconds", func() float64 { return e.waitForProcessor().Seconds() })
 	c.Metrics.NewGauge("egretshunt_pass_backlog_tokens", func() float64 { return float64(e.backlog()) })
 	c.Metrics.NewGauge("egretshunt_pass_evacuated_places", func() float64 { return float64(e.evacuatedPlaces()) })
+	c.Metrics.NewGauge("egretshunt_pass_cold_endpoints", e.coldCount)
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	e.ending, e.endRequests = context.WithCancel(context.Background())
@@ -385,8 +382,8 @@
 // InFlight returns the number of requests in progress.
 func (e *Entry) InFlight() int64 { return e.open.Load() }
 
-// HeldBytes returns how many bytes of responses are held back, beyond what each may hold.
-func (e *Entry) HeldBytes() int64 { return e.held.Bytes() }
+// HeldBytes returns how many bytes of responses are held back.
+func (e *Entry) HeldBytes() int64 { return e.config.Budget.Stats().Bytes[limit.UseResponse] }
 
 // endpointState returns the state of an endpoint's incarnation. The caller holds mu.
 func (e *Entry) endpointState(to *member.Endpoint) *endpointState {
--- a/pass/prefill.go
+++ b/pass/prefill.go
@@ -171,8 +171,6 @@
 	prefills          []route.Prefill
 	versions          []uint64
 	loads             []route.EndpointState
-	// reopened is that of the pool in question; see coldPool.
-	reopened []time.Duration
 	// sources are reused by version and part.
 	sources [][]*route.PartSources
 	// rules are those of the places, by index.
--- a/pass/relay.go
+++ b/pass/relay.go
@@ -5,7 +5,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
+	"sync"
 	"time"
 
 	"egretshunt/body"
@@ -26,8 +28,8 @@
 	lastEventID string
 	eventLines  int
 	sentBytes   int
-	// held counts the bytes that are held back.
-	held limit.Holder
+	// held counts the bytes that are held back, and the buffer through which others pass.
+	held *limit.Hold
 	// openBytes is how much of an incomplete event followed the last complete one.
 	openBytes int
 	// clientGone is set once a write to the client has failed.
@@ -35,12 +37,42 @@
 	// first is called at the first data of each response, begun before its first complete output is sent,
 	// onData whenever response data arrives, onEvent after events with an ID were sent.
 	first, begun, onData, onEvent func()
+	// writing guards the write deadline, whose expiry after the last write would cut the response off: inWrite is set while a write may be
+	// aborted, aborted once it was.
+	writing          sync.Mutex
+	inWrite, aborted bool
 	// bind is called before the first event of a response is sent; its error ends the response. Nil means that nothing is to be done.
 	bind func() error
 }
 
-func newRelay(w http.ResponseWriter, stream bool, held *limit.Held) *relay {
-	return &relay{w: w, stream: stream, held: held.Holder(FreeHeldBytes)}
+func newRelay(w http.ResponseWriter, stream bool, budget *limit.Budget) *relay {
+	r := &relay{w: w, stream: stream}
+	r.held = budget.Hold(limit.UseResponse, r.abortWrite)
+	return r
+}
+
+// abortWrite ends a write to a client that doesn't read, for others; it reports whether there was one.
+func (r *relay) abortWrite(limit.Stage) bool {
+	r.writing.Lock()
+	defer r.writing.Unlock()
+	if !r.inWrite || http.NewResponseController(r.w).SetWriteDeadline(time.Now()) != nil {
+		return false
+	}
+	r.aborted = true
+	return true
+}
+
+// setInWrite says whether a write may be aborted from now on, and reports whether one was.
+func (r *relay) setInWrite(on bool) (aborted bool) {
+	r.writing.Lock()
+	defer r.writing.Unlock()
+	r.inWrite = on
+	if on {
+		r.held.Wait(limit.Unread)
+	} else {
+		r.held.Wait(limit.Busy)
+	}
+	return r.aborted
 }
 
 // head sends status and headers.
@@ -87,12 +119,19 @@
 	return r.relayBuffered(reply, first)
 }
 
+const (
+	// passBytes is the size of the buffer through which the rest of a long response passes, minPassBytes that while memory is short.
+	passBytes, minPassBytes = 32 << 10, 4 << 10
+	// pieceBytes is how much is written at a time: a client that takes less than that in limit.UnreadPatience counts as one that reads nothing.
+	pieceBytes = 8 << 10
+)
+
 // relayBuffered relays a non-streaming response once it is complete. A response of at least
 // maxBufferedBytes, or of more than the entry may hold, is relayed as it arrives from there on.
 func (r *relay) relayBuffered(reply *Reply, first *time.Time) error {
 	tracker := body.NewTracker(reply.Header.Get("Content-Type"), reply.UntilClose)
 	source := io.TeeReader(reply.Body, tracker)
-	head, whole, err := r.held.Read(source, maxBufferedBytes)
+	head, whole, err := r.held.Read(source, maxBufferedBytes, -1)
 	if err != nil {
 		return err
 	}
@@ -112,8 +151,12 @@
 		return err
 	}
 	head = nil
-	r.held.Keep(0)
-	buf := make([]byte, 32<<10)
+	size := passBytes
+	if !r.held.Keep(size) {
+		size = minPassBytes
+		r.held.Keep(size)
+	}
+	buf := make([]byte, size)
 	for {
 		n, err := source.Read(buf)
 		if n > 0 {
@@ -240,14 +283,27 @@
 	}
 }
 
+// write sends data to the client.
 func (r *relay) write(data []byte) error {
-	if len(data) > 0 {
-		n, err := r.w.Write(data)
+	r.setInWrite(true)
+	err := r.writePieces(data)
+	if aborted := r.setInWrite(false); aborted && err == nil {
+		r.clientGone = true
+		err = os.ErrDeadlineExceeded
+	}
+	return err
+}
+
+func (r *relay) writePieces(data []byte) error {
+	for len(data) > 0 {
+		n, err := r.w.Write(data[:min(len(data), pieceBytes)])
 		r.sentBytes += n
 		if err != nil {
 			r.clientGone = true
 			return err
 		}
+		data = data[n:]
+		r.held.Heard()
 	}
 	if r.stream {
 		if err := http.NewResponseController(r.w).Flush(); err != nil {
