Entries without contact use half of their turns

Cause: control gives an entry's turns to others 10 s after its last sync, or 3 s after an election in which it wasn't heard. With three quarters of the entries cut off, endpoints got 38 requests in a second at 42 entries and 40 at 300, where 35 may come; the bound was promised for half only.

After 3 s without word from control an entry uses each second of its turns, others at different times, so that all together send 1.5 x R at most, however many are cut off. Half as many places instead (indexes of twice the count) left 38: those of the cut off entries came in one half of the period.

Two cases more in TestColdEndpointsStayWithinBound fail without the change, and TestSilentControlHalvesTurns does (seen). While all control is lost for longer than 3 s, cold endpoints get half of the rate.

--- a/limit/cold.go
+++ b/limit/cold.go
@@ -75,6 +75,13 @@
 	return ColdPace{Rate: min(rate, usable/(1+validity)), Validity: time.Duration(validity * float64(time.Second))}
 }
 
+// After returns the turn of an entry that hasn't heard from control for some time. Once another leader may have given its turns to others, it
+// uses each second one: however many entries are without contact, all together send half as much again at most.
+func (t Turn) After(silence time.Duration) Turn {
+	t.Half = silence > RosterDelay
+	return t
+}
+
 // at returns the turn of the same entry at an endpoint. Endpoints have their turns at different times, so that those of one entry
 // don't all come at once.
 func (t Turn) at(id string) Turn {
@@ -88,7 +95,11 @@
 
 // period returns the time between two turns of one entry.
 func (t Turn) period(rate float64) time.Duration {
-	return time.Duration(float64(time.Second)/rate) * time.Duration(max(t.Count, 1))
+	period := time.Duration(float64(time.Second)/rate) * time.Duration(max(t.Count, 1))
+	if t.Half {
+		period *= 2
+	}
+	return period
 }
 
 // ColdTurns are the turns of one entry at cold endpoints, which send no more in sum than the endpoints' pace.
@@ -113,7 +124,9 @@
 	if used, ok := c.used[id]; ok {
 		// Whenever entries come or go, all turns move. No entry has more of them for that, also while many come one by one. The estimate of
 		// the shared time changes a little meanwhile.
-		period := t.period(p.Rate)
+		whole := t
+		whole.Half = false
+		period := whole.period(p.Rate)
 		after = max(after, used+period-min(period/2, turnTolerance))
 	}
 	return t.at(id).next(p.Rate, after)
--- a/limit/cold_test.go
+++ b/limit/cold_test.go
@@ -44,6 +44,8 @@
 	turns *limit.ColdTurns
 	turn  limit.Turn
 	clock limit.TurnClock
+	// heardAt is when it last heard from control.
+	heardAt time.Duration
 }
 
 func newColdPlay(seed uint64, entries int, bound limit.ColdBound) *coldPlay {
@@ -85,8 +87,9 @@
 				e.syncAt = now + 20*time.Millisecond + p.draw(130*time.Millisecond)
 				p.sync(e, now)
 			}
+			turn := e.turn.After(now - e.heardAt)
 			for _, id := range p.endpoints {
-				for e.turns.Take(id, pace, e.turn, now+e.ahead) {
+				for e.turns.Take(id, pace, turn, now+e.ahead) {
 					p.arrivals[id] = append(p.arrivals[id], now+p.draw(coldTransit))
 				}
 			}
@@ -103,6 +106,7 @@
 		return
 	}
 	p.roster.Record(e.name, now)
+	e.heardAt = now
 	shared := coldEpoch + now + time.Duration(p.term%3)*3*time.Millisecond - p.draw(20*time.Millisecond)
 	if p.random.IntN(20) == 0 {
 		shared -= p.draw(400 * time.Millisecond)
@@ -141,6 +145,29 @@
 			}
 		}
 	},
+	"all but a few without contact": func(p *coldPlay) {
+		p.change = func(p *coldPlay, now time.Duration) {
+			for i, e := range p.entries {
+				e.noContact = i%4 > 0 && now > 8*time.Second
+			}
+		}
+	},
+	"most are without contact to the next leader": func(p *coldPlay) {
+		p.leader = func(at time.Duration) uint64 {
+			switch {
+			case at < 8*time.Second:
+				return 1
+			case at < 8500*time.Millisecond:
+				return 0
+			}
+			return 2
+		}
+		p.change = func(p *coldPlay, now time.Duration) {
+			for i, e := range p.entries {
+				e.noContact = i%4 > 0 && now > 8*time.Second
+			}
+		}
+	},
 	"control is lost": func(p *coldPlay) {
 		p.leader = func(at time.Duration) uint64 {
 			if at > 8*time.Second {
--- a/limit/rate.go
+++ b/limit/rate.go
@@ -205,6 +205,8 @@
 // an endpoint with a limit when its turn comes, by a clock that all of them share.
 type Turn struct {
 	Index, Count int
+	// Half is set if only each second turn is used, at a time of every other entry.
+	Half bool
 	// Clock is the shared time when the entry's own time is zero.
 	Clock time.Duration
 }
@@ -219,6 +221,9 @@
 	for next <= shared {
 		next += period
 	}
+	if t.Half && (int64((next-slot*time.Duration(t.Index))/period)+int64(t.Index))%2 != 0 {
+		next += period
+	}
 	return next - t.Clock
 }
 
--- a/pass/cold.go
+++ b/pass/cold.go
@@ -82,7 +82,7 @@
 	if !bounded {
 		return nil
 	}
-	p := &coldPool{entry: e, pace: pace, turn: t.cold.known.Turn, now: clock.Now(), listedAt: t.cold.known.ListedAt}
+	p := &coldPool{entry: e, pace: pace, turn: t.cold.known.Turn.After(e.config.View.Age()), now: clock.Now(), listedAt: t.cold.known.ListedAt}
 	if read := e.fallback.Load(); read != nil && read.list == t.list {
 		p.listedAt, p.own = read.askedAt, true
 	}
--- a/pass/cold_test.go
+++ b/pass/cold_test.go
@@ -145,6 +145,27 @@
 	check.Equal(t, "they were spread", sent[29].Sub(sent[0]) > 1300*time.Millisecond, true)
 }
 
+// TestSilentControlHalvesTurns guards against an entry that uses all its turns though a leader that doesn't hear from it may have given them to
+// others.
+func TestSilentControlHalvesTurns(t *testing.T) {
+	for age, want := range map[time.Duration]int{2 * time.Second: 20, 4 * time.Second: 10} {
+		t.Run(age.String(), func(t *testing.T) {
+			t.Parallel()
+			cold := withTurn(coldFor(time.Hour, "w0"), 0, 1)
+			cold.ListedAt = clock.Now() + time.Minute
+			fx := newColdFixture(t, 20, cold, respondWith(200, "ok"))
+			fx.feed.age = age
+			fx.keepEndpoints(1)
+			got := 0
+			for until := time.Now().Add(time.Second); time.Now().Before(until); got++ {
+				fx.call("/once/x", "k", func(c *pass.Call) { c.ID = fmt.Sprint("half", got) })
+			}
+			// A turn may be missed on a busy machine.
+			check.Equal(t, fmt.Sprint("requests in a second: ", got), got <= want+2 && got > want/2-2, true)
+		})
+	}
+}
+
 // TestEndedProcessIsCold guards against a process that started again and isn't known to be cold yet: the entry has seen the former one end.
 func TestEndedProcessIsCold(t *testing.T) {
 	for name, respond := range map[string]func(*pass.Send) (*pass.Reply, error){"response lost": lost, "not sent": notSent} {
--- a/pass/place_reference_test.go
+++ b/pass/place_reference_test.go
@@ -39,6 +39,7 @@
 func (v *placeView) OtherWork() *tally.Snapshot         { return v.work }
 func (v *placeView) Holders(part string) []block.Holder { return v.holders[part] }
 func (v *placeView) EntryCount() int                    { return v.entries }
+func (v *placeView) Age() time.Duration                 { return 0 }
 func (v *placeView) RecordUse(string)                   {}
 func (v *placeView) EngineClock(time.Duration) int64    { return v.clock }
 func (v *placeView) Permitted() <-chan struct{}         { return nil }
