--- a/limit/cold.go
+++ b/limit/cold.go
@@ -20,8 +20,8 @@
 	staleEntries = 1.5
 	// lateRequests is how many requests that were delayed on their way the bound leaves room for, if it allows several.
 	lateRequests = 2
-	// maxColdRate bounds the rate of turns at one endpoint, a second.
-	maxColdRate = 1e6
+	// minColdRate and maxColdRate bound the rate of turns at one endpoint, a second; there are none below.
+	minColdRate, maxColdRate = 1e-3, 1e6
 
 	// RosterTime is how long an entry counts for turns after its last sync: one without contact to control still sends.
 	RosterTime = 10 * time.Second
@@ -66,7 +66,7 @@
 // turns of 0.1 s at 20 requests a second.
 func (b ColdBound) Pace() ColdPace {
 	most := math.Floor(b.Most())
-	if !b.Bounded() || most < 1 {
+	if b.Rate < minColdRate || most < 1 {
 		return ColdPace{}
 	}
 	rate := min(b.Rate, maxColdRate)
--- a/limit/cold_test.go
+++ b/limit/cold_test.go
@@ -276,7 +276,7 @@
 		check.Equal(t, fmt.Sprint("turns of a second ", b), turns <= max(b.Most(), 1), true)
 		check.Equal(t, fmt.Sprint("turns of a second by half as many entries again ", b), 1.5*turns <= b.Most()+0.001, true)
 	}
-	for _, b := range []limit.ColdBound{{}, {Rate: -1, Excess: 1.5, Slack: 5}, {Rate: 0.5, Excess: 1}} {
+	for _, b := range []limit.ColdBound{{}, {Rate: -1, Excess: 1.5, Slack: 5}, {Rate: 1e-300, Excess: 1.5, Slack: 5}, {Rate: 0.5, Excess: 1}} {
 		check.Equal(t, "rate where nothing may be sent or nothing is bounded", b.Pace().Rate, 0.0)
 	}
 }
