route, pass: decide when a request leaves its data centre

Placement compared endpoints of all data centres by predicted first token alone. It knew neither the round trip nor the bytes that a request moves between data centres.

The share that leaves grows with the gain and falls with the age of the knowledge. Requests without cached parts leave by a share that each entry changes in small steps. pass measures and reports: log field away of the event placed, counter egretshunt_pass_away_total by reason.

Runs: go test ./route ./pass passes.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -79,7 +79,7 @@
 	Attempted       = declare(313, "attempted", "info", "An attempt at an endpoint failed; outcome says how, next what follows. print is the request's fingerprint if the endpoint may have run it.")
 	Unfit           = declare(314, "unfit", "warn", "An endpoint failed too many requests and was ejected; it gets none for a while.")
 	Fit             = declare(315, "fit", "info", "An ejected endpoint gets requests again.")
-	Placed          = declare(316, "placed", "info", "A request was assigned to an endpoint. The fields give the reasons: prompt tokens queued ahead of it, to compute and to move, and the predicted time to the first event in milliseconds.")
+	Placed          = declare(316, "placed", "info", "A request was assigned to an endpoint. The fields give the reasons: prompt tokens queued ahead of it, to compute and to move, and the predicted time to the first event in milliseconds; and why it left the entry's data centre (away), if it did.")
 	CrashReported   = declare(317, "reported", "info", "An endpoint ended while it ran a request and control is told; print is the request's fingerprint.")
 	CrashTrial      = declare(318, "trial", "info", "A quarantined request is run once, to find out whether it still crashes endpoints.")
 	BadLimit        = declare(320, "limitbad", "warn", "An endpoint's answer named a limit that can't be read; it is ignored.")
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -44,9 +44,11 @@
 	send := e.newSend(j, c, out.lastEventID)
 	watch := e.watchSilence(j, to)
 	send.Silent = watch.isGivenUp
+	send.Connected = func(took time.Duration) { e.recordConnect(to, took) }
 	e.config.Events.Emit(event.Placed, "id", j.call.ID, "route", j.route.Name, "endpoint", to.ID, "tried", len(j.tried), "urgency", c.urgency,
 		"expected", c.predictedFirstToken.Milliseconds(), "ahead", c.tokensAhead, "compute", c.computeTokens, "moved", c.fetchTokens, "weights", c.version,
-		"required", j.required, "behind", c.behind.Milliseconds(), "build", to.Build, "resumes", j.call.Resumes)
+		"required", j.required, "behind", c.behind.Milliseconds(), "build", to.Build, "resumes", j.call.Resumes, "away", string(c.away))
+	e.meters.away(c.away)
 	began := time.Now()
 	out.first = func() { e.settleFirstToken(j, c, time.Since(began), true) }
 	out.onData = func() {
@@ -363,6 +365,7 @@
 	e.config.Events.Emit(event.Served, "id", j.call.ID, "route", j.route.Name, "endpoint", to.ID, "status", reply.Status, "tried", len(j.tried),
 		"first", first.Milliseconds(), "took", time.Since(j.call.Arrived).Milliseconds(), "fetched", j.fetched, "saved", j.saved, "weights", j.version, "urgency", j.urgency, "expected", j.predictedFirstToken.Milliseconds(),
 		"unsized", reply.UntilClose, "rest", out.openBytes, "end", reply.Ending)
+	e.recordFlow(j, to, out.sentBytes)
 	e.meters.outcome(j.route.Name, "served")
 	e.meters.first(j.route.Kind.String(), first)
 	e.meters.predicted(j.route.Kind.String(), first, j.predictedFirstToken)
--- /dev/null
+++ b/pass/away.go
@@ -0,0 +1,170 @@
+package pass
+
+import (
+	"cmp"
+	"time"
+
+	"egretshunt/clock"
+	"egretshunt/member"
+	"egretshunt/route"
+)
+
+// distances is what an entry has learned of the data centres for the decision when a request leaves its own. Entry.mu guards it.
+type distances struct {
+	// roundTrips are those to each data centre by the connections to its endpoints.
+	roundTrips map[string]*route.RoundTrip
+	// flows are those of each route.
+	flows map[string]*routeFlow
+}
+
+// routeFlow is what an entry has learned of the requests of one route.
+type routeFlow struct {
+	// responseBytes is the average length of the responses.
+	responseBytes float64
+	// home and other are the times of responses to requests without cached parts, and outflow the share of these that leaves.
+	home, other route.ServiceTime
+	outflow     route.Outflow
+}
+
+// responseBytesWeight is the weight of the newest response in the average length.
+const responseBytesWeight = 0.1
+
+func newDistances() distances {
+	return distances{roundTrips: map[string]*route.RoundTrip{}, flows: map[string]*routeFlow{}}
+}
+
+// roundTrip returns the round trip to a data centre. The caller holds mu.
+func (d *distances) roundTrip(place string) *route.RoundTrip {
+	r := d.roundTrips[place]
+	if r == nil {
+		r = &route.RoundTrip{}
+		d.roundTrips[place] = r
+	}
+	return r
+}
+
+// flow returns what is known of a route. The caller holds mu.
+func (d *distances) flow(name string) *routeFlow {
+	f := d.flows[name]
+	if f == nil {
+		f = &routeFlow{}
+		d.flows[name] = f
+	}
+	return f
+}
+
+// recordConnect records how long a connection to an endpoint took.
+func (e *Entry) recordConnect(to *member.Endpoint, took time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.distances.roundTrip(to.Place).Add(took)
+}
+
+// recordFlow records a complete response.
+func (e *Entry) recordFlow(j *job, to *member.Endpoint, bytes int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.topology == nil || !e.topology.isSpread(j.pool) {
+		return
+	}
+	f := e.distances.flow(j.route.Name)
+	if f.responseBytes == 0 {
+		f.responseBytes = float64(bytes)
+	}
+	f.responseBytes += responseBytesWeight * (float64(bytes) - f.responseBytes)
+	if len(j.call.Parts) > 0 && j.route.NamesPromptParts || j.firstByteAt.IsZero() {
+		return
+	}
+	times := &f.other
+	if to.Place == e.config.Place {
+		times = &f.home
+	}
+	times.Add(clock.Now(), j.firstByteAt.Sub(j.attemptAt))
+}
+
+// isSpread reports whether a pool's endpoints are in the entry's own data centre and in others: only then is there anything to
+// decide.
+func (t *topology) isSpread(pool string) bool { return t.spread[pool] }
+
+// findSpread sets which pools are spread, for an entry in a place.
+func (t *topology) findSpread(place string) {
+	t.spread, t.own = map[string]bool{}, -1
+	for i, name := range t.places {
+		if name == place && place != "" {
+			t.own = i
+		}
+	}
+	for name, candidates := range t.pools {
+		home := 0
+		for _, c := range candidates {
+			if c.place == t.own {
+				home++
+			}
+		}
+		t.spread[name] = home > 0 && home < len(candidates)
+	}
+}
+
+// requestBytes returns the bytes of a request and of its expected response.
+func (f *routeFlow) requestBytes(j *job) float64 { return float64(len(j.call.Body)) + f.responseBytes }
+
+// earliest chooses the candidate with the earliest predicted first token, and says why it is in another data centre.
+func (o *promptPlan) earliest(candidates []*candidate, estimates []route.CandidateEstimate) (int, route.Departure) {
+	e, j := o.entry, o.job
+	prompt := route.Prompt{Subject: j.affinityKey(), Request: j.call.ID, Entries: e.config.View.EntryCount()}
+	if !o.topology.isSpread(j.pool) {
+		return route.EarliestCandidate(prompt, o.engine, estimates), route.Stays
+	}
+	if !o.delaysAdded {
+		o.delaysAdded = true
+		delays := e.scratch.delays[:0]
+		own := e.distances.roundTrip(e.config.Place)
+		for i, place := range o.topology.places {
+			delay := time.Duration(0)
+			if i != o.topology.own {
+				delay = route.AddedRoundTrip(own, e.distances.roundTrip(place))
+			}
+			delays = append(delays, delay)
+		}
+		e.scratch.delays = delays
+		for i, c := range candidates {
+			estimates[i].Place = c.place
+			estimates[i].Penalty += delays[c.place]
+		}
+	}
+	l := route.Leaving{
+		Own: o.topology.own, Bytes: e.distances.flow(j.route.Name).requestBytes(j), TimePerByte: e.timePerByte(),
+		Age: e.config.View.Age(), Draw: route.UniformHash(j.call.ID),
+	}
+	if j.route.Goal > 0 {
+		l.Goal = max(j.route.Goal-o.now.Sub(j.call.Arrived), 1)
+	}
+	return l.Earliest(prompt, o.engine, estimates)
+}
+
+// timePerByte returns as how many nanoseconds a byte between data centres counts.
+func (e *Entry) timePerByte() float64 { return cmp.Or(e.config.TimePerByte, route.DefaultTimePerByte) }
+
+// spreadLoad chooses among endpoints for a request without cached parts, by its draw. The caller holds mu.
+func (e *Entry) spreadLoad(j *job, draw float64, loads []route.EndpointState) (int, route.Departure) {
+	if e.topology == nil || !e.topology.isSpread(j.pool) {
+		return route.SpreadLoad(draw, loads), route.Stays
+	}
+	f, now := e.distances.flow(j.route.Name), clock.Now()
+	// Times of responses contain the round trip.
+	cost := min(time.Duration(f.requestBytes(j)*e.timePerByte()), route.Noticeable)
+	f.outflow.Update(now, &f.home, &f.other, cost)
+	excess := f.home.Excess(cost + route.AddedRoundTrip(e.distances.roundTrip(e.config.Place), e.nearestOther()))
+	return f.outflow.Spread(draw, excess, loads)
+}
+
+// nearestOther returns the round trip to the nearest other data centre; one without samples if none is known.
+func (e *Entry) nearestOther() *route.RoundTrip {
+	nearest, least := &route.RoundTrip{}, time.Duration(0)
+	for place, r := range e.distances.roundTrips {
+		if at, ok := r.Estimate(); ok && place != e.config.Place && (least == 0 || at < least) {
+			nearest, least = r, at
+		}
+	}
+	return nearest
+}
--- a/pass/call.go
+++ b/pass/call.go
@@ -112,6 +112,8 @@
 	// Allowed reports whether the request may still be sent to the endpoint. The backend asks before the first byte, and returns an error
 	// of type Withheld if it may not. It may be nil.
 	Allowed func() bool
+	// Connected is called with the time that a new connection to the endpoint took, if the attempt needed one. It may be nil.
+	Connected func(took time.Duration)
 }
 
 // Reply is an endpoint's response.
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -109,6 +109,9 @@
 	MaxHeldBytes int64
 	// RegionOf returns the region of a data centre, "" if it isn't known; nil means that none is.
 	RegionOf func(place string) string
+	// TimePerByte is as how many nanoseconds a byte that a request moves between data centres counts in the choice of one; zero
+	// means route.DefaultTimePerByte.
+	TimePerByte float64
 	// Policy selects the placement of prompts; "" means Predicted.
 	Policy  Policy
 	Events  *event.Log
@@ -146,6 +149,8 @@
 	// mu guards the fields below.
 	mu             sync.Mutex
 	endpointStates map[string]*endpointState
+	// distances is what is known of the data centres.
+	distances distances
 	// generation changes whenever endpointStates gains or loses a state.
 	generation   uint64
 	topology     *topology
@@ -245,7 +250,8 @@
 	e := &Entry{
 		config: c, meters: newMeters(c.Metrics), started: time.Now(), targets: map[string]fence.Targets{}, endpointStates: map[string]*endpointState{}, retryBudgets: map[string]*limit.RetryLimiter{}, pendingSave: map[string]pendingSave{},
 		prefillRates: map[string]float64{}, linkTokens: map[netip.AddrPort]*int{}, rateQueues: map[string]*rateQueue{}, coldTurns: limit.NewColdTurns(clock.Now()), rateWaiting: make(chan struct{}, 1),
-		held: limit.NewHeld(cmp.Or(c.MaxHeldBytes, defaultMaxHeldBytes)),
+		distances: newDistances(),
+		held:      limit.NewHeld(cmp.Or(c.MaxHeldBytes, defaultMaxHeldBytes)),
 	}
 	c.Metrics.NewGauge("egretshunt_pass_held_bytes", func() float64 { return float64(e.held.Bytes()) })
 	c.Metrics.NewGauge("egretshunt_pass_processor_wait_seconds", func() float64 { return e.waitForProcessor().Seconds() })
--- a/pass/metrics.go
+++ b/pass/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"egretshunt/route"
 )
 
 // meters updates the entry's counters and histograms.
@@ -46,6 +48,13 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("egretshunt_pass_repeats_total{pool=%q,allowed=\"%t\"}", pool, allowed)).Inc()
 }
 
+// away counts an attempt in another data centre by the reason.
+func (m meters) away(why route.Departure) {
+	if why != route.Stays {
+		m.set.GetOrCreateCounter(fmt.Sprintf("egretshunt_pass_away_total{why=%q}", why)).Inc()
+	}
+}
+
 // coldTurn counts a request that used a turn at a cold endpoint.
 func (m meters) coldTurn(pool string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("egretshunt_pass_cold_turns_total{pool=%q}", pool)).Inc()
--- a/pass/place.go
+++ b/pass/place.go
@@ -54,6 +54,8 @@
 	predictedFirstToken time.Duration
 	tokensAhead         int
 	urgency             int
+	// away is why the endpoint is in another data centre; "" if it isn't.
+	away route.Departure
 	// firstTokenSettled is set once the first token has arrived or can't arrive any more.
 	firstTokenSettled bool
 }
@@ -230,8 +232,9 @@
 		loads = append(loads, load)
 	}
 	e.scratch.loads = loads
-	chosen := eligible[route.SpreadLoad(route.UniformHash(j.call.ID+strconv.Itoa(len(j.tried))), loads)]
-	return &placement{to: chosen.to, version: chosen.state.version(chosen.to, j.call.Model)}
+	at, away := e.spreadLoad(j, route.UniformHash(j.call.ID+strconv.Itoa(len(j.tried))), loads)
+	chosen := eligible[at]
+	return &placement{to: chosen.to, away: away, version: chosen.state.version(chosen.to, j.call.Model)}
 }
 
 // placePrompt chooses an endpoint for a prompt and runs admission control. The caller holds mu.
@@ -267,9 +270,10 @@
 	for i, c := range candidates {
 		estimates[i].TokensAhead = float64(c.tokensAhead(level))
 	}
-	at := route.EarliestCandidate(route.Prompt{Subject: o.job.affinityKey(), Request: o.job.call.ID, Entries: o.entry.config.View.EntryCount()}, o.engine, estimates)
+	at, away := o.earliest(candidates, estimates)
 	chosen := estimates[at]
 	p := o.placementAt(candidates[at], o.entry.scratch.versions[at])
+	p.away = away
 	p.computeTokens, p.tokensAhead, p.urgency, p.predictedFirstToken = chosen.Compute+chosen.OwnTokens, int(chosen.TokensAhead), level, chosen.First(o.engine)
 	chosen.Slowdown = 1
 	p.nominalFirstToken = chosen.First(o.engine)
--- a/pass/prefill.go
+++ b/pass/prefill.go
@@ -37,6 +37,8 @@
 	locations []*partLocations
 	// rules are those of the topology's places.
 	rules []placeRule
+	// delaysAdded is set once the estimates contain the round trips to other data centres.
+	delaysAdded bool
 }
 
 func (e *Entry) newPromptPlan(j *job, t *topology, now time.Time) *promptPlan {
@@ -175,6 +177,8 @@
 	reopened []time.Duration
 	// sources are reused by version and part.
 	sources [][]*route.PartSources
+	// delays are the added round trips to the places, by index.
+	delays []time.Duration
 	// rules are those of the places, by index.
 	rules []placeRule
 	// mark counts the parts located.
--- a/pass/topology.go
+++ b/pass/topology.go
@@ -41,6 +41,10 @@
 	used []*int
 	// cold are the bounds on requests to cold endpoints.
 	cold coldBounds
+	// own is the index of the entry's own data centre, -1 if nothing is there; spread holds the pools with endpoints there and
+	// elsewhere.
+	own    int
+	spread map[string]bool
 }
 
 // notSource is the index of a holder that is neither a store nor a listed engine.
@@ -125,6 +129,7 @@
 		}
 	}
 	t.cold = e.newColdBounds(t)
+	t.findSpread(e.config.Place)
 	return t
 }
 
--- a/route/predict.go
+++ b/route/predict.go
@@ -120,8 +120,10 @@
 	MemoryTokens int
 	// Penalty is added for endpoints that are usable but not preferred.
 	Penalty time.Duration
+	// Place is the index of the endpoint's data centre; only Leaving uses it.
+	Place int
 
-	// rank and drawn are set by EarliestCandidate.
+	// rank and drawn are set by Prompt.rank.
 	rank  uint64
 	drawn bool
 }
@@ -168,16 +170,35 @@
 // their endpoint is so busy, or its memory so full, that a copy elsewhere is earlier; and a loss of
 // engines while hundreds of entries look for room at the others.
 func EarliestCandidate(p Prompt, e Engine, candidates []CandidateEstimate) int {
+	p.rank(candidates)
+	best, _ := earliest(e, candidates, func(*CandidateEstimate) bool { return true })
+	return best
+}
+
+// rank sets the candidates' ranks for the subject and marks those drawn for the request.
+func (p Prompt) rank(candidates []CandidateEstimate) {
 	hash := newSubjectHash(p.Subject)
 	p.draw(candidates)
-	var highest [maxRankSteps]uint64
 	for i := range candidates {
 		candidates[i].rank = hash.rank(candidates[i].ID)
-		insertRank(&highest, candidates[i].rank)
 	}
-	best, lowestCost := -1, time.Duration(0)
+}
+
+// earliest returns the candidate with the lowest cost among those that are allowed, ranked among these, and its cost; -1 if
+// there are none.
+func earliest(e Engine, candidates []CandidateEstimate, allowed func(*CandidateEstimate) bool) (best int, lowestCost time.Duration) {
+	var highest [maxRankSteps]uint64
+	for i := range candidates {
+		if allowed(&candidates[i]) {
+			insertRank(&highest, candidates[i].rank)
+		}
+	}
+	best = -1
 	for i := range candidates {
 		b := &candidates[i]
+		if !allowed(b) {
+			continue
+		}
 		ranksAbove := 0
 		for _, r := range highest {
 			if r > b.rank {
@@ -192,12 +213,17 @@
 		if b.Compute > 0 || b.Fetch > 0 {
 			cost += copyPenalty + time.Duration((RecomputeFactor-1)*float64(b.Compute)/e.Rate*float64(time.Second))
 		}
-		if e.Memory > 0 && float64(b.MemoryTokens) > fullMemoryShare*float64(e.Memory) {
+		if b.isFull(e) {
 			cost += fullMemoryPenalty
 		}
 		if best < 0 || cost < lowestCost {
 			best, lowestCost = i, cost
 		}
 	}
-	return best
+	return best, lowestCost
+}
+
+// isFull reports whether the engine's memory counts as full.
+func (c *CandidateEstimate) isFull(e Engine) bool {
+	return e.Memory > 0 && float64(c.MemoryTokens) > fullMemoryShare*float64(e.Memory)
 }
