--- a/event/fields.go
+++ b/event/fields.go
@@ -17,6 +17,7 @@
 		{"ahead", "Prompt tokens estimated to be prefilled by the endpoint before this request's."},
 		{"as", "ID under which a control VM requests to join or to leave."},
 		{"at", "Address that a document with an unreadable row is from."},
+		{"away", "Why the endpoint is in another data centre than the entry: none (no endpoint at home), parts (its history is read there), earlier, ontime, spread (knowledge too old); empty if it isn't."},
 		{"begun", "Whether the client has received part of the response."},
 		{"behind", "For how long the endpoint has lacked a newer target of its weights, in milliseconds."},
 		{"block", "Cached KV block, by its hash."},
--- a/pass/away.go
+++ b/pass/away.go
@@ -21,9 +21,11 @@
 type routeFlow struct {
 	// responseBytes is the average length of the responses.
 	responseBytes float64
-	// home and other are the times of responses to requests without cached parts, and outflow the share of these that leaves.
-	home, other route.ServiceTime
-	outflow     route.Outflow
+	// usedAt is when it was last used.
+	usedAt time.Duration
+	// times are those of responses to requests without cached parts by data centre, and outflow the share of these that leaves.
+	times   map[string]*route.ServiceTime
+	outflow route.Outflow
 }
 
 // responseBytesWeight is the weight of the newest response in the average length.
@@ -44,12 +46,13 @@
 }
 
 // flow returns what is known of a route. The caller holds mu.
-func (d *distances) flow(name string) *routeFlow {
+func (d *distances) flow(name string, now time.Duration) *routeFlow {
 	f := d.flows[name]
 	if f == nil {
-		f = &routeFlow{}
+		f = &routeFlow{times: map[string]*route.ServiceTime{}}
 		d.flows[name] = f
 	}
+	f.usedAt = now
 	return f
 }
 
@@ -67,7 +70,8 @@
 	if e.topology == nil || !e.topology.isSpread(j.pool) {
 		return
 	}
-	f := e.distances.flow(j.route.Name)
+	now := clock.Now()
+	f := e.distances.flow(j.route.Name, now)
 	if f.responseBytes == 0 {
 		f.responseBytes = float64(bytes)
 	}
@@ -75,11 +79,7 @@
 	if len(j.call.Parts) > 0 && j.route.NamesPromptParts || j.firstByteAt.IsZero() {
 		return
 	}
-	times := &f.other
-	if to.Place == e.config.Place {
-		times = &f.home
-	}
-	times.Add(clock.Now(), j.firstByteAt.Sub(j.attemptAt))
+	f.timesAt(to.Place).Add(now, j.firstByteAt.Sub(j.attemptAt))
 }
 
 // isSpread reports whether a pool's endpoints are in the entry's own data centre and in others: only then is there anything to
@@ -133,7 +133,7 @@
 		}
 	}
 	l := route.Leaving{
-		Own: o.topology.own, Bytes: e.distances.flow(j.route.Name).requestBytes(j), TimePerByte: e.timePerByte(),
+		Own: o.topology.own, Bytes: e.distances.flow(j.route.Name, clock.Now()).requestBytes(j), TimePerByte: e.timePerByte(),
 		Age: e.config.View.Age(), Draw: route.UniformHash(j.call.ID),
 	}
 	if j.route.Goal > 0 {
@@ -146,25 +146,64 @@
 func (e *Entry) timePerByte() float64 { return cmp.Or(e.config.TimePerByte, route.DefaultTimePerByte) }
 
 // spreadLoad chooses among endpoints for a request without cached parts, by its draw. The caller holds mu.
-func (e *Entry) spreadLoad(j *job, draw float64, loads []route.EndpointState) (int, route.Departure) {
+func (e *Entry) spreadLoad(j *job, draw float64, eligible []*candidate, loads []route.EndpointState) (int, route.Departure) {
 	if e.topology == nil || !e.topology.isSpread(j.pool) {
 		return route.SpreadLoad(draw, loads), route.Stays
 	}
-	f, now := e.distances.flow(j.route.Name), clock.Now()
+	t, now := e.topology, clock.Now()
+	f := e.distances.flow(j.route.Name, now)
+	home := f.timesAt(e.config.Place)
+	times, least := f.expectedTimes(e, t, now)
 	// Times of responses contain the round trip.
 	cost := min(time.Duration(f.requestBytes(j)*e.timePerByte()), route.Noticeable)
-	f.outflow.Update(now, &f.home, &f.other, cost)
-	excess := f.home.Excess(cost + route.AddedRoundTrip(e.distances.roundTrip(e.config.Place), e.nearestOther()))
-	return f.outflow.Spread(draw, excess, loads)
+	f.outflow.Update(now, home.Expect(now, 0), least, cost)
+	if least > 0 {
+		for i, c := range eligible {
+			if c.place != t.own {
+				loads[i].Penalty += min(float64(times[c.place]-least)/float64(least), maxSlowPenalty)
+			}
+		}
+	}
+	return f.outflow.Spread(draw, home.Excess(cost), loads)
 }
 
-// nearestOther returns the round trip to the nearest other data centre; one without samples if none is known.
-func (e *Entry) nearestOther() *route.RoundTrip {
-	nearest, least := &route.RoundTrip{}, time.Duration(0)
-	for place, r := range e.distances.roundTrips {
-		if at, ok := r.Estimate(); ok && place != e.config.Place && (least == 0 || at < least) {
-			nearest, least = r, at
+// maxSlowPenalty bounds the load that is added to the endpoints of a slow data centre, in requests.
+const maxSlowPenalty = 4
+
+// timesAt returns the times of responses in a data centre. The caller holds mu.
+func (f *routeFlow) timesAt(place string) *route.ServiceTime {
+	s := f.times[place]
+	if s == nil {
+		s = &route.ServiceTime{}
+		f.times[place] = s
+	}
+	return s
+}
+
+// expectedTimes returns how long responses are expected to take in each data centre, and the least time in another than the own.
+// One without recent responses is expected to respond as the own has at its best. The times are valid until the next call. The
+// caller holds mu.
+func (f *routeFlow) expectedTimes(e *Entry, t *topology, now time.Duration) (times []time.Duration, least time.Duration) {
+	times = e.scratch.delays[:0]
+	unknown := f.timesAt(e.config.Place).Least()
+	for i, place := range t.places {
+		at := f.timesAt(place).Expect(now, unknown)
+		if times = append(times, at); i != t.own && (least == 0 || at < least) {
+			least = at
+		}
+	}
+	e.scratch.delays = times
+	return times, least
+}
+
+// flowMemory is how long an entry remembers a route without requests: table sets may come and go with routes.
+const flowMemory = 10 * time.Minute
+
+// dropFlows drops what is known of routes that have had no responses for long. The caller holds mu.
+func (d *distances) dropFlows(now time.Duration) {
+	for name, f := range d.flows {
+		if now-f.usedAt > flowMemory {
+			delete(d.flows, name)
 		}
 	}
-	return nearest
 }
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -323,6 +323,7 @@
 			e.generation++
 		}
 	}
+	e.distances.dropFlows(clock.Now())
 	if list != nil {
 		e.coldTurns.Keep(func(id string) bool { return list.Find(id) != nil })
 	}
--- a/pass/place.go
+++ b/pass/place.go
@@ -232,7 +232,7 @@
 		loads = append(loads, load)
 	}
 	e.scratch.loads = loads
-	at, away := e.spreadLoad(j, route.UniformHash(j.call.ID+strconv.Itoa(len(j.tried))), loads)
+	at, away := e.spreadLoad(j, route.UniformHash(j.call.ID+strconv.Itoa(len(j.tried))), eligible, loads)
 	chosen := eligible[at]
 	return &placement{to: chosen.to, away: away, version: chosen.state.version(chosen.to, j.call.Model)}
 }
--- a/pass/prefill.go
+++ b/pass/prefill.go
@@ -177,7 +177,7 @@
 	reopened []time.Duration
 	// sources are reused by version and part.
 	sources [][]*route.PartSources
-	// delays are the added round trips to the places, by index.
+	// delays are the added round trips to the places, or the times of responses there, by index.
 	delays []time.Duration
 	// rules are those of the places, by index.
 	rules []placeRule
--- a/route/away.go
+++ b/route/away.go
@@ -21,6 +21,9 @@
 	EarlierAway Departure = "earlier"
 	// OnTimeAway means that only another data centre is predicted to be on time.
 	OnTimeAway Departure = "ontime"
+	// SpreadAway means that the entry's knowledge is too old to compare data centres, and that the request's subject ranks an
+	// endpoint elsewhere first.
+	SpreadAway Departure = "spread"
 )
 
 const (
@@ -40,10 +43,14 @@
 	// freshKnowledge is the age of an entry's knowledge of others' requests in calm operation: reports and sums take 100 to
 	// 250 ms. Departures that may be wrong grow with the age, so the share of requests that leave falls with it.
 	freshKnowledge = 250 * time.Millisecond
-	// oldKnowledge is the age from which only staleShare of the requests may leave, of those that would be late otherwise:
-	// in 2 s all entries together can send as much to an endpoint as it computes within the goal.
-	oldKnowledge = 2 * time.Second
-	staleShare   = 0.05
+	// gainScale is the gain, as a share of the knowledge's age, at which half of the requests leave.
+	gainScale = 0.2
+	// oldKnowledge is the age from which data centres aren't compared. Requests then leave by the rank of endpoints for their
+	// subject alone, so another data centre gets no more than its part of all endpoints. Keeping them at home isn't safe: in
+	// replays it overloads a data centre that has lost engines (on time 0.72 in place of 0.99 at 2.5 s). Comparing by knowledge
+	// that is 1.5 s old still costs 0.05 of the requests there. Between freshKnowledge and oldKnowledge a growing share isn't
+	// compared.
+	oldKnowledge = 500 * time.Millisecond
 )
 
 // roundTripSamples is how many of the latest connections a RoundTrip remembers.
@@ -126,14 +133,9 @@
 	switch {
 	case l.Goal > 0 && other.Spare < minSpare && other.Spare <= home.Spare+minSpare/2:
 		return Stays
-	case age > oldKnowledge:
-		if onlyOther && l.Draw < staleShare {
-			return OnTimeAway
-		}
-		return Stays
 	case onlyOther && l.Draw < float64(freshKnowledge)/float64(age):
 		return OnTimeAway
-	case l.Draw < float64(gain)/float64(gain+age):
+	case l.Draw < float64(gain)/(float64(gain)+gainScale*float64(age)):
 		return EarlierAway
 	}
 	return Stays
@@ -154,6 +156,12 @@
 		}
 		return best, PartsAway
 	}
+	if l.isSpread() {
+		if l.allAway(candidates) {
+			return best, NoneAtHome
+		}
+		return best, SpreadAway
+	}
 	home, homeCost := earliest(e, candidates, func(c *CandidateEstimate) bool { return c.Place == l.Own })
 	if home < 0 {
 		return best, NoneAtHome
@@ -168,6 +176,14 @@
 	return best, why
 }
 
+// isSpread reports whether the request is among the share for which data centres aren't compared, as the entry's knowledge is too
+// old.
+func (l Leaving) isSpread() bool {
+	share := float64(l.Age-freshKnowledge) / float64(oldKnowledge-freshKnowledge)
+	// Decide uses the same draw for those that remain, so this takes other digits of it.
+	return share >= 1 || share > 0 && leaves(l.Draw, share)
+}
+
 func (l Leaving) allAway(candidates []CandidateEstimate) bool {
 	return !slices.ContainsFunc(candidates, func(c CandidateEstimate) bool { return c.Place == l.Own })
 }
@@ -195,8 +211,12 @@
 	// outflowInterval is how often an Outflow changes: not before the effect of its last change shows in the times of
 	// responses.
 	outflowInterval = 500 * time.Millisecond
-	// outflowRise and outflowFall are the greatest changes of the share at once.
-	outflowRise, outflowFall = 0.04, 0.1
+	// outflowRate is the change of the share if the own data centre takes twice as long as another, outflowStep the greatest
+	// change at once.
+	outflowRate, outflowStep = 0.05, 0.15
+	// outflowMargin is the gain below which no further requests leave: responses of one data centre differ by as much from one
+	// second to the next, and callers don't notice it.
+	outflowMargin = Noticeable / 10
 	// maxOutflow bounds the share: what stays shows whether the own data centre has recovered.
 	maxOutflow = 0.9
 	// timeWeight is the weight of the newest sample in a ServiceTime.
@@ -225,11 +245,18 @@
 	s.at = now
 }
 
-// recent returns the average; false if there has been no sample lately.
-func (s *ServiceTime) recent(now time.Duration) (time.Duration, bool) {
-	return s.mean, s.mean > 0 && now-s.at <= oldTime
+// Expect returns the time that a response is expected to take, which is the average, or unknown if there has been no sample
+// lately.
+func (s *ServiceTime) Expect(now, unknown time.Duration) time.Duration {
+	if s.mean > 0 && now-s.at <= oldTime {
+		return s.mean
+	}
+	return unknown
 }
 
+// Least returns the least average so far, zero without samples.
+func (s *ServiceTime) Least() time.Duration { return s.least }
+
 // Outflow is the share of the requests without cached parts that one entry sends to other data centres. All entries change
 // their shares by small steps, each by the times of its own responses, so that together they don't swing.
 type Outflow struct {
@@ -240,38 +267,43 @@
 // Share returns the share.
 func (o *Outflow) Share() float64 { return o.share }
 
-// Update changes the share by the times of responses at home and elsewhere, given what a departure costs beyond the time of
-// the response. Another data centre without recent samples is expected to respond as home has at its best.
-func (o *Outflow) Update(now time.Duration, home, other *ServiceTime, cost time.Duration) {
+// Update changes the share by the times that responses at home and elsewhere are expected to take, zero if not known, given what a
+// departure costs beyond that.
+func (o *Outflow) Update(now, home, other, cost time.Duration) {
 	if now-o.at < outflowInterval {
 		return
 	}
 	o.at = now
-	at, ok := home.recent(now)
-	if !ok {
-		o.share = max(o.share-outflowFall, 0)
-		return
-	}
-	away, ok := other.recent(now)
-	if !ok {
-		away = home.least
+	step := -outflowStep
+	if home > 0 {
+		step = float64(home-other-cost-outflowMargin) / float64(max(other, time.Millisecond)) * outflowRate
 	}
-	step := float64(at-away-cost) / float64(max(away, time.Millisecond)) * outflowRise
-	o.share = min(max(o.share+min(max(step, -outflowFall), outflowRise), 0), maxOutflow)
+	o.share = min(max(o.share+min(max(step, -outflowStep), outflowStep), 0), maxOutflow)
 }
 
 // Spread is SpreadLoad for an entry whose data centre is one of several. draw also decides whether the request is among the share
 // that leaves. Otherwise it leaves only if each endpoint at home has more of this entry's requests than one elsewhere has, by
 // more than excess.
 func (o *Outflow) Spread(draw, excess float64, endpoints []EndpointState) (int, Departure) {
-	home := spread(draw, endpoints, func(s *EndpointState) bool { return s.Local })
-	other := spread(draw, endpoints, func(s *EndpointState) bool { return !s.Local })
+	home, other, index := -1, -1, int(draw*float64(len(endpoints)))
+	for range endpoints {
+		side := &other
+		if endpoints[index].Local {
+			side = &home
+		}
+		if *side < 0 || totalLoad(endpoints[index]) < totalLoad(endpoints[*side]) {
+			*side = index
+		}
+		if index++; index == len(endpoints) {
+			index = 0
+		}
+	}
 	switch {
 	case home < 0:
 		return other, NoneAtHome
 	case other < 0:
 		return home, Stays
-	case leaves(draw, o.share) || totalLoad(endpoints[home]) > totalLoad(endpoints[other])+excess:
+	case o.share > 0 && leaves(draw, o.share) || totalLoad(endpoints[home]) > totalLoad(endpoints[other])+excess:
 		return other, EarlierAway
 	}
 	return home, Stays
@@ -283,18 +315,6 @@
 	return fine-float64(int(fine)) < share
 }
 
-// spread returns the index of the least loaded endpoint among those that are allowed, -1 if there are none.
-func spread(draw float64, endpoints []EndpointState, allowed func(*EndpointState) bool) int {
-	best, start := -1, int(draw*float64(len(endpoints)))
-	for i := range endpoints {
-		index := (start + i) % len(endpoints)
-		if allowed(&endpoints[index]) && (best < 0 || totalLoad(endpoints[index]) < totalLoad(endpoints[best])) {
-			best = index
-		}
-	}
-	return best
-}
-
 // Excess returns the cost of a departure as a number of requests: each that is in flight at an endpoint takes about the
 // average time to respond.
 func (s *ServiceTime) Excess(cost time.Duration) float64 {
