--- a/pass/cache.go
+++ b/pass/cache.go
@@ -79,17 +79,17 @@
 		if t.holdsInStore(e.config.View.Holders(name)) {
 			continue
 		}
-		if at, ok := e.claimSave(name, stores, now); ok {
+		if at, ok := e.claimSave(name, s.To.Place, stores, now); ok {
 			s.SaveTo[i] = at
 			j.saved += p.Tokens
 		}
 	}
 }
 
-// claimSave returns the store that a new part is to be saved to, among those that accept parts.
+// claimSave returns the store that a new part is to be saved to by an engine in a place, among those that accept parts.
 // It returns false while another request holds the claim to save the part. If the part did not
 // appear in the store it was assigned to, it is assigned to another. The caller holds mu.
-func (e *Entry) claimSave(name string, stores []*board.Pool, now time.Time) (netip.AddrPort, bool) {
+func (e *Entry) claimSave(name, place string, stores []*board.Pool, now time.Time) (netip.AddrPort, bool) {
 	previous := e.pendingSave[name]
 	if now.Before(previous.until) {
 		return netip.AddrPort{}, false
@@ -98,7 +98,7 @@
 	var addrs []netip.AddrPort
 	for _, p := range stores {
 		if e.config.View.AcceptsParts(p.Store.Addr) && !slices.Contains(previous.triedStores, p.Store.Addr) {
-			candidates = append(candidates, route.StoreState{ID: p.Name, Capacity: p.Store.Tokens, Bandwidth: p.Store.Bandwidth})
+			candidates = append(candidates, route.StoreState{ID: p.Name, Capacity: p.Store.Tokens, Bandwidth: p.Store.Bandwidth, Remote: p.Store.Place != place})
 			addrs = append(addrs, p.Store.Addr)
 		}
 	}
--- a/route/away.go
+++ b/route/away.go
@@ -145,7 +145,7 @@
 // round trip. A prompt whose history is read elsewhere keeps going there; any other stays unless Decide says that it leaves.
 func (l Leaving) Earliest(p Prompt, e Engine, candidates []CandidateEstimate) (int, Departure) {
 	p.rank(candidates)
-	best, cost := earliest(e, candidates, func(*CandidateEstimate) bool { return true })
+	best, cost := earliest(e, candidates, anyPlace)
 	if best < 0 || candidates[best].Place == l.Own {
 		return best, Stays
 	}
@@ -162,7 +162,7 @@
 		}
 		return best, SpreadAway
 	}
-	home, homeCost := earliest(e, candidates, func(c *CandidateEstimate) bool { return c.Place == l.Own })
+	home, homeCost := earliest(e, candidates, l.Own)
 	if home < 0 {
 		return best, NoneAtHome
 	}
--- a/route/away_test.go
+++ b/route/away_test.go
@@ -96,6 +96,56 @@
 	left         []float64
 }
 
+// Guards against histories that are read in each data centre: whatever the draw, a prompt goes where its history is cached, and
+// a long one that is cached nowhere to the endpoint that ranks first for its subject, as at all other entries.
+func TestHistoriesAreReadOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		tokens int
+		// held is whether an engine elsewhere has the history, fetch how long the others take to read it there, zero if they
+		// compute it.
+		held  bool
+		fetch time.Duration
+	}{
+		"cached, and computed at home":   {1500, true, 0},
+		"cached, and fetched at home":    {1500, true, 6 * ms},
+		"long, and cached nowhere":       {9000, false, 0},
+		"very long, and cached nowhere":  {90000, false, 0},
+		"short, cached, fetched at home": {50, true, 5 * ms},
+	} {
+		t.Run(name, func(t *testing.T) {
+			different := 0
+			for i := range 400 {
+				var candidates []route.CandidateEstimate
+				for k := range 12 {
+					e := route.CandidateEstimate{ID: fmt.Sprint("w", k), Place: k % 3, OwnTokens: ownTokens, Slowdown: 1, Penalty: ms}
+					if k%3 == 0 {
+						e.Penalty = 0
+					}
+					switch {
+					case c.held && k == 4:
+						e.Held = true
+					case c.held && c.fetch > 0:
+						e.Fetch = c.fetch
+					default:
+						e.Compute = c.tokens
+					}
+					if !c.held {
+						e.UncachedTokens = c.tokens
+					}
+					candidates = append(candidates, e)
+				}
+				prompt := route.Prompt{Subject: fmt.Sprint("subject-", i), Request: fmt.Sprint("request-", i), Entries: 42}
+				want := route.EarliestCandidate(prompt, engine, slices.Clone(candidates))
+				l := route.Leaving{Bytes: requestSize, TimePerByte: route.DefaultTimePerByte, Goal: time.Second, Draw: float64(i) / 400}
+				if got, _ := l.Earliest(prompt, engine, candidates); got != want {
+					different++
+				}
+			}
+			check.Equal(t, "prompts that went elsewhere", different, 0)
+		})
+	}
+}
+
 const (
 	plainPlaces  = 3
 	plainService = 20 * ms
--- a/route/place.go
+++ b/route/place.go
@@ -133,11 +133,15 @@
 	ID        string
 	Capacity  int
 	Bandwidth float64
+	// Remote is true if the store is in another data centre than the engine that saves.
+	Remote bool
 }
 
 // StoreForPart returns the index of the store that a new part is saved to: of the fastest stores
-// that accept parts, the one with the highest rendezvous score, weighted by capacity. Every entry
-// computes the same store. It returns -1 if there is none.
+// that accept parts, the one with the highest rendezvous score, weighted by capacity. A transfer
+// between data centres takes longer by remoteFactor, so a store in another counts for that much less; the part's readers are in
+// all data centres alike, so it isn't left out. Every entry computes the same store for one engine. It returns -1 if there is
+// none.
 //
 // The load pattern is few fast stores beside large slow ones: the parts requested first are the
 // ones requested most, and they fill the fast stores.
@@ -154,7 +158,11 @@
 		// Weighted rendezvous hashing: each store draws from an exponential distribution with its
 		// capacity as rate, and the smallest draw wins.
 		u := (float64(rendezvous(part, s.ID)>>11) + 1) / (1 << 53)
-		if score := -float64(s.Capacity) / math.Log(u); best < 0 || score > highestScore {
+		capacity := float64(s.Capacity)
+		if s.Remote {
+			capacity /= remoteFactor
+		}
+		if score := -capacity / math.Log(u); best < 0 || score > highestScore {
 			best, highestScore = i, score
 		}
 	}
--- a/route/predict.go
+++ b/route/predict.go
@@ -171,7 +171,7 @@
 // engines while hundreds of entries look for room at the others.
 func EarliestCandidate(p Prompt, e Engine, candidates []CandidateEstimate) int {
 	p.rank(candidates)
-	best, _ := earliest(e, candidates, func(*CandidateEstimate) bool { return true })
+	best, _ := earliest(e, candidates, anyPlace)
 	return best
 }
 
@@ -184,19 +184,22 @@
 	}
 }
 
-// earliest returns the candidate with the lowest cost among those that are allowed, ranked among these, and its cost; -1 if
+// anyPlace, in place of a data centre's index, means all of them.
+const anyPlace = -1
+
+// earliest returns the candidate with the lowest cost among those in a data centre, ranked among these, and its cost; -1 if
 // there are none.
-func earliest(e Engine, candidates []CandidateEstimate, allowed func(*CandidateEstimate) bool) (best int, lowestCost time.Duration) {
+func earliest(e Engine, candidates []CandidateEstimate, place int) (best int, lowestCost time.Duration) {
 	var highest [maxRankSteps]uint64
 	for i := range candidates {
-		if allowed(&candidates[i]) {
+		if place == anyPlace || candidates[i].Place == place {
 			insertRank(&highest, candidates[i].rank)
 		}
 	}
 	best = -1
 	for i := range candidates {
 		b := &candidates[i]
-		if !allowed(b) {
+		if place != anyPlace && b.Place != place {
 			continue
 		}
 		ranksAbove := 0
--- a/route/predict_test.go
+++ b/route/predict_test.go
@@ -145,6 +145,33 @@
 	check.Equal(t, "index when all stores are full", route.StoreForPart("x", nil), -1)
 }
 
+// Guards against saves that cross between data centres as often as not, and against leaving all parts to one data centre's
+// stores, which would fill up.
+func TestPartsAreSavedNearer(t *testing.T) {
+	near := 0
+	for i := range 3000 {
+		at := route.StoreForPart(fmt.Sprint(i), []route.StoreState{{ID: "a", Capacity: 9, Bandwidth: 9e9, Remote: true}, {ID: "b", Capacity: 9, Bandwidth: 9e9}, {ID: "c", Capacity: 9, Bandwidth: 9e9, Remote: true}})
+		if at == 1 {
+			near++
+		}
+	}
+	check.Equal(t, fmt.Sprint(near, " of 3000 parts are saved in the engine's data centre, about half"), near > 1400 && near < 1600, true)
+}
+
+// Guards against a read from another data centre that a read within it would equal.
+func TestNearSourceAmongEquals(t *testing.T) {
+	var p route.PartSources
+	p.Reset(engine, 9000, 2)
+	// The near source has as many tokens queued as a transfer from the far one takes longer.
+	p.Add(0, 1, slow)
+	near := slow
+	near.QueuedTokens = 9000
+	p.Add(1, 0, near)
+	p.Rank()
+	check.Equal(t, "source for a reader in data centre 0", p.Choose(0, noIndex).Index, 1)
+	check.Equal(t, "costs are equal", p.Choose(0, noIndex).Cost, p.Choose(0, 1).Cost)
+}
+
 // Guards against uneven traffic splits when clients number their requests sequentially.
 func TestDrawIsEvenForNumberedRequests(t *testing.T) {
 	tenths := map[int]int{}
--- a/route/reads.go
+++ b/route/reads.go
@@ -7,14 +7,20 @@
 type SourceChoice struct {
 	Index int
 	Cost  time.Duration
+	// remote is set if the source is in another data centre than the reader.
+	remote bool
 }
 
-// before reports whether a choice is better than another: cheaper, and among equals added first.
+// before reports whether a choice is better than another: cheaper, among equals in the reader's data centre, and then added
+// first.
 func (c SourceChoice) before(o SourceChoice) bool {
 	if c.Index == Compute || o.Index == Compute {
 		return o.Index == Compute && c.Index != Compute
 	}
-	return c.Cost < o.Cost || c.Cost == o.Cost && c.Index < o.Index
+	if c.Cost != o.Cost {
+		return c.Cost < o.Cost
+	}
+	return c.remote != o.remote && o.remote || c.remote == o.remote && c.Index < o.Index
 }
 
 // sourcePair holds the two best choices. The second one serves the endpoint that is itself the best
@@ -72,7 +78,7 @@
 		if s.idleTime(p.engine, p.tokens) >= p.computeCost {
 			continue
 		}
-		choice := SourceChoice{Index: index, Cost: s.time(p.engine, p.tokens)}
+		choice := SourceChoice{Index: index, Cost: s.time(p.engine, p.tokens), remote: s.Remote}
 		if s.Evictable {
 			choice.Cost += time.Duration(evictionProbability * float64(p.computeCost))
 		}
