--- a/pass/away.go
+++ b/pass/away.go
@@ -115,23 +115,6 @@
 	if !o.topology.isSpread(j.pool) {
 		return route.EarliestCandidate(prompt, o.engine, estimates), route.Stays
 	}
-	if !o.delaysAdded {
-		o.delaysAdded = true
-		delays := e.scratch.delays[:0]
-		own := e.distances.roundTrip(e.config.Place)
-		for i, place := range o.topology.places {
-			delay := time.Duration(0)
-			if i != o.topology.own {
-				delay = route.AddedRoundTrip(own, e.distances.roundTrip(place))
-			}
-			delays = append(delays, delay)
-		}
-		e.scratch.delays = delays
-		for i, c := range candidates {
-			estimates[i].Place = c.place
-			estimates[i].Penalty += delays[c.place]
-		}
-	}
 	l := route.Leaving{
 		Own: o.topology.own, Bytes: e.distances.flow(j.route.Name, clock.Now()).requestBytes(j), TimePerByte: e.timePerByte(),
 		Age: e.config.View.Age(), Draw: route.UniformHash(j.call.ID),
@@ -142,6 +125,25 @@
 	return l.Earliest(prompt, o.engine, estimates)
 }
 
+// addedDelays returns the added round trip to each place, by index; nil for pools that aren't spread. They are valid until the next
+// call. The caller holds mu.
+func (o *promptPlan) addedDelays() []time.Duration {
+	e := o.entry
+	if !o.topology.isSpread(o.job.pool) {
+		return nil
+	}
+	delays, own := e.scratch.delays[:0], e.distances.roundTrip(e.config.Place)
+	for i, place := range o.topology.places {
+		delay := time.Duration(0)
+		if i != o.topology.own {
+			delay = route.AddedRoundTrip(own, e.distances.roundTrip(place))
+		}
+		delays = append(delays, delay)
+	}
+	e.scratch.delays = delays
+	return delays
+}
+
 // timePerByte returns as how many nanoseconds a byte between data centres counts.
 func (e *Entry) timePerByte() float64 { return cmp.Or(e.config.TimePerByte, route.DefaultTimePerByte) }
 
--- a/pass/prefill.go
+++ b/pass/prefill.go
@@ -37,8 +37,6 @@
 	locations []*partLocations
 	// rules are those of the topology's places.
 	rules []placeRule
-	// delaysAdded is set once the estimates contain the round trips to other data centres.
-	delaysAdded bool
 }
 
 func (e *Entry) newPromptPlan(j *job, t *topology, now time.Time) *promptPlan {
@@ -61,15 +59,19 @@
 		ownTokens -= p.Tokens
 	}
 	estimates, prefills, versions := e.scratch.estimates[:0], e.scratch.prefills[:0], e.scratch.versions[:0]
+	delays := o.addedDelays()
 	for _, c := range candidates {
 		version := c.state.version(c.to, j.call.Model)
-		estimate := route.CandidateEstimate{ID: c.to.ID, OwnTokens: ownTokens, Slowdown: 1, MemoryTokens: c.state.memoryTokens + c.others.memory + j.maxMemoryTokens()}
+		estimate := route.CandidateEstimate{ID: c.to.ID, Place: c.place, OwnTokens: ownTokens, Slowdown: 1, MemoryTokens: c.state.memoryTokens + c.others.memory + j.maxMemoryTokens()}
 		if c.state.slowness > 0 {
 			estimate.Slowdown = c.state.slowness
 		}
 		if version < target {
 			estimate.Penalty = outdatedWeightsPenalty
 		}
+		if delays != nil {
+			estimate.Penalty += delays[c.place]
+		}
 		estimates, prefills, versions = append(estimates, estimate), append(prefills, route.Prefill{}), append(versions, version)
 	}
 	e.scratch.estimates, e.scratch.prefills, e.scratch.versions = estimates, prefills, versions
--- a/route/away.go
+++ b/route/away.go
@@ -62,6 +62,8 @@
 type RoundTrip struct {
 	samples [roundTripSamples]time.Duration
 	count   int
+	// estimate is that of the samples; zero without any.
+	estimate time.Duration
 }
 
 // Add adds the time that a connection took.
@@ -71,17 +73,15 @@
 	}
 	r.samples[r.count%roundTripSamples] = took
 	r.count++
+	n := min(r.count, roundTripSamples)
+	sorted := r.samples
+	slices.Sort(sorted[:n])
+	r.estimate = sorted[n/4]
 }
 
 // Estimate returns the estimated round trip; false before the first sample.
 func (r *RoundTrip) Estimate() (time.Duration, bool) {
-	n := min(r.count, roundTripSamples)
-	if n == 0 {
-		return 0, false
-	}
-	sorted := r.samples
-	slices.Sort(sorted[:n])
-	return sorted[n/4], true
+	return r.estimate, r.estimate > 0
 }
 
 // AddedRoundTrip returns how much longer a round trip to another data centre takes than one within the own.
@@ -144,32 +144,28 @@
 // Earliest is EarliestCandidate for an entry whose data centre is one of several. A candidate elsewhere costs its added
 // round trip. A prompt whose history is read elsewhere keeps going there; any other stays unless Decide says that it leaves.
 func (l Leaving) Earliest(p Prompt, e Engine, candidates []CandidateEstimate) (int, Departure) {
-	p.rank(candidates)
-	best, cost := earliest(e, candidates, anyPlace)
+	all, near := earliest(p, e, candidates, l.Own)
+	best, home := all.index, near.index
 	if best < 0 || candidates[best].Place == l.Own {
 		return best, Stays
 	}
+	if home < 0 {
+		return best, NoneAtHome
+	}
 	other := &candidates[best]
 	if float64(other.UncachedTokens)/e.Rate > Noticeable.Seconds() {
-		if l.allAway(candidates) {
-			return best, NoneAtHome
-		}
 		return best, PartsAway
 	}
 	if l.isSpread() {
-		if l.allAway(candidates) {
-			return best, NoneAtHome
-		}
 		return best, SpreadAway
 	}
-	home, homeCost := earliest(e, candidates, l.Own)
-	if home < 0 {
-		return best, NoneAtHome
-	}
 	if h := &candidates[home]; h.Compute > other.Compute || h.Fetch > other.Fetch {
 		return best, PartsAway
 	}
-	why := l.Decide(Side{homeCost, l.spare(e, candidates, l.Own)}, Side{cost, l.spare(e, candidates, other.Place)})
+	if near.cost-all.cost <= l.bytesTime() {
+		return home, Stays
+	}
+	why := l.Decide(Side{near.cost, l.spare(e, candidates, l.Own)}, Side{all.cost, l.spare(e, candidates, other.Place)})
 	if why == Stays {
 		return home, Stays
 	}
@@ -184,10 +180,6 @@
 	return share >= 1 || share > 0 && leaves(l.Draw, share)
 }
 
-func (l Leaving) allAway(candidates []CandidateEstimate) bool {
-	return !slices.ContainsFunc(candidates, func(c CandidateEstimate) bool { return c.Place == l.Own })
-}
-
 // spare returns the share of the time until the goal that the engines of a data centre have free. A full engine has none.
 func (l Leaving) spare(e Engine, candidates []CandidateEstimate, place int) float64 {
 	if l.Goal <= 0 {
--- a/route/predict.go
+++ b/route/predict.go
@@ -55,10 +55,7 @@
 // draw marks the candidates that are drawn for a request: so many that the entries, each with one
 // request that the others don't know of yet, draw each candidate about once.
 func (p Prompt) draw(candidates []CandidateEstimate) {
-	drawn := max(len(candidates)/max(p.Entries, 1), minDrawn)
-	for i := range candidates {
-		candidates[i].drawn = drawn >= len(candidates)
-	}
+	drawn := p.drawnCount(len(candidates))
 	if drawn >= len(candidates) {
 		return
 	}
@@ -69,8 +66,16 @@
 	}
 }
 
+// drawnCount returns how many of the candidates are drawn for a request.
+func (p Prompt) drawnCount(candidates int) int {
+	return max(candidates/max(p.Entries, 1), minDrawn)
+}
+
 // insertRank inserts a rank into the highest ranks, which are sorted in descending order.
 func insertRank(highest *[maxRankSteps]uint64, rank uint64) {
+	if rank <= highest[maxRankSteps-1] {
+		return
+	}
 	for i, r := range highest {
 		if rank > r {
 			highest[i], rank = rank, r
@@ -123,7 +128,7 @@
 	// Place is the index of the endpoint's data centre; only Leaving uses it.
 	Place int
 
-	// rank and drawn are set by Prompt.rank.
+	// rank and drawn are set by earliest.
 	rank  uint64
 	drawn bool
 }
@@ -170,60 +175,80 @@
 // their endpoint is so busy, or its memory so full, that a copy elsewhere is earlier; and a loss of
 // engines while hundreds of entries look for room at the others.
 func EarliestCandidate(p Prompt, e Engine, candidates []CandidateEstimate) int {
-	p.rank(candidates)
-	best, _ := earliest(e, candidates, anyPlace)
-	return best
+	best, _ := earliest(p, e, candidates, noPlace)
+	return best.index
 }
 
-// rank sets the candidates' ranks for the subject and marks those drawn for the request.
-func (p Prompt) rank(candidates []CandidateEstimate) {
-	hash := newSubjectHash(p.Subject)
-	p.draw(candidates)
-	for i := range candidates {
-		candidates[i].rank = hash.rank(candidates[i].ID)
-	}
+// noPlace, in place of a data centre's index, means none.
+const noPlace = -1
+
+// choice is a candidate and the cost by which it was chosen; its index is -1 if there is no candidate.
+type choice struct {
+	index int
+	cost  time.Duration
 }
 
-// anyPlace, in place of a data centre's index, means all of them.
-const anyPlace = -1
+func (c *choice) take(index int, cost time.Duration) {
+	if c.index < 0 || cost < c.cost {
+		*c = choice{index, cost}
+	}
+}
 
-// earliest returns the candidate with the lowest cost among those in a data centre, ranked among these, and its cost; -1 if
-// there are none.
-func earliest(e Engine, candidates []CandidateEstimate, place int) (best int, lowestCost time.Duration) {
-	var highest [maxRankSteps]uint64
+// earliest returns the choice among all candidates, and the one among those of a data centre, ranked among these.
+func earliest(p Prompt, e Engine, candidates []CandidateEstimate, place int) (best, near choice) {
+	hash := newSubjectHash(p.Subject)
+	all := p.drawnCount(len(candidates)) >= len(candidates)
+	var highest, nearHighest [maxRankSteps]uint64
 	for i := range candidates {
-		if place == anyPlace || candidates[i].Place == place {
-			insertRank(&highest, candidates[i].rank)
+		b := &candidates[i]
+		b.rank, b.drawn = hash.rank(b.ID), all
+		insertRank(&highest, b.rank)
+		if b.Place == place {
+			insertRank(&nearHighest, b.rank)
 		}
 	}
-	best = -1
+	p.draw(candidates)
+	best.index, near.index = -1, -1
 	for i := range candidates {
 		b := &candidates[i]
-		if place != anyPlace && b.Place != place {
+		asDrawn := b.drawn || b.Held
+		inBest := asDrawn || b.rank >= highest[maxRankSteps-1]
+		inNear := b.Place == place && (asDrawn || b.rank >= nearHighest[maxRankSteps-1])
+		if !inBest && !inNear {
 			continue
 		}
-		ranksAbove := 0
-		for _, r := range highest {
-			if r > b.rank {
-				ranksAbove++
-			}
+		cost, rankCost := b.cost(e)
+		if inBest {
+			best.take(i, cost+time.Duration(ranksAbove(&highest, b.rank))*rankCost)
 		}
-		if ranksAbove == maxRankSteps && !b.drawn && !b.Held {
-			continue
+		if inNear {
+			near.take(i, cost+time.Duration(ranksAbove(&nearHighest, b.rank))*rankCost)
 		}
-		rankCost := rankPenalty + time.Duration(uncachedRankShare*float64(b.UncachedTokens)/e.Rate*float64(time.Second))
-		cost := b.First(e) + b.Penalty + time.Duration(ranksAbove)*rankCost
-		if b.Compute > 0 || b.Fetch > 0 {
-			cost += copyPenalty + time.Duration((RecomputeFactor-1)*float64(b.Compute)/e.Rate*float64(time.Second))
-		}
-		if b.isFull(e) {
-			cost += fullMemoryPenalty
-		}
-		if best < 0 || cost < lowestCost {
-			best, lowestCost = i, cost
+	}
+	return best, near
+}
+
+// ranksAbove returns how many of the highest ranks are above one.
+func ranksAbove(highest *[maxRankSteps]uint64, rank uint64) int {
+	above := 0
+	for _, r := range highest {
+		if r > rank {
+			above++
 		}
 	}
-	return best, lowestCost
+	return above
+}
+
+// cost returns the cost of the candidate without its rank, and that of each rank above it.
+func (c *CandidateEstimate) cost(e Engine) (cost, rankCost time.Duration) {
+	cost = c.First(e) + c.Penalty
+	if c.Compute > 0 || c.Fetch > 0 {
+		cost += copyPenalty + time.Duration((RecomputeFactor-1)*float64(c.Compute)/e.Rate*float64(time.Second))
+	}
+	if c.isFull(e) {
+		cost += fullMemoryPenalty
+	}
+	return cost, rankPenalty + time.Duration(uncachedRankShare*float64(c.UncachedTokens)/e.Rate*float64(time.Second))
 }
 
 // isFull reports whether the engine's memory counts as full.
