--- a/pass/away.go
+++ b/pass/away.go
@@ -116,7 +116,7 @@
 		return route.EarliestCandidate(prompt, o.engine, estimates), route.Stays
 	}
 	l := route.Leaving{
-		Own: o.topology.own, Bytes: e.distances.flow(j.route.Name, clock.Now()).requestBytes(j), TimePerByte: e.timePerByte(),
+		Own: int32(o.topology.own), Bytes: e.distances.flow(j.route.Name, clock.Now()).requestBytes(j), TimePerByte: e.timePerByte(),
 		Age: e.config.View.Age(), Draw: route.UniformHash(j.call.ID),
 	}
 	if j.route.Goal > 0 {
--- a/pass/metrics.go
+++ b/pass/metrics.go
@@ -12,9 +12,17 @@
 // meters updates the entry's counters and histograms.
 type meters struct {
 	set *metrics.Set
+	// departures counts attempts in other data centres by the reason.
+	departures map[route.Departure]*metrics.Counter
 }
 
-func newMeters(set *metrics.Set) meters { return meters{set} }
+func newMeters(set *metrics.Set) meters {
+	m := meters{set, map[route.Departure]*metrics.Counter{}}
+	for _, why := range route.Departures() {
+		m.departures[why] = set.GetOrCreateCounter(fmt.Sprintf("egretshunt_pass_away_total{why=%q}", why))
+	}
+	return m
+}
 
 // outcome counts a request by its outcome.
 func (m meters) outcome(route, outcome string) {
@@ -51,7 +59,7 @@
 // away counts an attempt in another data centre by the reason.
 func (m meters) away(why route.Departure) {
 	if why != route.Stays {
-		m.set.GetOrCreateCounter(fmt.Sprintf("egretshunt_pass_away_total{why=%q}", why)).Inc()
+		m.departures[why].Inc()
 	}
 }
 
--- a/pass/prefill.go
+++ b/pass/prefill.go
@@ -62,7 +62,7 @@
 	delays := o.addedDelays()
 	for _, c := range candidates {
 		version := c.state.version(c.to, j.call.Model)
-		estimate := route.CandidateEstimate{ID: c.to.ID, Place: c.place, OwnTokens: ownTokens, Slowdown: 1, MemoryTokens: c.state.memoryTokens + c.others.memory + j.maxMemoryTokens()}
+		estimate := route.CandidateEstimate{ID: c.to.ID, Place: int32(c.place), OwnTokens: ownTokens, Slowdown: 1, MemoryTokens: c.state.memoryTokens + c.others.memory + j.maxMemoryTokens()}
 		if c.state.slowness > 0 {
 			estimate.Slowdown = c.state.slowness
 		}
--- a/route/away.go
+++ b/route/away.go
@@ -26,6 +26,11 @@
 	SpreadAway Departure = "spread"
 )
 
+// Departures returns all reasons for which requests leave.
+func Departures() []Departure {
+	return []Departure{NoneAtHome, PartsAway, EarlierAway, OnTimeAway, SpreadAway}
+}
+
 const (
 	// Noticeable is the longest delay of a first token that callers don't notice. A history that takes less time to compute
 	// may be computed in more than one data centre, and the bytes of a request count no more than that.
@@ -97,7 +102,7 @@
 // Leaving is what the decision whether a request leaves its data centre uses of the request and its entry.
 type Leaving struct {
 	// Own is the index of the entry's data centre.
-	Own int
+	Own int32
 	// Bytes are those of the request and of its expected response, TimePerByte as how many nanoseconds each counts.
 	Bytes, TimePerByte float64
 	// Goal is the time that is left for the first token; zero means that there is no goal.
@@ -181,7 +186,7 @@
 }
 
 // spare returns the share of the time until the goal that the engines of a data centre have free. A full engine has none.
-func (l Leaving) spare(e Engine, candidates []CandidateEstimate, place int) float64 {
+func (l Leaving) spare(e Engine, candidates []CandidateEstimate, place int32) float64 {
 	if l.Goal <= 0 {
 		return 1
 	}
--- a/route/away_replay_test.go
+++ b/route/away_replay_test.go
@@ -163,7 +163,7 @@
 				if w.down != nil && w.down(e.place, e.number, now) {
 					continue
 				}
-				c := route.CandidateEstimate{ID: e.id, TokensAhead: e.former[(step+1)%len(e.former)], OwnTokens: ownTokens, Slowdown: 1 / e.speed, Place: e.place}
+				c := route.CandidateEstimate{ID: e.id, TokensAhead: e.former[(step+1)%len(e.former)], OwnTokens: ownTokens, Slowdown: 1 / e.speed, Place: int32(e.place)}
 				at, holds := s.held[i]
 				switch {
 				case holds && now-at >= w.age:
@@ -186,7 +186,7 @@
 			prompt := route.Prompt{Subject: fmt.Sprint("subject-", name), Request: fmt.Sprint("request-", number), Entries: w.entries}
 			at := 0
 			if decide {
-				l := route.Leaving{Own: place, Bytes: requestSize, TimePerByte: route.DefaultTimePerByte, Goal: replayGoal, Age: w.age, Draw: route.UniformHash(prompt.Request)}
+				l := route.Leaving{Own: int32(place), Bytes: requestSize, TimePerByte: route.DefaultTimePerByte, Goal: replayGoal, Age: w.age, Draw: route.UniformHash(prompt.Request)}
 				at, _ = l.Earliest(prompt, engine, candidates)
 			} else {
 				at = route.EarliestCandidate(prompt, engine, candidates)
--- a/route/away_test.go
+++ b/route/away_test.go
@@ -117,7 +117,7 @@
 			for i := range 400 {
 				var candidates []route.CandidateEstimate
 				for k := range 12 {
-					e := route.CandidateEstimate{ID: fmt.Sprint("w", k), Place: k % 3, OwnTokens: ownTokens, Slowdown: 1, Penalty: ms}
+					e := route.CandidateEstimate{ID: fmt.Sprint("w", k), Place: int32(k % 3), OwnTokens: ownTokens, Slowdown: 1, Penalty: ms}
 					if k%3 == 0 {
 						e.Penalty = 0
 					}
--- a/route/predict.go
+++ b/route/predict.go
@@ -118,6 +118,10 @@
 	Fetch          time.Duration
 	// Held is true if the endpoint has all shared parts in memory, of which there are some.
 	Held bool
+	// drawn is set by earliest.
+	drawn bool
+	// Place is the index of the endpoint's data centre; only Leaving uses it.
+	Place int32
 	// Slowdown is the ratio of the endpoint's recent response times to the predictions.
 	Slowdown float64
 	// MemoryTokens is the number of tokens of all requests in flight at the endpoint, including
@@ -125,12 +129,9 @@
 	MemoryTokens int
 	// Penalty is added for endpoints that are usable but not preferred.
 	Penalty time.Duration
-	// Place is the index of the endpoint's data centre; only Leaving uses it.
-	Place int
 
-	// rank and drawn are set by earliest.
-	rank  uint64
-	drawn bool
+	// rank is set by earliest.
+	rank uint64
 }
 
 const (
@@ -195,7 +196,7 @@
 }
 
 // earliest returns the choice among all candidates, and the one among those of a data centre, ranked among these.
-func earliest(p Prompt, e Engine, candidates []CandidateEstimate, place int) (best, near choice) {
+func earliest(p Prompt, e Engine, candidates []CandidateEstimate, place int32) (best, near choice) {
 	hash := newSubjectHash(p.Subject)
 	all := p.drawnCount(len(candidates)) >= len(candidates)
 	var highest, nearHighest [maxRankSteps]uint64
@@ -209,6 +210,7 @@
 	}
 	p.draw(candidates)
 	best.index, near.index = -1, -1
+	costs := costs{engine: e, uncached: -1, compute: -1}
 	for i := range candidates {
 		b := &candidates[i]
 		asDrawn := b.drawn || b.Held
@@ -217,7 +219,7 @@
 		if !inBest && !inNear {
 			continue
 		}
-		cost, rankCost := b.cost(e)
+		cost, rankCost := costs.of(b)
 		if inBest {
 			best.take(i, cost+time.Duration(ranksAbove(&highest, b.rank))*rankCost)
 		}
@@ -230,6 +232,9 @@
 
 // ranksAbove returns how many of the highest ranks are above one.
 func ranksAbove(highest *[maxRankSteps]uint64, rank uint64) int {
+	if rank < highest[maxRankSteps-1] {
+		return maxRankSteps
+	}
 	above := 0
 	for _, r := range highest {
 		if r > rank {
@@ -239,16 +244,32 @@
 	return above
 }
 
-// cost returns the cost of the candidate without its rank, and that of each rank above it.
-func (c *CandidateEstimate) cost(e Engine) (cost, rankCost time.Duration) {
-	cost = c.First(e) + c.Penalty
+// costs computes the costs of candidates. What they have in common, as most do, is computed once.
+type costs struct {
+	engine Engine
+	// rankCost is that of so many uncached tokens, computeCost that of so many tokens to compute.
+	uncached, compute     int
+	rankCost, computeCost time.Duration
+}
+
+// of returns the cost of a candidate without its rank, and that of each rank above it.
+func (k *costs) of(c *CandidateEstimate) (cost, rankCost time.Duration) {
+	if c.UncachedTokens != k.uncached {
+		k.uncached = c.UncachedTokens
+		k.rankCost = rankPenalty + time.Duration(uncachedRankShare*float64(c.UncachedTokens)/k.engine.Rate*float64(time.Second))
+	}
+	cost = c.First(k.engine) + c.Penalty
 	if c.Compute > 0 || c.Fetch > 0 {
-		cost += copyPenalty + time.Duration((RecomputeFactor-1)*float64(c.Compute)/e.Rate*float64(time.Second))
+		if c.Compute != k.compute {
+			k.compute = c.Compute
+			k.computeCost = copyPenalty + time.Duration((RecomputeFactor-1)*float64(c.Compute)/k.engine.Rate*float64(time.Second))
+		}
+		cost += k.computeCost
 	}
-	if c.isFull(e) {
+	if c.isFull(k.engine) {
 		cost += fullMemoryPenalty
 	}
-	return cost, rankPenalty + time.Duration(uncachedRankShare*float64(c.UncachedTokens)/e.Rate*float64(time.Second))
+	return cost, k.rankCost
 }
 
 // isFull reports whether the engine's memory counts as full.
