pass: places that are closed to a request don't count as the better choice

A place that is evacuated, or has only stores, gets no requests and so has no times; it was expected to respond as the own at its best, so the share that leaves grew for nothing. Seen failing without the check: TestEvacuatedPlaceDoesntAttractPlainRequests (56 of the requests left). Expected times are taken each 50 ms, not for each request.

--- a/pass/away.go
+++ b/pass/away.go
@@ -26,6 +26,10 @@
 	// times are those of responses to requests without cached parts by data centre, and outflow the share of these that leaves.
 	times   map[string]*route.ServiceTime
 	outflow route.Outflow
+	// expected are the times that responses are expected to take by the places of a topology, taken at a time.
+	expected   []time.Duration
+	expectedOf *topology
+	expectedAt time.Duration
 }
 
 // responseBytesWeight is the weight of the newest response in the average length.
@@ -155,14 +159,23 @@
 	t, now := e.topology, clock.Now()
 	f := e.distances.flow(j.route.Name, now)
 	home := f.timesAt(e.config.Place)
-	times, least := f.expectedTimes(e, t, now)
+	f.expect(t, home, now)
+	open := e.scratch.open[:0]
+	for range t.places {
+		open = append(open, false)
+	}
+	e.scratch.open = open
+	for _, c := range eligible {
+		open[c.place] = true
+	}
+	least, most := f.expectedElsewhere(t, open)
 	// Times of responses contain the round trip.
 	cost := min(time.Duration(f.requestBytes(j)*e.timePerByte()), route.Noticeable)
 	f.outflow.Update(now, home.Expect(now, 0), least, cost)
-	if least > 0 {
+	if least > 0 && most > least {
 		for i, c := range eligible {
 			if c.place != t.own {
-				loads[i].Penalty += min(float64(times[c.place]-least)/float64(least), maxSlowPenalty)
+				loads[i].Penalty += min(float64(f.expected[c.place]-least)/float64(least), maxSlowPenalty)
 			}
 		}
 	}
@@ -182,20 +195,34 @@
 	return s
 }
 
-// expectedTimes returns how long responses are expected to take in each data centre, and the least time in another than the own.
-// One without recent responses is expected to respond as the own has at its best. The times are valid until the next call. The
-// caller holds mu.
-func (f *routeFlow) expectedTimes(e *Entry, t *topology, now time.Duration) (times []time.Duration, least time.Duration) {
-	times = e.scratch.delays[:0]
-	unknown := f.timesAt(e.config.Place).Least()
-	for i, place := range t.places {
-		at := f.timesAt(place).Expect(now, unknown)
-		if times = append(times, at); i != t.own && (least == 0 || at < least) {
+// expectInterval is how often the expected times are taken anew: averages hardly change in less.
+const expectInterval = 50 * time.Millisecond
+
+// expect sets how long responses are expected to take in each place of a topology. One without recent responses is expected to
+// respond as the own has at its best. The caller holds mu.
+func (f *routeFlow) expect(t *topology, home *route.ServiceTime, now time.Duration) {
+	if f.expectedOf == t && now-f.expectedAt < expectInterval {
+		return
+	}
+	f.expectedOf, f.expectedAt, f.expected = t, now, f.expected[:0]
+	for _, place := range t.places {
+		f.expected = append(f.expected, f.timesAt(place).Expect(now, home.Least()))
+	}
+}
+
+// expectedElsewhere returns the least and the greatest expected time among the other places that are open to a request: one that
+// isn't must not look like the better choice. The caller holds mu.
+func (f *routeFlow) expectedElsewhere(t *topology, open []bool) (least, most time.Duration) {
+	for i, at := range f.expected {
+		if i == t.own || !open[i] {
+			continue
+		}
+		if least == 0 || at < least {
 			least = at
 		}
+		most = max(most, at)
 	}
-	e.scratch.delays = times
-	return times, least
+	return least, most
 }
 
 // flowMemory is how long an entry remembers a route without requests: table sets may come and go with routes.
--- a/pass/prefill.go
+++ b/pass/prefill.go
@@ -179,8 +179,9 @@
 	reopened []time.Duration
 	// sources are reused by version and part.
 	sources [][]*route.PartSources
-	// delays are the added round trips to the places, or the times of responses there, by index.
+	// delays are the added round trips to the places, by index, and open is whether a place has eligible endpoints.
 	delays []time.Duration
+	open   []bool
 	// rules are those of the places, by index.
 	rules []placeRule
 	// mark counts the parts located.
--- a/route/away.go
+++ b/route/away.go
@@ -137,6 +137,7 @@
 	age := max(l.Age, freshKnowledge)
 	switch {
 	case l.Goal > 0 && other.Spare < minSpare && other.Spare <= home.Spare+minSpare/2:
+		// Its own callers would become late.
 		return Stays
 	case onlyOther && l.Draw < float64(freshKnowledge)/float64(age):
 		return OnTimeAway
