--- a/pass/entry.go
+++ b/pass/entry.go
@@ -108,6 +108,9 @@
 	Budget *limit.Budget
 	// RegionOf returns the region of a data centre, "" if it isn't known; nil means that none is.
 	RegionOf func(place string) string
+	// TimePerByte is as how many nanoseconds a byte that a request moves between data centres counts in the choice of one; zero
+	// means route.DefaultTimePerByte.
+	TimePerByte float64
 	// Policy selects the placement of prompts; "" means Predicted.
 	Policy  Policy
 	Events  *event.Log
@@ -143,6 +146,8 @@
 	// mu guards the fields below.
 	mu             sync.Mutex
 	endpointStates map[string]*endpointState
+	// distances is what is known of the data centres.
+	distances distances
 	// generation changes whenever endpointStates gains or loses a state.
 	generation   uint64
 	topology     *topology
@@ -242,6 +247,7 @@
 	e := &Entry{
 		config: c, meters: newMeters(c.Metrics), started: time.Now(), targets: map[string]fence.Targets{}, endpointStates: map[string]*endpointState{}, retryBudgets: map[string]*limit.RetryLimiter{}, pendingSave: map[string]pendingSave{},
 		prefillRates: map[string]float64{}, linkTokens: map[netip.AddrPort]*int{}, rateQueues: map[string]*rateQueue{}, coldTurns: limit.NewColdTurns(clock.Now()), rateWaiting: make(chan struct{}, 1),
+		distances: newDistances(),
 	}
 	c.Metrics.NewGauge("egretshunt_pass_held_bytes", func() float64 { return float64(e.HeldBytes()) })
 	c.Metrics.NewGauge("egretshunt_pass_processor_wait_seconds", func() float64 { return e.waitForProcessor().Seconds() })
@@ -314,6 +320,7 @@
 			e.generation++
 		}
 	}
+	e.distances.dropFlows(clock.Now())
 	if list != nil {
 		e.coldTurns.Keep(func(id string) bool { return list.Find(id) != nil })
 	}
--- a/pass/metrics.go
+++ b/pass/metrics.go
@@ -5,14 +5,24 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"egretshunt/route"
 )
 
 // meters updates the entry's counters and histograms.
 type meters struct {
 	set *metrics.Set
+	// departures counts attempts in other data centres by the reason.
+	departures map[route.Departure]*metrics.Counter
 }
 
-func newMeters(set *metrics.Set) meters { return meters{set} }
+func newMeters(set *metrics.Set) meters {
+	m := meters{set, map[route.Departure]*metrics.Counter{}}
+	for _, why := range route.Departures() {
+		m.departures[why] = set.GetOrCreateCounter(fmt.Sprintf("egretshunt_pass_away_total{why=%q}", why))
+	}
+	return m
+}
 
 // outcome counts a request by its outcome.
 func (m meters) outcome(route, outcome string) {
@@ -46,6 +56,13 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("egretshunt_pass_repeats_total{pool=%q,allowed=\"%t\"}", pool, allowed)).Inc()
 }
 
+// away counts an attempt in another data centre by the reason.
+func (m meters) away(why route.Departure) {
+	if why != route.Stays {
+		m.departures[why].Inc()
+	}
+}
+
 // coldTurn counts a request that used a turn at a cold endpoint.
 func (m meters) coldTurn(pool string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("egretshunt_pass_cold_turns_total{pool=%q}", pool)).Inc()
--- a/route/predict.go
+++ b/route/predict.go
@@ -55,10 +55,7 @@
 // draw marks the candidates that are drawn for a request: so many that the entries, each with one
 // request that the others don't know of yet, draw each candidate about once.
 func (p Prompt) draw(candidates []CandidateEstimate) {
-	drawn := max(len(candidates)/max(p.Entries, 1), minDrawn)
-	for i := range candidates {
-		candidates[i].drawn = drawn >= len(candidates)
-	}
+	drawn := p.drawnCount(len(candidates))
 	if drawn >= len(candidates) {
 		return
 	}
@@ -69,8 +66,16 @@
 	}
 }
 
+// drawnCount returns how many of the candidates are drawn for a request.
+func (p Prompt) drawnCount(candidates int) int {
+	return max(candidates/max(p.Entries, 1), minDrawn)
+}
+
 // insertRank inserts a rank into the highest ranks, which are sorted in descending order.
 func insertRank(highest *[maxRankSteps]uint64, rank uint64) {
+	if rank <= highest[maxRankSteps-1] {
+		return
+	}
 	for i, r := range highest {
 		if rank > r {
 			highest[i], rank = rank, r
@@ -113,6 +118,10 @@
 	Fetch          time.Duration
 	// Held is true if the endpoint has all shared parts in memory, of which there are some.
 	Held bool
+	// drawn is set by earliest.
+	drawn bool
+	// Place is the index of the endpoint's data centre; only Leaving uses it.
+	Place int32
 	// Slowdown is the ratio of the endpoint's recent response times to the predictions.
 	Slowdown float64
 	// MemoryTokens is the number of tokens of all requests in flight at the endpoint, including
@@ -121,9 +130,8 @@
 	// Penalty is added for endpoints that are usable but not preferred.
 	Penalty time.Duration
 
-	// rank and drawn are set by EarliestCandidate.
-	rank  uint64
-	drawn bool
+	// rank is set by earliest.
+	rank uint64
 }
 
 const (
@@ -168,36 +176,103 @@
 // their endpoint is so busy, or its memory so full, that a copy elsewhere is earlier; and a loss of
 // engines while hundreds of entries look for room at the others.
 func EarliestCandidate(p Prompt, e Engine, candidates []CandidateEstimate) int {
+	best, _ := earliest(p, e, candidates, noPlace)
+	return best.index
+}
+
+// noPlace, in place of a data centre's index, means none.
+const noPlace = -1
+
+// choice is a candidate and the cost by which it was chosen; its index is -1 if there is no candidate.
+type choice struct {
+	index int
+	cost  time.Duration
+}
+
+func (c *choice) take(index int, cost time.Duration) {
+	if c.index < 0 || cost < c.cost {
+		*c = choice{index, cost}
+	}
+}
+
+// earliest returns the choice among all candidates, and the one among those of a data centre, ranked among these.
+func earliest(p Prompt, e Engine, candidates []CandidateEstimate, place int32) (best, near choice) {
 	hash := newSubjectHash(p.Subject)
-	p.draw(candidates)
-	var highest [maxRankSteps]uint64
+	all := p.drawnCount(len(candidates)) >= len(candidates)
+	var highest, nearHighest [maxRankSteps]uint64
 	for i := range candidates {
-		candidates[i].rank = hash.rank(candidates[i].ID)
-		insertRank(&highest, candidates[i].rank)
+		b := &candidates[i]
+		b.rank, b.drawn = hash.rank(b.ID), all
+		insertRank(&highest, b.rank)
+		if b.Place == place {
+			insertRank(&nearHighest, b.rank)
+		}
 	}
-	best, lowestCost := -1, time.Duration(0)
+	p.draw(candidates)
+	best.index, near.index = -1, -1
+	costs := costs{engine: e, uncached: -1, compute: -1}
 	for i := range candidates {
 		b := &candidates[i]
-		ranksAbove := 0
-		for _, r := range highest {
-			if r > b.rank {
-				ranksAbove++
-			}
-		}
-		if ranksAbove == maxRankSteps && !b.drawn && !b.Held {
+		asDrawn := b.drawn || b.Held
+		inBest := asDrawn || b.rank >= highest[maxRankSteps-1]
+		inNear := b.Place == place && (asDrawn || b.rank >= nearHighest[maxRankSteps-1])
+		if !inBest && !inNear {
 			continue
 		}
-		rankCost := rankPenalty + time.Duration(uncachedRankShare*float64(b.UncachedTokens)/e.Rate*float64(time.Second))
-		cost := b.First(e) + b.Penalty + time.Duration(ranksAbove)*rankCost
-		if b.Compute > 0 || b.Fetch > 0 {
-			cost += copyPenalty + time.Duration((RecomputeFactor-1)*float64(b.Compute)/e.Rate*float64(time.Second))
+		cost, rankCost := costs.of(b)
+		if inBest {
+			best.take(i, cost+time.Duration(ranksAbove(&highest, b.rank))*rankCost)
 		}
-		if e.Memory > 0 && float64(b.MemoryTokens) > fullMemoryShare*float64(e.Memory) {
-			cost += fullMemoryPenalty
+		if inNear {
+			near.take(i, cost+time.Duration(ranksAbove(&nearHighest, b.rank))*rankCost)
 		}
-		if best < 0 || cost < lowestCost {
-			best, lowestCost = i, cost
+	}
+	return best, near
+}
+
+// ranksAbove returns how many of the highest ranks are above one.
+func ranksAbove(highest *[maxRankSteps]uint64, rank uint64) int {
+	if rank < highest[maxRankSteps-1] {
+		return maxRankSteps
+	}
+	above := 0
+	for _, r := range highest {
+		if r > rank {
+			above++
 		}
 	}
-	return best
+	return above
+}
+
+// costs computes the costs of candidates. What they have in common, as most do, is computed once.
+type costs struct {
+	engine Engine
+	// rankCost is that of so many uncached tokens, computeCost that of so many tokens to compute.
+	uncached, compute     int
+	rankCost, computeCost time.Duration
+}
+
+// of returns the cost of a candidate without its rank, and that of each rank above it.
+func (k *costs) of(c *CandidateEstimate) (cost, rankCost time.Duration) {
+	if c.UncachedTokens != k.uncached {
+		k.uncached = c.UncachedTokens
+		k.rankCost = rankPenalty + time.Duration(uncachedRankShare*float64(c.UncachedTokens)/k.engine.Rate*float64(time.Second))
+	}
+	cost = c.First(k.engine) + c.Penalty
+	if c.Compute > 0 || c.Fetch > 0 {
+		if c.Compute != k.compute {
+			k.compute = c.Compute
+			k.computeCost = copyPenalty + time.Duration((RecomputeFactor-1)*float64(c.Compute)/k.engine.Rate*float64(time.Second))
+		}
+		cost += k.computeCost
+	}
+	if c.isFull(k.engine) {
+		cost += fullMemoryPenalty
+	}
+	return cost, k.rankCost
+}
+
+// isFull reports whether the engine's memory counts as full.
+func (c *CandidateEstimate) isFull(e Engine) bool {
+	return e.Memory > 0 && float64(c.MemoryTokens) > fullMemoryShare*float64(e.Memory)
 }
