ctrl: reports that wait in a batch keep their times; a repeated completion clears nothing later

Found in review. Reports say how long ago an attempt began and ended; the log dated them by when their batch was proposed, up to 2 s late, while attempts of different entries are compared to 10 ms: ends at one moment could count as a sequence, and quarantine a popular request, or the reverse. The batch now adds each report's wait. A completed run that an entry sends again while its first report waits isn't added again: it would clear crashes reported in between. TestWaitingReportsKeepTheirTimes and TestRepeatedCompletionClearsNothingLater fail without the changes.

--- a/ctrl/crashbatch.go
+++ b/ctrl/crashbatch.go
@@ -28,6 +28,8 @@
 // and sends them again until they are counted.
 type crashBatcher struct {
 	propose func(ctx context.Context, c *limit.CrashCommand) error
+	// now is clock.Now, but in tests.
+	now func() time.Duration
 
 	// mu guards the rest. waiting are batches that are not proposed yet, in order; proposed is the one that is being replicated, or nil;
 	// replicated are the latest that were.
@@ -39,15 +41,22 @@
 
 // crashBatch is one command and what it holds. Once done is closed, err is why it wasn't replicated; nil if it was.
 type crashBatch struct {
-	command   limit.CrashCommand
+	command limit.CrashCommand
+	// arrived holds when each report arrived, by clock.Now.
+	arrived   []time.Duration
 	ids       value.Set[string]
 	completed value.Set[string]
-	done      chan struct{}
-	err       error
+	// completedAt holds the completed runs by fingerprint and entry.
+	completedAt map[completion]bool
+	done        chan struct{}
+	err         error
 }
 
+// completion is a completed run of the request with a fingerprint, which an entry reports.
+type completion struct{ entry, fingerprint string }
+
 func newCrashBatch() *crashBatch {
-	return &crashBatch{ids: value.SetOf[string](), completed: value.SetOf[string](), done: make(chan struct{})}
+	return &crashBatch{ids: value.SetOf[string](), completed: value.SetOf[string](), completedAt: map[completion]bool{}, done: make(chan struct{})}
 }
 
 // takes reports whether a command's evidence may be added. Within a command all reports count before the completed runs, so a report
@@ -57,15 +66,14 @@
 	return len(b.command.Reports)+len(reports) <= maxBatchReports && !slices.ContainsFunc(reports, clears)
 }
 
-func (b *crashBatch) add(entry string, reports []limit.CrashReport, completed []string) {
-	if b.command.Entry == "" {
-		b.command.Entry = entry
-	}
+func (b *crashBatch) add(entry string, reports []limit.CrashReport, completed []string, now time.Duration) {
 	for _, r := range reports {
 		b.ids.Add(r.ID)
+		b.arrived = append(b.arrived, now)
 	}
 	b.command.Reports = append(b.command.Reports, reports...)
 	for _, fingerprint := range completed {
+		b.completedAt[completion{entry, fingerprint}] = true
 		if !b.completed.Has(fingerprint) {
 			b.completed.Add(fingerprint)
 			b.command.Completed = append(b.command.Completed, fingerprint)
@@ -73,6 +81,19 @@
 	}
 }
 
+// dated returns the command with reports that say how long before now the attempts began and ended: they have waited in the batch for
+// different times, and attempts of different entries are compared by these.
+func (b *crashBatch) dated(now time.Duration) *limit.CrashCommand {
+	c := b.command
+	c.Reports = slices.Clone(c.Reports)
+	for i := range c.Reports {
+		waited := now - b.arrived[i]
+		c.Reports[i].Age += waited
+		c.Reports[i].Ended += waited
+	}
+	return &c
+}
+
 // record replicates an entry's evidence. It returns once all of it is replicated, or an error of the proposal, or of type OutcomeUnknown
 // when ctx ends: what was added then is replicated nevertheless.
 func (b *crashBatcher) record(ctx context.Context, c *limit.CrashCommand) error {
@@ -95,6 +116,7 @@
 	defer b.mu.Unlock()
 	holders := map[*crashBatch]bool{}
 	var further []limit.CrashReport
+	var completed []string
 	for _, r := range c.Reports {
 		if holder := b.holderOf(r.ID); holder != nil {
 			holders[holder] = true
@@ -102,13 +124,21 @@
 			further = append(further, r)
 		}
 	}
-	if len(further)+len(c.Completed) > 0 {
+	for _, fingerprint := range c.Completed {
+		// A completed run that is sent again must not clear crashes that were reported meanwhile.
+		if holder := b.pendingWith(completion{c.Entry, fingerprint}); holder != nil {
+			holders[holder] = true
+		} else {
+			completed = append(completed, fingerprint)
+		}
+	}
+	if len(further)+len(completed) > 0 {
 		last := len(b.waiting) - 1
 		if last < 0 || !b.waiting[last].takes(further) {
 			b.waiting = append(b.waiting, newCrashBatch())
 			last++
 		}
-		b.waiting[last].add(c.Entry, further, c.Completed)
+		b.waiting[last].add(c.Entry, further, completed, b.now())
 		holders[b.waiting[last]] = true
 	}
 	if b.proposed == nil && len(b.waiting) > 0 {
@@ -135,6 +165,19 @@
 	return nil
 }
 
+// pendingWith returns the batch that holds a completed run and isn't replicated yet, or nil. The caller holds mu.
+func (b *crashBatcher) pendingWith(c completion) *crashBatch {
+	if b.proposed != nil && b.proposed.completedAt[c] {
+		return b.proposed
+	}
+	for _, batch := range b.waiting {
+		if batch.completedAt[c] {
+			return batch
+		}
+	}
+	return nil
+}
+
 // start proposes the first batch that waits. The caller holds mu.
 func (b *crashBatcher) start() {
 	b.proposed = b.waiting[0]
@@ -145,7 +188,7 @@
 func (b *crashBatcher) replicate(batch *crashBatch) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashBatchTimeout)
 	defer cancel()
-	batch.err = b.propose(ctx, &batch.command)
+	batch.err = b.propose(ctx, batch.dated(b.now()))
 	defer close(batch.done)
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/ctrl/crashbatch_test.go
+++ b/ctrl/crashbatch_test.go
@@ -23,6 +23,11 @@
 	return nil
 }
 
+func (l *slowLog) batcher() *crashBatcher {
+	began := time.Now()
+	return &crashBatcher{propose: l.propose, now: func() time.Duration { return time.Since(began) }}
+}
+
 func (l *slowLog) timesProposed() map[string]int {
 	times := map[string]int{}
 	for _, c := range l.commands {
@@ -47,7 +52,7 @@
 func TestCrashReportsProposedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := &slowLog{takes: 500 * time.Millisecond}
-		b := crashBatcher{propose: log.propose}
+		b := log.batcher()
 		const entries, reports = 22, 150
 		counted := make(chan int, entries)
 		for i := range entries {
@@ -82,7 +87,7 @@
 func TestReportAfterCompletionKeepsItsOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := &slowLog{takes: 10 * time.Millisecond}
-		b := crashBatcher{propose: log.propose}
+		b := log.batcher()
 		record := func(c *limit.CrashCommand) { go func() { check.NoError(t, b.record(t.Context(), c)) }() }
 		record(reportsOf("first", 1))
 		synctest.Wait()
@@ -99,7 +104,7 @@
 // TestFailedBatchIsProposedAgain guards against reports that are held for counted although their proposal failed.
 func TestFailedBatchIsProposedAgain(t *testing.T) {
 	failing := true
-	b := crashBatcher{propose: func(context.Context, *limit.CrashCommand) error {
+	b := crashBatcher{now: func() time.Duration { return 0 }, propose: func(context.Context, *limit.CrashCommand) error {
 		if failing {
 			return NotLeader.New("no longer")
 		}
@@ -111,3 +116,46 @@
 	failing = false
 	check.NoError(t, b.record(t.Context(), reportsOf("entry", 2)))
 }
+
+// TestWaitingReportsKeepTheirTimes guards against ends at one moment that count as a sequence, or the reverse, since their reports waited in
+// different batches: attempts of different entries are compared by how long ago they began and ended.
+func TestWaitingReportsKeepTheirTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &slowLog{takes: 100 * time.Millisecond}
+		b := log.batcher()
+		record := func(entry string, age time.Duration) {
+			c := reportsOf(entry, 1)
+			c.Reports[0].Age, c.Reports[0].Ended = age, age/2
+			go func() { check.NoError(t, b.record(t.Context(), c)) }()
+			synctest.Wait()
+		}
+		record("first", 20*time.Millisecond)
+		time.Sleep(30 * time.Millisecond)
+		record("second", 40*time.Millisecond)
+		time.Sleep(time.Second)
+		check.Equal(t, "commands", len(log.commands), 2)
+		check.Equal(t, "age of one that didn't wait", log.commands[0].Reports[0].Age, 20*time.Millisecond)
+		check.Equal(t, "age of one that waited", log.commands[1].Reports[0].Age, 110*time.Millisecond)
+		check.Equal(t, "end of one that waited", log.commands[1].Reports[0].Ended, 90*time.Millisecond)
+	})
+}
+
+// TestRepeatedCompletionClearsNothingLater guards against a completed run that is sent again, as it wasn't replicated in time, and then clears a
+// crash that was reported after it.
+func TestRepeatedCompletionClearsNothingLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &slowLog{takes: 300 * time.Millisecond}
+		b := log.batcher()
+		record := func(c *limit.CrashCommand) {
+			go func() { check.NoError(t, b.record(t.Context(), c)) }()
+			synctest.Wait()
+		}
+		run := &limit.CrashCommand{Entry: "first", Completed: []string{"x"}}
+		record(run)
+		record(&limit.CrashCommand{Entry: "second", Reports: []limit.CrashReport{{ID: "second/1", Fingerprint: "x"}}})
+		record(run)
+		time.Sleep(time.Second)
+		check.Equal(t, "commands", len(log.commands), 2)
+		check.Equal(t, "completed beside the report", len(log.commands[1].Completed), 0)
+	})
+}
--- a/ctrl/hub.go
+++ b/ctrl/hub.go
@@ -80,6 +80,7 @@
 // NewHub returns the hub of one control VM.
 func NewHub(n *Node) *Hub {
 	h := &Hub{node: n, changed: newNotifier()}
+	h.crashes.now = clock.Now
 	h.crashes.propose = func(ctx context.Context, c *limit.CrashCommand) error {
 		_, err := n.Propose(ctx, Command{Crashes: c})
 		return err
