--- a/pass/away.go
+++ b/pass/away.go
@@ -21,7 +21,7 @@
 type routeFlow struct {
 	// responseBytes is the average length of the responses.
 	responseBytes float64
-	// usedAt is when it was last used.
+	// usedAt is when it last had a response.
 	usedAt time.Duration
 	// times are those of responses to requests without cached parts by data centre, and outflow the share of these that leaves.
 	times   map[string]*route.ServiceTime
@@ -50,13 +50,12 @@
 }
 
 // flow returns what is known of a route. The caller holds mu.
-func (d *distances) flow(name string, now time.Duration) *routeFlow {
+func (d *distances) flow(name string) *routeFlow {
 	f := d.flows[name]
 	if f == nil {
-		f = &routeFlow{times: map[string]*route.ServiceTime{}}
+		f = &routeFlow{usedAt: clock.Now(), times: map[string]*route.ServiceTime{}}
 		d.flows[name] = f
 	}
-	f.usedAt = now
 	return f
 }
 
@@ -75,7 +74,8 @@
 		return
 	}
 	now := clock.Now()
-	f := e.distances.flow(j.route.Name, now)
+	f := e.distances.flow(j.route.Name)
+	f.usedAt = now
 	if f.responseBytes == 0 {
 		f.responseBytes = float64(bytes)
 	}
@@ -90,10 +90,12 @@
 // decide.
 func (t *topology) isSpread(pool string) bool { return t.spread[pool] }
 
-// findSpread sets which pools are spread, for an entry in a place.
-func (t *topology) findSpread(place string) {
+// findSpread sets which pools are spread for an entry, and the round trips to the places. The caller holds mu.
+func (t *topology) findSpread(e *Entry) {
+	place := e.config.Place
 	t.spread, t.own = map[string]bool{}, -1
 	for i, name := range t.places {
+		t.roundTrips = append(t.roundTrips, e.distances.roundTrip(name))
 		if name == place && place != "" {
 			t.own = i
 		}
@@ -120,7 +122,7 @@
 		return route.EarliestCandidate(prompt, o.engine, estimates), route.Stays
 	}
 	l := route.Leaving{
-		Own: int32(o.topology.own), Bytes: e.distances.flow(j.route.Name, clock.Now()).requestBytes(j), TimePerByte: e.timePerByte(),
+		Own: int32(o.topology.own), Bytes: e.distances.flow(j.route.Name).requestBytes(j), TimePerByte: e.timePerByte(),
 		Age: e.config.View.Age(), Draw: route.UniformHash(j.call.ID),
 	}
 	if j.route.Goal > 0 {
@@ -136,11 +138,11 @@
 	if !o.topology.isSpread(o.job.pool) {
 		return nil
 	}
-	delays, own := e.scratch.delays[:0], e.distances.roundTrip(e.config.Place)
-	for i, place := range o.topology.places {
+	t, delays := o.topology, e.scratch.delays[:0]
+	for i, r := range t.roundTrips {
 		delay := time.Duration(0)
-		if i != o.topology.own {
-			delay = route.AddedRoundTrip(own, e.distances.roundTrip(place))
+		if i != t.own {
+			delay = route.AddedRoundTrip(t.roundTrips[t.own], r)
 		}
 		delays = append(delays, delay)
 	}
@@ -157,7 +159,7 @@
 		return route.SpreadLoad(draw, loads), route.Stays
 	}
 	t, now := e.topology, clock.Now()
-	f := e.distances.flow(j.route.Name, now)
+	f := e.distances.flow(j.route.Name)
 	home := f.timesAt(e.config.Place)
 	f.expect(t, home, now)
 	open := e.scratch.open[:0]
--- a/pass/topology.go
+++ b/pass/topology.go
@@ -45,6 +45,8 @@
 	// elsewhere.
 	own    int
 	spread map[string]bool
+	// roundTrips are those to each of the places.
+	roundTrips []*route.RoundTrip
 }
 
 // notSource is the index of a holder that is neither a store nor a listed engine.
@@ -129,7 +131,7 @@
 		}
 	}
 	t.cold = e.newColdBounds(t)
-	t.findSpread(e.config.Place)
+	t.findSpread(e)
 	return t
 }
 
--- a/route/away.go
+++ b/route/away.go
@@ -122,7 +122,8 @@
 type Side struct {
 	// Cost is the predicted time to first token with all penalties and the added round trip.
 	Cost time.Duration
-	// Spare is the share of the time until the goal that the data centre's engines have free.
+	// Spare is the share of the time until the goal that the data centre's engines have free. That at home only counts if the other
+	// has less than minSpare.
 	Spare float64
 }
 
@@ -171,7 +172,11 @@
 	if near.cost-all.cost <= l.bytesTime() {
 		return home, Stays
 	}
-	why := l.Decide(Side{near.cost, l.spare(e, candidates, l.Own)}, Side{all.cost, l.spare(e, candidates, other.Place)})
+	nearSide, otherSide := Side{near.cost, 0}, Side{all.cost, l.spare(e, candidates, other.Place)}
+	if otherSide.Spare < minSpare {
+		nearSide.Spare = l.spare(e, candidates, l.Own)
+	}
+	why := l.Decide(nearSide, otherSide)
 	if why == Stays {
 		return home, Stays
 	}
