wire: bound the connections of peers that haven't authenticated

Cause: each accepted connection counted nowhere during its handshake (2 s); and a listener that once failed to accept, as without a descriptor, never accepted again.

Beyond that the oldest one of the address with the most of them is closed: strangers that open many displace their own, and a peer at an address of its own isn't displaced by them. Errors of Accept are waited for, 20 ms each.

--- a/wire/server.go
+++ b/wire/server.go
@@ -22,6 +22,8 @@
 	Handle Handler
 	// MaxStreams is the maximum number of concurrent streams; zero means DefaultMaxStreams.
 	MaxStreams int
+	// MaxHandshakes is the maximum number of connections whose peers haven't authenticated yet; zero means DefaultMaxHandshakes.
+	MaxHandshakes int
 	// KeepAliveConfig configures the detection of unresponsive connections.
 	KeepAliveConfig KeepAliveConfig
 }
@@ -38,9 +40,10 @@
 	streamSlots chan struct{}
 	goroutines  sync.WaitGroup
 
-	// mu guards conns and partitioned.
+	// mu guards the rest.
 	mu          sync.Mutex
 	conns       map[net.Conn]struct{}
+	handshakes  handshakes
 	partitioned bool
 }
 
@@ -52,6 +55,9 @@
 	if c.MaxStreams == 0 {
 		c.MaxStreams = DefaultMaxStreams
 	}
+	if c.MaxHandshakes == 0 {
+		c.MaxHandshakes = DefaultMaxHandshakes
+	}
 	ln, err := net.Listen("tcp", c.Addr.String())
 	if err != nil {
 		return nil, ConnectionLost.Wrap(err, "listen on %s", c.Addr)
@@ -64,14 +70,17 @@
 		cancel:      cancel,
 		streamSlots: make(chan struct{}, c.MaxStreams),
 		conns:       map[net.Conn]struct{}{},
+		handshakes:  handshakes{most: c.MaxHandshakes},
 	}
 	s.goroutines.Go(func() {
 		for {
 			conn, err := ln.Accept()
-			if err != nil {
+			switch {
+			case err != nil && !s.mayAcceptLater(err):
 				return
+			case err == nil && s.trackConn(conn):
+				s.goroutines.Go(func() { s.serveConn(conn) })
 			}
-			s.goroutines.Go(func() { s.serveConn(conn) })
 		}
 	})
 	return s, nil
@@ -83,14 +92,12 @@
 }
 
 func (s *Server) serveConn(raw net.Conn) {
-	if !s.trackConn(raw) {
-		return
-	}
 	defer s.untrackConn(raw)
 	tlsConn := tls.Server(raw, s.config.Keys.tlsConfig())
 	ctx, cancel := context.WithTimeout(s.ctx, DialTimeout)
 	err := tlsConn.HandshakeContext(ctx)
 	cancel()
+	s.endHandshake(raw)
 	if err != nil {
 		return
 	}
@@ -134,6 +141,7 @@
 		return false
 	}
 	s.conns[c] = struct{}{}
+	s.handshakes.begin(c)
 	return true
 }
 
@@ -141,6 +149,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	s.handshakes.end(c)
 	c.Close()
 }
 
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -25,19 +25,22 @@
 	return k
 }
 
+// echo sends back each frame of a stream.
+func echo(_ context.Context, s *wire.Stream) {
+	for {
+		f, err := s.Recv()
+		if err != nil || s.Send(f) != nil {
+			return
+		}
+	}
+}
+
 func startEchoServer(t *testing.T, k *wire.Keys) netip.AddrPort {
 	t.Helper()
 	s, err := wire.Serve(wire.ServerConfig{
-		Addr: netip.MustParseAddrPort("127.0.0.1:0"),
-		Keys: k,
-		Handle: func(_ context.Context, s *wire.Stream) {
-			for {
-				f, err := s.Recv()
-				if err != nil || s.Send(f) != nil {
-					return
-				}
-			}
-		},
+		Addr:   netip.MustParseAddrPort("127.0.0.1:0"),
+		Keys:   k,
+		Handle: echo,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -50,6 +53,11 @@
 	t.Helper()
 	p := wire.NewPool(wire.PoolConfig{Keys: k})
 	defer p.Close()
+	return exchangeOn(t, p, to)
+}
+
+func exchangeOn(t *testing.T, p *wire.Pool, to netip.AddrPort) error {
+	t.Helper()
 	s, err := p.Open(context.Background(), to)
 	if err != nil {
 		return err
