Bound what callers, operators and others make a process of the agents' path hold

Cause: bodies of prompts, bookings and tables were held whatever others held (100 prompts of 4 MiB: 1,018 MiB), and connections of callers, operators and for metrics were as many as were opened.

- node creates one limit.Budget from the new settings [limits] (memory, files and the bounds themselves; unset: half of the machine's memory, the system's limit of descriptors).
Callers' connections and headers count under it, as on the platform's path.
- entry holds a body four times for a prompt and twice for a booking, as decoding and offers copy it; a response that is held back until it is complete is sent as it comes if there is no memory. 408, 413 and 503 are given as not run.
- conns.ReadBody reads a body under a budget; the platform's operator port, entry and admin use it. admin answers 413 for a body over its limit (was 400).
- The administration and metrics ports are served by conns.ServePort; wire.handshakes bounds peers that haven't authenticated.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -8,6 +8,7 @@
 package admin
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -23,9 +24,11 @@
 	"github.com/joomcode/errorx"
 
 	"egretshunt/conf"
+	"egretshunt/conns"
 	"egretshunt/ctrl"
 	"egretshunt/entry"
 	"egretshunt/event"
+	"egretshunt/limit"
 	"egretshunt/quorum"
 	"egretshunt/table"
 )
@@ -50,6 +53,8 @@
 	maxWait = 2 * time.Minute
 	// maxBodyBytes is the maximum size of a request's body.
 	maxBodyBytes = 4 << 20
+	// bodyTime bounds the time in which a body must arrive, bodyPause how long it may pause.
+	bodyTime, bodyPause = time.Minute, 15 * time.Second
 )
 
 // Config holds the dependencies of an API.
@@ -57,6 +62,8 @@
 	Node   *ctrl.Node
 	Server *ctrl.Server
 	Client *ctrl.Client
+	// Budget holds the bodies of requests; nil holds any.
+	Budget *limit.Budget
 	// Operators maps the hash of each operator's key to the operator.
 	Operators map[string]conf.OperatorRecord
 	// Events may be nil.
@@ -137,7 +144,17 @@
 			writeError(w, http.StatusForbidden, CodeForbidden, operator.Name+" may look but not change")
 			return
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+		body, hold, failure := conns.ReadBody(w, r, conns.BodyConfig{Budget: a.config.Budget, Max: maxBodyBytes, Time: bodyTime, Pause: bodyPause})
+		defer hold.Release()
+		if failure != nil {
+			code := CodeMalformed
+			if failure.Status == http.StatusServiceUnavailable {
+				code = CodeBusy
+			}
+			writeError(w, failure.Status, code, failure.Text)
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
 		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), operatorKey{}, operator)))
 	})
 }
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -2,10 +2,7 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
-	"os"
 	"slices"
 	"strings"
 
@@ -32,22 +29,6 @@
 	Content json.RawMessage `json:"content"`
 }
 
-// readBody reads a request body of up to limit bytes.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *Failure) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err == nil {
-		return body, nil
-	}
-	var big *http.MaxBytesError
-	switch {
-	case errors.As(err, &big):
-		return nil, newFailure(http.StatusRequestEntityTooLarge, CodeTooLarge, No, "the body is larger than this entry takes")
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, newFailure(http.StatusRequestTimeout, CodeTooSlow, No, "the body did not come in time")
-	}
-	return nil, newFailure(http.StatusBadRequest, CodeMalformed, No, "the body broke off")
-}
-
 // parsePrompt parses and validates the fields of a completion request that affect routing.
 func parsePrompt(body []byte) (*completionRequest, *Failure) {
 	p := &completionRequest{}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -45,6 +45,8 @@
 	Events     *event.Log
 	// MaxBody bounds a request body, in bytes.
 	MaxBody int64
+	// Budget holds the bodies of requests, and responses until they are complete; nil holds any.
+	Budget *limit.Budget
 	// MaxOpenRequests bounds the requests in flight; further ones are rejected.
 	MaxOpenRequests int
 	// MaxOpenPerAccount bounds the requests in flight of one account.
--- a/entry/request.go
+++ b/entry/request.go
@@ -13,6 +13,7 @@
 	"egretshunt/block"
 	"egretshunt/conns"
 	"egretshunt/ledger"
+	"egretshunt/limit"
 	"egretshunt/route"
 	"egretshunt/table"
 )
@@ -56,8 +57,8 @@
 
 // serveCompletion serves chat and text completions.
 func (e *Entry) serveCompletion(w http.ResponseWriter, r *http.Request) {
-	e.serve(w, r, func(account string) (*job, *Failure) {
-		body, f := readBody(w, r, e.config.MaxBody)
+	e.serve(w, r, func(account string, source *bodyReader) (*job, *Failure) {
+		body, f := source.read(promptFactor)
 		if f != nil {
 			return nil, f
 		}
@@ -80,7 +81,7 @@
 // serveService serves calls to services other than models. Methods other than GET, HEAD and
 // OPTIONS run at most once.
 func (e *Entry) serveService(w http.ResponseWriter, r *http.Request) {
-	e.serve(w, r, func(account string) (*job, *Failure) {
+	e.serve(w, r, func(account string, source *bodyReader) (*job, *Failure) {
 		name := chi.URLParam(r, "name")
 		plan, ok := e.plan(account, name)
 		if !ok || !isKind(e.config.Follower.Tables(), plan, table.Service) {
@@ -90,7 +91,7 @@
 		if len(key) > maxKeyBytes {
 			return nil, newFailure(http.StatusBadRequest, CodeMalformed, No, "the idempotency key is too long")
 		}
-		body, f := readBody(w, r, e.config.MaxBody)
+		body, f := source.read(bookingFactor)
 		if f != nil {
 			return nil, f
 		}
@@ -132,7 +133,7 @@
 
 // serve is the request path that all handlers share: it authenticates, admits and parses the
 // request, applies the route's limits and dispatches the job.
-func (e *Entry) serve(w http.ResponseWriter, r *http.Request, parse func(account string) (*job, *Failure)) {
+func (e *Entry) serve(w http.ResponseWriter, r *http.Request, parse func(account string, source *bodyReader) (*job, *Failure)) {
 	e.Requests.Add(1)
 	account, ok := e.config.Keys.Account(r.Header.Get("Authorization"))
 	if !ok {
@@ -145,7 +146,9 @@
 		return
 	}
 	defer release()
-	j, f := parse(account)
+	source := &bodyReader{w: w, r: r, entry: e}
+	defer source.release()
+	j, f := parse(account, source)
 	if f != nil {
 		e.reject(w, f)
 		return
@@ -198,6 +201,8 @@
 	}
 	w.Header().Set("X-Request-Id", j.id)
 	out := newResponseSink(w, j.stream, e.config.WriteTimeout)
+	out.held = e.config.Budget.Hold(limit.UseResponse, nil)
+	defer out.held.Release()
 	var f *Failure
 	if j.atMostOnce {
 		f = e.runAtMostOnce(ctx, j, out)
--- a/entry/response.go
+++ b/entry/response.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"egretshunt/body"
+	"egretshunt/limit"
 	"egretshunt/wire"
 )
 
@@ -25,8 +26,10 @@
 
 	head     *wire.Head
 	buffered []byte
-	started  bool
-	total    uint64
+	// held holds the buffer; a response for which there is no memory is sent as it comes.
+	held    *limit.Hold
+	started bool
+	total   uint64
 	// events follows a stream of events; nil for other content.
 	events *body.Events
 	// deadlineSetAt is when the write deadline was last extended.
@@ -34,11 +37,14 @@
 }
 
 func newResponseSink(w http.ResponseWriter, stream bool, writeTimeout time.Duration) *responseSink {
-	return &responseSink{w: w, controller: http.NewResponseController(w), stream: stream, writeTimeout: writeTimeout}
+	return &responseSink{w: w, controller: http.NewResponseController(w), stream: stream, writeTimeout: writeTimeout, held: (*limit.Budget)(nil).Hold(limit.UseResponse, nil)}
 }
 
 // reset discards a response of which nothing was sent to the client.
-func (s *responseSink) reset() { s.head, s.buffered, s.total = nil, nil, 0 }
+func (s *responseSink) reset() {
+	s.head, s.buffered, s.total = nil, nil, 0
+	s.held.Keep(0)
+}
 
 func (s *responseSink) setHead(h *wire.Head) {
 	if s.head == nil {
@@ -49,7 +55,7 @@
 // write buffers or sends the next bytes of the response.
 func (s *responseSink) write(p []byte) error {
 	s.total += uint64(len(p))
-	if !s.stream && !s.started && len(s.buffered)+len(p) <= maxBufferedBytes {
+	if !s.stream && !s.started && len(s.buffered)+len(p) <= maxBufferedBytes && s.held.Keep(2*(len(s.buffered)+len(p))) {
 		s.buffered = append(s.buffered, p...)
 		return nil
 	}
@@ -59,6 +65,7 @@
 			return err
 		}
 		s.buffered = nil
+		s.held.Keep(0)
 	}
 	return s.writeNow(p)
 }
--- a/fleet/untrusted_test.go
+++ b/fleet/untrusted_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"egretshunt/check"
+	"egretshunt/conf"
 	"egretshunt/fleet"
 )
 
@@ -53,6 +54,9 @@
 		t.Run(tc.name, func(t *testing.T) {
 			f, err := fleet.NewFleet(shape, t.TempDir(), nil)
 			check.NoError(t, err)
+			for _, name := range f.Names() {
+				f.Settings(name).Limits = conf.Limits{Memory: untrustedMemory, Files: untrustedFds}
+			}
 			for _, name := range f.Entries {
 				f.Settings(name).Entry.Body = untrustedBody
 			}
--- a/node/process.go
+++ b/node/process.go
@@ -30,6 +30,7 @@
 	"egretshunt/entry"
 	"egretshunt/event"
 	"egretshunt/ledger"
+	"egretshunt/limit"
 	"egretshunt/quorum"
 	"egretshunt/store"
 	"egretshunt/table"
@@ -56,6 +57,8 @@
 	follower   *ctrl.Follower
 	client     *ctrl.Client
 	metrics    *metrics.Set
+	// budget is the owner of the memory that the process spends on traffic.
+	budget *limit.Budget
 
 	entry        *entry.Entry
 	keyring      *entry.Keyring
@@ -81,7 +84,7 @@
 		Out: out, Node: s.Node, JSON: s.Log.JSON, Level: s.Log.Level, Queue: cmp.Or(s.Log.Queue, event.DefaultQueue),
 	}), metrics: metrics.NewSet()}
 	for _, step := range []func() error{
-		p.startPeerPool, p.openDataFolder, p.startMember, p.startFollower, p.startStore, p.startAgent,
+		p.startBudget, p.startPeerPool, p.openDataFolder, p.startMember, p.startFollower, p.startStore, p.startAgent,
 		p.startWireServer, p.startCommandIssuer, p.startEntry, p.startAdminServer, p.startOpsServer,
 	} {
 		if err := step(); err != nil {
@@ -285,7 +288,7 @@
 	if p.member != nil {
 		p.controlServer = ctrl.NewServer(ctrl.ServerConfig{Node: p.member, Follower: p.follower})
 	}
-	wireServer, err := wire.Serve(wire.ServerConfig{Addr: p.settings.Wire.Listen, Keys: p.wireKeys, RevisionTracker: revisionTracker{p}, Handle: p.handleStream})
+	wireServer, err := wire.Serve(wire.ServerConfig{Addr: p.settings.Wire.Listen, Keys: p.wireKeys, RevisionTracker: revisionTracker{p}, Handle: p.handleStream, MaxHandshakes: p.settings.Wire.MaxHandshakes})
 	if err != nil {
 		return Failed.Wrap(err, "listen for peer processes")
 	}
@@ -345,11 +348,12 @@
 	p.keyring = entry.NewKeyring(callerKeys)
 	p.entry = entry.New(entry.Config{
 		Owner: ctrl.ClaimOwner(p.settings.Node, p.follower.Incarnation()), Keys: p.keyring, Follower: p.follower, Control: p.client, AgentConns: p.peerPool, Events: p.events,
-		MaxBody: s.Body, MaxOpenRequests: s.Open, MaxOpenPerAccount: s.Share, WriteTimeout: s.Write.Duration, Seed: uint64(time.Now().UnixNano()),
+		MaxBody: s.Body, MaxOpenRequests: s.Open, MaxOpenPerAccount: s.Share, WriteTimeout: s.Write.Duration, Budget: p.budget, Seed: uint64(time.Now().UnixNano()),
 	})
 	p.callerServer = &http.Server{Handler: p.entry.Handler(), ReadTimeout: s.Read.Duration}
 	limits := board.Limits{Header: maxCallerHeaderBytes, HeaderTimeout: s.Header.Duration, IdleTimeout: time.Minute}
 	p.callerConns = conns.Track(p.callerServer, func() board.Limits { return limits })
+	p.callerConns.Bound(p.budget)
 	if s.CertFile != "" {
 		cert, err := tls.LoadX509KeyPair(s.CertFile, s.KeyFile)
 		if err != nil {
@@ -372,17 +376,6 @@
 // maxCallerHeaderBytes bounds the headers of a caller's request.
 const maxCallerHeaderBytes = 64 << 10
 
-// serveHTTP serves s in the background. It listens before it returns, so that an
-// address already in use makes the start fail.
-func serveHTTP(s *http.Server, addr netip.AddrPort, clients string) error {
-	l, err := net.Listen("tcp", addr.String())
-	if err != nil {
-		return Failed.Wrap(err, "listen for %s", clients)
-	}
-	body.Serve(s, l)
-	return nil
-}
-
 func (p *Process) startAdminServer() error {
 	m := p.settings.Member
 	if m == nil {
@@ -392,9 +385,9 @@
 	if err != nil {
 		return err
 	}
-	p.adminAPI = admin.New(admin.Config{Node: p.member, Server: p.controlServer, Client: p.client, Operators: operators, Events: p.events})
-	p.adminServer = &http.Server{Handler: p.adminAPI.Handler(), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute}
-	return serveHTTP(p.adminServer, m.Admin, "operators")
+	p.adminAPI = admin.New(admin.Config{Node: p.member, Server: p.controlServer, Client: p.client, Budget: p.budget, Operators: operators, Events: p.events})
+	p.adminServer = &http.Server{Handler: p.adminAPI.Handler()}
+	return p.servePort(p.adminServer, m.Admin, "operators", true)
 }
 
 func (p *Process) startOpsServer() error {
@@ -402,6 +395,6 @@
 	if !p.settings.Ops.Listen.IsValid() {
 		return nil
 	}
-	p.opsServer = &http.Server{Handler: p.opsHandler(), ReadHeaderTimeout: 10 * time.Second}
-	return serveHTTP(p.opsServer, p.settings.Ops.Listen, "metrics")
+	p.opsServer = &http.Server{Handler: p.opsHandler()}
+	return p.servePort(p.opsServer, p.settings.Ops.Listen, "metrics", false)
 }
