Tests of ports: all cases against the same processes

Numbers and bounds are unchanged. What the kernel holds is now counted on all connections of a process, not on one port's.

--- a/check/untrusted.go
+++ b/check/untrusted.go
@@ -140,7 +140,7 @@
 
 // Bounds are what a process may use.
 type Bounds struct {
-	// Memory is the largest resident memory that it may ever have, with the bytes that the kernel holds for its clients.
+	// Memory is the largest resident memory that it may ever have, with the bytes that the kernel holds on its connections.
 	Memory int64
 	// Fds is how many descriptors it may have open.
 	Fds int
@@ -149,13 +149,12 @@
 // Watch samples what a process uses.
 type Watch struct {
 	pid  int
-	port uint16
 	end  chan struct{}
 	done sync.WaitGroup
 
 	// mu guards the rest.
 	mu sync.Mutex
-	// resident, kernel and fds are the largest samples; kernel is what the kernel holds on the connections to the port.
+	// resident, kernel and fds are the largest samples; kernel is what the kernel holds on the process's connections.
 	resident, kernel int64
 	fds              int
 	err              error
@@ -164,9 +163,9 @@
 // sampleInterval is the interval between two samples.
 const sampleInterval = 20 * time.Millisecond
 
-// StartWatch begins to sample a process whose clients connect to a port.
-func StartWatch(t testing.TB, pid int, port uint16) *Watch {
-	w := &Watch{pid: pid, port: port, end: make(chan struct{})}
+// StartWatch begins to sample a process.
+func StartWatch(t testing.TB, pid int) *Watch {
+	w := &Watch{pid: pid, end: make(chan struct{})}
 	w.sample()
 	w.done.Go(func() {
 		for {
@@ -201,19 +200,30 @@
 		}
 	}
 	sockets, socketErr := os.ReadFile(fmt.Sprintf("/proc/%d/net/tcp", w.pid))
-	w.kernel = max(w.kernel, queued(string(sockets), w.port))
+	w.kernel = max(w.kernel, queued(string(sockets), inodes(w.pid, fds)))
 	w.err = errors.Join(err, statusErr, socketErr)
 }
 
-// queued adds up the bytes that the kernel holds on the connections to a port, of a table of sockets.
-func queued(sockets string, port uint16) (sum int64) {
-	local := fmt.Sprintf(":%04X", port)
+// inodes returns the inodes of the sockets among a process's descriptors.
+func inodes(pid int, fds []os.DirEntry) map[string]bool {
+	out := map[string]bool{}
+	for _, fd := range fds {
+		// A descriptor may have been closed meanwhile.
+		link, _ := os.Readlink(fmt.Sprintf("/proc/%d/fd/%s", pid, fd.Name()))
+		if inode, ok := strings.CutPrefix(link, "socket:["); ok {
+			out[strings.TrimSuffix(inode, "]")] = true
+		}
+	}
+	return out
+}
+
+// queued adds up the bytes that the kernel holds on sockets with the inodes, of a table of sockets.
+func queued(sockets string, inodes map[string]bool) (sum int64) {
+	// The queues of a listener count connections.
+	const state, queues, inode, listening = 3, 4, 9, "0A"
 	for line := range strings.Lines(sockets) {
-		const localAddr, state, queues = 1, 3, 4
 		fields := strings.Fields(line)
-		// The queues of a listener count connections.
-		const listening = "0A"
-		if len(fields) <= queues || !strings.HasSuffix(fields[localAddr], local) || fields[state] == listening {
+		if len(fields) <= inode || !inodes[fields[inode]] || fields[state] == listening {
 			continue
 		}
 		var unsent, unread int64
--- a/fleet/untrusted_test.go
+++ b/fleet/untrusted_test.go
@@ -20,7 +20,7 @@
 )
 
 // TestUntrustedClients guards against clients that make a process of the agents' path end, hang or outgrow its VM, at each port that
-// it listens on.
+// it listens on. All cases run against the same processes, whose peaks are those of all cases so far.
 func TestUntrustedClients(t *testing.T) {
 	check.Alone(t)
 	binary, err := fleet.Build(t.Context(), t.TempDir())
@@ -29,6 +29,47 @@
 	account := "Authorization: Bearer " + shape.Key(0) + "\r\n"
 	operator := "Authorization: Bearer " + fleet.OperatorKey + "\r\n"
 	const prompts, jobs, pool = "/v1/completions", "/svc/dispatch/jobs", "/admin/v1/pools/more?base=0"
+	f, err := fleet.NewFleet(shape, t.TempDir(), nil)
+	check.NoError(t, err)
+	for _, name := range f.Names() {
+		f.Settings(name).Limits = conf.Limits{Memory: untrustedMemory, Files: untrustedFds}
+	}
+	for _, name := range f.Entries {
+		f.Settings(name).Entry.Body = untrustedBody
+	}
+	p, err := fleet.StartProcesses(t.Context(), f, binary)
+	check.NoError(t, err)
+	defer p.Close()
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	ordinary := func(t *testing.T, from string) {
+		t.Helper()
+		check.Eventually(t, "a prompt is answered "+from, func() bool {
+			a, err := sendPrompt(t.Context(), f, c, 0, 1, from, 3, true)
+			return err == nil && a.complete && a.text == wantText(from, 3)
+		})
+		check.Eventually(t, "a booking is answered "+from, func() bool {
+			a, err := sendBooking(t.Context(), f, c, 0, 1, from, "x")
+			return err == nil && a.status == http.StatusCreated
+		})
+		for _, url := range []string{f.AdminURL(0) + "/status", "http://" + f.Settings("entry-0").Ops.Listen.String() + "/metrics"} {
+			check.Eventually(t, url+" is answered "+from, func() bool {
+				r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+				check.NoError(t, err)
+				r.Header.Set("Authorization", "Bearer "+fleet.OperatorKey)
+				got, err := c.Do(r)
+				if err != nil {
+					return false
+				}
+				got.Body.Close()
+				return got.StatusCode == http.StatusOK
+			})
+		}
+	}
+	ordinary(t, "before")
+	uses := map[string]*check.Watch{}
+	for _, name := range []string{"entry-0", "worker-0", "store-0"} {
+		uses[name] = check.StartWatch(t, p.PID(name))
+	}
 	for _, tc := range []struct {
 		name, process, port string
 		clients             int
@@ -52,55 +93,18 @@
 		{"silent at a store's wire", "store-0", "wire", untrustedIdle, check.Silent()},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			f, err := fleet.NewFleet(shape, t.TempDir(), nil)
-			check.NoError(t, err)
-			for _, name := range f.Names() {
-				f.Settings(name).Limits = conf.Limits{Memory: untrustedMemory, Files: untrustedFds}
-			}
-			for _, name := range f.Entries {
-				f.Settings(name).Entry.Body = untrustedBody
-			}
-			p, err := fleet.StartProcesses(t.Context(), f, binary)
-			check.NoError(t, err)
-			defer p.Close()
-			c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-			ordinary := func(from string) {
-				t.Helper()
-				check.Eventually(t, "a prompt is answered "+from, func() bool {
-					a, err := sendPrompt(t.Context(), f, c, 0, 1, from, 3, true)
-					return err == nil && a.complete && a.text == wantText(from, 3)
-				})
-				check.Eventually(t, "a booking is answered "+from, func() bool {
-					a, err := sendBooking(t.Context(), f, c, 0, 1, from, "x")
-					return err == nil && a.status == http.StatusCreated
-				})
-				for _, url := range []string{f.AdminURL(0) + "/status", "http://" + f.Settings("entry-0").Ops.Listen.String() + "/metrics"} {
-					check.Eventually(t, url+" is answered "+from, func() bool {
-						r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
-						check.NoError(t, err)
-						r.Header.Set("Authorization", "Bearer "+fleet.OperatorKey)
-						got, err := c.Do(r)
-						if err != nil {
-							return false
-						}
-						got.Body.Close()
-						return got.StatusCode == http.StatusOK
-					})
-				}
-			}
-			ordinary("before")
 			s := f.Settings(tc.process)
 			at := map[string]netip.AddrPort{"wire": s.Wire.Listen, "ops": s.Ops.Listen}
 			if s.Entry != nil {
 				at["entry"], at["admin"] = s.Entry.Listen, s.Member.Admin
 			}
-			use := check.StartWatch(t, p.PID(tc.process), at[tc.port].Port())
+			use := uses[tc.process]
 			bounds := check.Bounds{Memory: untrustedMemory, Fds: untrustedFds}
 			leave := check.Clients(t, tc.clients, at[tc.port], tc.client)
-			ordinary("while they stay")
+			ordinary(t, "while they stay")
 			use.Within(t, "while they stay", bounds)
 			leave()
-			ordinary("afterwards")
+			ordinary(t, "afterwards")
 			use.Within(t, "afterwards", bounds)
 		})
 	}
