--- a/check/untrusted.go
+++ b/check/untrusted.go
@@ -60,6 +60,15 @@
 	}}
 }
 
+// WholeBody returns a client that sends a body of a size, which begins with a text and ends with spaces.
+func WholeBody(method, path, headers, text string, size int) Client {
+	return Client{send: func(c net.Conn) {
+		if write(c, fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: h\r\n%sContent-Length: %d\r\n\r\n%s", method, path, headers, size, text)) {
+			writeSpaces(c, size-len(text))
+		}
+	}}
+}
+
 // writeSpaces writes size spaces, which JSON ignores, in pieces.
 func writeSpaces(c net.Conn, size int) {
 	piece := bytes.Repeat([]byte{' '}, 256<<10)
--- a/fleet/untrusted_test.go
+++ b/fleet/untrusted_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"bytes"
 	"net/http"
 	"net/netip"
 	"testing"
@@ -28,6 +29,7 @@
 	shape := fleet.Tiny()
 	account := "Authorization: Bearer " + shape.Key(0) + "\r\n"
 	operator := "Authorization: Bearer " + fleet.OperatorKey + "\r\n"
+	const prompt = `{"model":"planner","prompt":"x","max_tokens":3}`
 	const prompts, jobs, pool = "/v1/completions", "/svc/dispatch/jobs", "/admin/v1/pools/more?base=0"
 	f, err := fleet.NewFleet(shape, t.TempDir(), nil)
 	check.NoError(t, err)
@@ -66,8 +68,12 @@
 		}
 	}
 	ordinary(t, "before")
+	large, err := f.Send(t.Context(), c, 0, 1, http.MethodPost, prompts, append([]byte(prompt), bytes.Repeat([]byte(" "), untrustedBody-len(prompt))...), "")
+	check.NoError(t, err)
+	large.Body.Close()
+	check.Equal(t, "status of a prompt of the largest size", large.StatusCode, http.StatusOK)
 	uses := map[string]*check.Watch{}
-	for _, name := range []string{"entry-0", "worker-0", "store-0"} {
+	for _, name := range f.Names() {
 		uses[name] = check.StartWatch(t, p.PID(name))
 	}
 	for _, tc := range []struct {
@@ -75,6 +81,8 @@
 		clients             int
 		client              check.Client
 	}{
+		{"whole prompts", "entry-0", "entry", untrustedBodies, check.WholeBody(http.MethodPost, prompts, account, prompt, untrustedBody)},
+		{"whole bookings", "entry-0", "entry", untrustedBodies, check.WholeBody(http.MethodPost, jobs, account, "x", untrustedBody)},
 		{"prompts one byte short", "entry-0", "entry", untrustedBodies, check.ShortBody(http.MethodPost, prompts, account, untrustedBody)},
 		{"prompts in chunks of 64 KiB", "entry-0", "entry", untrustedBodies, check.ChunkedBody(http.MethodPost, prompts, account, untrustedBody-64<<10, 64<<10)},
 		{"prompts in chunks of 8 bytes", "entry-0", "entry", untrustedBodies, check.ChunkedBody(http.MethodPost, prompts, account, 1<<20, 8)},
@@ -108,4 +116,7 @@
 			use.Within(t, "afterwards", bounds)
 		})
 	}
+	for name, use := range uses {
+		use.Within(t, name+" at the end", check.Bounds{Memory: untrustedMemory, Fds: untrustedFds})
+	}
 }
