Agents hold offers under the process's budget

Cause: an agent queues up to 256 offers of up to 32 MB, and entries that each stay within their own memory send them together.

An offer counts twice until its request ends, as it is copied for the endpoint; without memory for it the agent refuses it as busy and not run, so that the entry tries another one. A single one is always taken. limit.Budget.Single is what a single holder keeps at most; entry uses it too.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -39,6 +39,8 @@
 	// Peers opens streams to stores.
 	Peers  *wire.Pool
 	Events *event.Log
+	// Budget holds offers until their requests end; nil holds any.
+	Budget *limit.Budget
 }
 
 // Proposer sends commands to the control plane.
--- a/agent/offer.go
+++ b/agent/offer.go
@@ -63,7 +63,12 @@
 // serveOffer checks and queues one request, runs it and relays the response.
 func (a *Agent) serveOffer(ctx context.Context, s *wire.Stream, o *wire.Offer, rev uint64) {
 	deadline := time.Now().Add(time.Duration(o.GetBudgetMs()) * time.Millisecond)
-	if r := a.admit(ctx, o, rev); r != nil {
+	hold, r := a.holdOffer(o)
+	if r == nil {
+		r = a.admit(ctx, o, rev)
+	}
+	if r != nil {
+		hold.Release()
 		a.sendRefuse(s, r)
 		return
 	}
@@ -73,6 +78,7 @@
 	a.tasks.Go(func() { a.watchCaller(s, x, gone) })
 	if r := a.waitAndAccept(runCtx, gone, o, x, deadline); r != nil {
 		cancel()
+		hold.Release()
 		a.sendRefuse(s, r)
 		return
 	}
@@ -86,10 +92,12 @@
 		a.slots.freeSlot(x.tokens, false)
 		x.fail(newRefuse(codeCancel, ranNo, "the entry went away before the request was accepted"))
 		cancel()
+		hold.Release()
 		return
 	}
 	a.tasks.Go(func() {
 		defer cancel()
+		defer hold.Release()
 		a.run(runCtx, o, x)
 	})
 	a.relay(ctx, s, x, 0)
--- a/entry/held.go
+++ b/entry/held.go
@@ -40,7 +40,7 @@
 	default:
 		return nil, newFailure(failure.Status, CodeMalformed, No, failure.Text)
 	}
-	if budget != nil && !hold.Keep(int(min(int64(factor*len(data)), max(budget.Config().Large, int64(cap(data)))))) {
+	if !hold.Keep(max(budget.Single(factor*len(data)), cap(data))) {
 		hold.Release()
 		return nil, b.noRoom()
 	}
--- a/node/process.go
+++ b/node/process.go
@@ -273,7 +273,7 @@
 	}
 	c := agent.Config{
 		Pool: a.Pool, Endpoint: a.Endpoint, Kind: table.Kind(a.Kind), BlockKey: []byte(a.BlockNameSecret), MaxRunning: a.MaxRunning, MaxQueued: a.MaxQueued,
-		PrefillRate: a.PrefillRate, CallTimeout: a.Call.Duration, Follower: p.follower, Control: p.client, Peers: p.peerPool, Events: p.events,
+		PrefillRate: a.PrefillRate, CallTimeout: a.Call.Duration, Follower: p.follower, Control: p.client, Peers: p.peerPool, Events: p.events, Budget: p.budget,
 	}
 	if c.Kind == table.Model {
 		c.Backend = agent.NewEngine(a.Backend)
