conns.ReadBody: no abort after the body has arrived; settings, metrics and pages of the ports

A holder that is chosen while it waits may have finished when its abort comes; the read deadline set then ended the request that ran.

--- a/conf/doc.go
+++ b/conf/doc.go
@@ -59,6 +59,8 @@
 | ` + "`EGRETSHUNT_MAX_CLIENT_CONNS`" + ` | memory.client |
 | ` + "`EGRETSHUNT_SMALL_BYTES`" + ` | memory.small |
 | ` + "`EGRETSHUNT_LARGE_BYTES`" + ` | memory.large |
+| ` + "`EGRETSHUNT_MAX_HANDSHAKES`" + ` | wire.handshakes |
+| ` + "`EGRETSHUNT_PORT_CONNS`" + ` | ops.conns, for each of the operator, readiness and metrics ports; 64 at the operator port if unset |
 `
 
 // Doc returns the reference page of the settings as Markdown.
--- a/conns/readbody.go
+++ b/conns/readbody.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"os"
 	"strconv"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"egretshunt/limit"
@@ -38,8 +38,11 @@
 	config  BodyConfig
 	// deadline is when the body must have arrived; zero if it may take any time.
 	deadline time.Time
-	// aborted is set once the body is to be given up for others.
-	aborted atomic.Bool
+
+	// mu guards the read deadline and the rest. An abort after the end would end the request that then runs.
+	mu sync.Mutex
+	// aborted is set once the body is given up for others, ended once it is read.
+	aborted, ended bool
 }
 
 // Read implements io.Reader.
@@ -48,20 +51,40 @@
 	if pause := time.Now().Add(b.config.Pause); b.config.Pause > 0 && (until.IsZero() || pause.Before(until)) {
 		until = pause
 	}
-	if !until.IsZero() {
-		// An error shows in the read.
-		_ = b.control.SetReadDeadline(until)
-	}
-	// An abort sets this before its own deadline, which may have been replaced.
-	if b.aborted.Load() {
+	if !b.extend(until) {
 		return 0, os.ErrDeadlineExceeded
 	}
 	return b.source.Read(p)
 }
 
+// extend sets the read deadline unless it is zero, and reports whether the body may be read further.
+func (b *pacedBody) extend(until time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.aborted && !until.IsZero() {
+		// An error shows in the read.
+		_ = b.control.SetReadDeadline(until)
+	}
+	return !b.aborted
+}
+
+// end ends the reading; until bounds what the server reads from now on, unless it is zero.
+func (b *pacedBody) end(until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ended = true
+	// An error means that the client is gone.
+	_ = b.control.SetReadDeadline(until)
+}
+
 // abort ends the reading of the body for others.
 func (b *pacedBody) abort(limit.Stage) bool {
-	b.aborted.Store(true)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ended {
+		return false
+	}
+	b.aborted = true
 	return b.control.SetReadDeadline(time.Now()) == nil
 }
 
@@ -77,8 +100,7 @@
 			// By then bodies may be aborted that have stopped now.
 			w.Header().Set("Retry-After", strconv.Itoa(int(limit.BodyPatience.Seconds())))
 		}
-		// An error means that the client is gone.
-		_ = b.control.SetReadDeadline(time.Now().Add(rejectedBodyTime))
+		b.end(time.Now().Add(rejectedBodyTime))
 		return nil, hold, &BodyFailure{Status: status, Text: text}
 	}
 	if r.ContentLength > c.Max {
@@ -94,6 +116,8 @@
 	// One byte more shows a body over the limit.
 	data, whole, err := hold.Read(b, c.Max+1, r.ContentLength)
 	hold.Wait(limit.Busy)
+	// The server now reads from the connection to learn of its end.
+	b.end(time.Time{})
 	switch {
 	case int64(len(data)) > c.Max:
 		return reject(http.StatusRequestEntityTooLarge, "the body is too large")
@@ -104,7 +128,5 @@
 	case !whole:
 		return reject(http.StatusServiceUnavailable, "no memory for the body")
 	}
-	// The server now reads from the connection to learn of its end.
-	_ = b.control.SetReadDeadline(time.Time{})
 	return data, hold, nil
 }
--- a/node/budget.go
+++ b/node/budget.go
@@ -1,13 +1,11 @@
 package node
 
 import (
-	"cmp"
-	"math"
-	"net/netip"
-	"runtime/debug"
-
+	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
+	"runtime/debug"
 
 	"golang.org/x/sys/unix"
 
@@ -30,34 +28,37 @@
 
 // startBudget creates the owner of the memory that the process spends on traffic.
 func (p *Process) startBudget() error {
-	l := p.settings.Limits
-	c := limit.BudgetConfig{
-		Memory: l.Memory, Conns: l.MaxConns, ClientConns: l.MaxClientConns, Small: l.SmallBytes, Large: l.LargeBytes, Now: clock.Now,
-		Aborted: func(a limit.Abort) {
-			if a.Stage == limit.InBody || a.Stage == limit.Unread {
-				p.events.Emit(event.BodyAborted, "why", "others need its memory", "use", a.Use.String(), "stage", a.Stage.String(), "bytes", a.Bytes, "waited", a.Waited.Milliseconds())
-			}
-		},
+	c := p.settings.Memory.Config()
+	c.Now = clock.Now
+	c.Aborted = func(a limit.Abort) {
+		if a.Stage == limit.InBody || a.Stage == limit.Unread {
+			p.events.Emit(event.BodyAborted, "why", "others need its memory", "use", a.Use.String(), "memory", a.Bytes, "quiet", a.Waited.Milliseconds())
+		}
 	}
-	if l.Memory > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(l.Memory)))
-	} else {
-		c.Memory = halfOfMachine()
+	if c.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(c.Memory)))
 	}
 	if c.Conns == 0 {
-		c.Conns = max(int(connFilesShare*float64(cmp.Or(l.Files, fileLimit())-reservedFiles)), 1)
+		c.Conns = max(int(connFilesShare*float64(fileLimit()-reservedFiles)), 1)
 	}
 	p.budget = limit.NewBudget(c)
+	p.measureBudget()
 	return nil
 }
 
-// halfOfMachine returns half of the machine's memory; zero if it isn't known.
-func halfOfMachine() int64 {
-	var info unix.Sysinfo_t
-	if unix.Sysinfo(&info) != nil {
-		return 0
+// measureBudget adds the metrics of the budget.
+func (p *Process) measureBudget() {
+	gauge := func(name string, read func(s limit.BudgetStats) float64) {
+		p.metrics.NewGauge("egretshunt_budget_"+name, func() float64 { return read(p.budget.Stats()) })
+	}
+	gauge("connections", func(s limit.BudgetStats) float64 { return float64(s.Conns) })
+	for _, u := range limit.Uses() {
+		gauge(fmt.Sprintf("bytes{use=%q}", u), func(s limit.BudgetStats) float64 { return float64(s.Bytes[u]) })
+		gauge(fmt.Sprintf("refused_total{use=%q}", u), func(s limit.BudgetStats) float64 { return float64(s.Refused[u]) })
+	}
+	for _, stage := range limit.Stages() {
+		gauge(fmt.Sprintf("aborted_total{stage=%q}", stage), func(s limit.BudgetStats) float64 { return float64(s.Aborted[stage]) })
 	}
-	return int64(min(info.Totalram*uint64(info.Unit)/2, math.MaxInt64))
 }
 
 // fileLimit returns how many descriptors the process may have open.
@@ -75,6 +76,6 @@
 	if err != nil {
 		return Failed.Wrap(err, "listen for %s", clients)
 	}
-	conns.ServePort(s, l, conns.PortConfig{Conns: p.settings.Limits.MaxPortConns, Bodies: bodies})
+	conns.ServePort(s, l, conns.PortConfig{Conns: p.settings.Ops.MaxConns, Bodies: bodies})
 	return nil
 }
