--- a/conns/readbody_test.go
+++ b/conns/readbody_test.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -79,7 +78,7 @@
 		return n
 	}
 	budget := limit.NewBudget(limit.BudgetConfig{Large: size, Now: clock})
-	statuses := make(chan int, 2)
+	statuses := make(chan int, 100)
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, hold, failure := conns.ReadBody(w, r, conns.BodyConfig{Budget: budget, Max: size})
 		defer hold.Release()
@@ -96,15 +95,15 @@
 	_, err = io.WriteString(stopped, "PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 262144\r\n\r\n"+strings.Repeat("x", size-1))
 	check.NoError(t, err)
 	check.Eventually(t, "its memory is held", func() bool { return budget.Bytes() >= size })
-	<-now
-	now <- 2 * limit.BodyPatience
-	got, err := http.Post(s.URL, "", strings.NewReader(strings.Repeat("x", size)))
-	check.NoError(t, err)
-	got.Body.Close()
-	check.Equal(t, "status of the other", got.StatusCode, http.StatusOK)
-	both := []int{<-statuses, <-statuses}
-	slices.Sort(both)
-	check.Equal(t, "statuses of the other and of the one that stopped", both, []int{http.StatusOK, http.StatusRequestTimeout})
+	// Its last bytes may still be read after that, at any time.
+	check.Eventually(t, "another one gets the memory", func() bool {
+		now <- <-now + 2*limit.BodyPatience
+		got, err := http.Post(s.URL, "", strings.NewReader(strings.Repeat("x", size)))
+		check.NoError(t, err)
+		got.Body.Close()
+		return got.StatusCode == http.StatusOK
+	})
+	check.Eventually(t, "the one that stopped gets 408", func() bool { return <-statuses == http.StatusRequestTimeout })
 }
 
 // TestPort guards against ports that read bodies which nobody wants, or keep connections open beyond their bound.
