--- a/quorum/core.go
+++ b/quorum/core.go
@@ -18,6 +18,8 @@
 	// trailingEntries is how many entries stay in memory after a snapshot, so that followers
 	// that lag only a little need no snapshot.
 	trailingEntries = 512
+	// trailingBytes bounds them too, since an entry may hold a table set of 16 MiB; the last one stays in any case.
+	trailingBytes = 4 << 20
 	// snapshotResendInterval is how long a leader waits for the reply to a snapshot before sending it again.
 	snapshotResendInterval = 5 * time.Second
 	// preVotePriorityDivisor divides the election timeout. For that part of the timeout a pre-vote takes
@@ -334,9 +336,7 @@
 		return Snapshot{}, Refused.New("can't take a snapshot at %d: applied %d, last snapshot %d", index, c.lastApplied, c.snapshot.Index)
 	}
 	c.snapshot = Snapshot{Index: index, Term: term, Members: c.membersAt(index), Data: data}
-	if index > c.log.baseIndex+trailingEntries {
-		c.log.compact(index - trailingEntries)
-	}
+	c.log.compact(c.log.trailing(index, trailingEntries, trailingBytes))
 	c.reloadMembers()
 	return c.snapshot, nil
 }
--- a/quorum/log.go
+++ b/quorum/log.go
@@ -70,3 +70,16 @@
 	l.entries = append([]Entry(nil), l.entries[index-l.baseIndex:]...)
 	l.baseIndex, l.baseTerm = index, term
 }
+
+// trailing returns the index up to which entries may be dropped so that up to most entries and limit bytes, but at least one, remain of those up to
+// index. Each entry counts 32 bytes besides its data.
+func (l *memoryLog) trailing(index uint64, most, limit int) uint64 {
+	size, base := 0, index
+	for ; base > l.baseIndex && index-base < uint64(most); base-- {
+		size += len(l.entries[base-l.baseIndex-1].Data) + 32
+		if size > limit && base < index {
+			break
+		}
+	}
+	return base
+}
