--- a/conf/conf.go
+++ b/conf/conf.go
@@ -37,7 +37,6 @@
 	Via     []netip.AddrPort `toml:"via" doc:"Addresses (wire.listen) of relays in the same data centre. Tables are requested from them before the control VMs."`
 	Wire    Wire             `toml:"wire" doc:"Connections between the system's own processes."`
 	Log     Log              `toml:"log" doc:"Event log."`
-	Limits  Limits           `toml:"limits" doc:"What others may make the process hold."`
 	Ops     Ops              `toml:"ops" doc:"Metrics and health checks."`
 	Memory  Memory           `toml:"memory" doc:"Memory that clients may make the process hold."`
 	Entry   *Entry           `toml:"entry" doc:"Present on processes that serve client requests."`
@@ -55,17 +54,6 @@
 	MaxHandshakes int `toml:"handshakes" doc:"Maximum number of connections whose peers haven't authenticated yet. 64 if unset. Beyond it the oldest of the address with the most of them is closed."`
 }
 
-// Limits bounds what callers, operators and others that aren't trusted can make the process hold.
-type Limits struct {
-	Memory         int64 `toml:"memory" doc:"Memory that the process may use, in bytes. If unset, half of the machine's. The other bounds are shares of it if they are unset."`
-	Files          int   `toml:"files" doc:"Maximum number of open descriptors. If unset, the limit that the operating system sets."`
-	MaxConns       int   `toml:"conns" doc:"Maximum number of callers' connections. If unset, 40 % of the descriptors beyond 200, and no more than 40 % of the memory. Beyond it idle connections and incomplete requests give way."`
-	MaxClientConns int   `toml:"client" doc:"Maximum number of connections of one caller's address. If unset, three quarters of conns."`
-	MaxPortConns   int   `toml:"ports" doc:"Maximum number of connections at each of the ports for operators and for metrics. 32 if unset."`
-	SmallBytes     int64 `toml:"small" doc:"Maximum number of bytes of all bodies and held responses together, counting the first 32 KiB of each. If unset, 10 % of the memory."`
-	LargeBytes     int64 `toml:"large" doc:"The same for what they hold beyond that. If unset, 20 % of the memory. A request whose body finds no room is rejected with 503, or takes the place of a body that has stopped."`
-}
-
 // Log configures the event log.
 type Log struct {
 	JSON  bool   `toml:"json" doc:"Write JSON lines instead of logfmt."`
@@ -76,6 +64,8 @@
 // Ops configures the listener for metrics and health checks.
 type Ops struct {
 	Listen netip.AddrPort `toml:"listen" doc:"Address that serves /metrics, /healthz and /readyz. If unset, they are not served."`
+	// MaxConns bounds connections that don't count among the callers'.
+	MaxConns int `toml:"conns" doc:"Maximum number of connections at this address, and of connections at member.admin. 32 if unset. Beyond it idle connections and incomplete requests give way."`
 }
 
 // Entry configures the listener for client requests and the limits on them.
@@ -210,7 +200,7 @@
 	c.requireValid("log.level", s.Log.Level == "" || event.Level(s.Log.Level) == nil, "must be debug, info, warn or error")
 	c.requireValid("log.queue", s.Log.Queue >= 0, "must not be negative")
 	s.Memory.check(c)
-	s.Limits.check(c)
+	c.requireValid("ops.conns", s.Ops.MaxConns >= 0, "must not be negative")
 	c.requireValid("wire.handshakes", s.Wire.MaxHandshakes >= 0, "must not be negative")
 	c.requireValid("roles", s.Entry != nil || s.Member != nil || s.Agent != nil || s.Store != nil, "at least one of the sections [entry], [member], [agent] and [store] is required")
 	if s.Entry != nil {
@@ -242,15 +232,6 @@
 	}
 }
 
-func (l *Limits) check(c *checker) {
-	for key, n := range map[string]int64{
-		"memory": l.Memory, "files": int64(l.Files), "conns": int64(l.MaxConns), "client": int64(l.MaxClientConns), "ports": int64(l.MaxPortConns),
-		"small": l.SmallBytes, "large": l.LargeBytes,
-	} {
-		c.requireValid("limits."+key, n >= 0, "must not be negative")
-	}
-}
-
 func (e *Entry) check(c *checker) {
 	c.requireSet("entry.listen", e.Listen.IsValid(), "is the address for client requests")
 	c.requireSet("entry.keys", e.Keys != "", "names the file of the clients' API keys")
--- a/fleet/untrusted_test.go
+++ b/fleet/untrusted_test.go
@@ -14,6 +14,8 @@
 const (
 	// untrustedMemory and untrustedFds bound each process: fewer descriptors than there are clients of one kind.
 	untrustedMemory, untrustedFds = 128 << 20, 400
+	// untrustedConns bounds the connections of callers.
+	untrustedConns = 100
 	// untrustedIdle is how many clients connect and send no whole request.
 	untrustedIdle = 700
 	// untrustedBodies is how many clients send large bodies, of the largest size that is allowed: together 400 MiB.
@@ -34,7 +36,7 @@
 	f, err := fleet.NewFleet(shape, t.TempDir(), nil)
 	check.NoError(t, err)
 	for _, name := range f.Names() {
-		f.Settings(name).Limits = conf.Limits{Memory: untrustedMemory, Files: untrustedFds}
+		f.Settings(name).Memory = conf.Memory{Total: untrustedMemory, Conns: untrustedConns}
 	}
 	for _, name := range f.Entries {
 		f.Settings(name).Entry.Body = untrustedBody
