--- a/ctrl/apply.go
+++ b/ctrl/apply.go
@@ -71,7 +71,7 @@
 
 // emitChange emits the event of a table change; only the leader does so.
 func (n *Node) emitChange(c Command, r Result) {
-	if c.Evacuation != nil && n.core.Role() == quorum.Leader {
+	if c.Evacuation != nil && r.Evacuation != nil && n.core.Role() == quorum.Leader {
 		n.emitEvacuation(*c.Evacuation, *r.Evacuation)
 	}
 	if c.Change == nil || n.core.Role() != quorum.Leader {
--- a/ctrl/cold.go
+++ b/ctrl/cold.go
@@ -231,11 +231,11 @@
 )
 
 // signOf returns what the outcome of a call shows, whose answer may be of another process than the one before.
-func signOf(err error, replaced, recovered bool) processSign {
+func signOf(err error, replaced, same bool) processSign {
 	switch {
 	case replaced, err != nil && isConnEnd(err):
 		return processEnded
-	case recovered:
+	case same:
 		return processSame
 	}
 	return processUnknown
--- a/ctrl/engines.go
+++ b/ctrl/engines.go
@@ -123,6 +123,8 @@
 		cancel()
 		u := engineUpdate{addr: addr, reset: err != nil && failures == 0, unanswered: err != nil}
 		recovered := failures > 0 && err == nil
+		// An engine that a new leader first couldn't reach may answer as another process than the one that it had before.
+		same := recovered && epoch != 0 && epoch == got.Epoch
 		failures++
 		if err == nil {
 			failures = 0
@@ -136,7 +138,7 @@
 				lt.SetEngineClock(got.Clock)
 			}
 		}
-		lt.recordProcess(addr, signOf(err, err == nil && u.reset, recovered))
+		lt.recordProcess(addr, signOf(err, err == nil && u.reset, same))
 		if u.reset || u.unanswered || recovered || len(u.events) > 0 {
 			select {
 			case updates <- u:
--- a/limit/cold.go
+++ b/limit/cold.go
@@ -35,6 +35,8 @@
 
 	// MaxListAge is the age of a list from which all endpoints with a bound count as cold.
 	MaxListAge = 2 * time.Second
+	// restartNotice is the remaining coldness up to which a further restart is told at once: longer than entries go without a sync.
+	restartNotice = 500 * time.Millisecond
 	// evacuatedColdTime is how long after the end of their data centre's evacuation endpoints count as cold.
 	evacuatedColdTime = 3 * time.Second
 )
@@ -265,14 +267,14 @@
 	w.runs, w.known = next, true
 }
 
-// Restart records that an endpoint's process has ended, and reports whether that wasn't known. It counts until coldTime has passed, or
-// the list shows another incarnation.
+// Restart records that an endpoint's process has ended, and reports whether entries must learn of it at once: they don't know it, or what they
+// know is about to expire. It counts until coldTime has passed, or the list shows another incarnation.
 func (w *Warmups) Restart(id string, coldTime, now time.Duration) (news bool) {
 	r, ok := w.runs[id]
-	if !ok {
+	if !ok || coldTime <= 0 {
 		return false
 	}
-	news = r.until() <= now
+	news = r.until()-now <= restartNotice
 	r.restarted = now + coldTime
 	w.runs[id], w.cold[id] = r, true
 	return news
