Leaving the data centre is decided only where the deployment asks for it; a new leader takes no process for the former one

TestPlaceDoesntCountUnlessAskedFor. - Found in review: a leader that first finds an engine ended took the process that answered next for the one before, and its mark as cold ended up to 1.3 s early. The test of the former process now waits until the engines' epochs are known, which it assumed. - Found in review: a restart shortly before an endpoint would be warm wasn't told to held syncs, and one without a time to be cold was told each time (TestWarmups).

--- a/ctrl/cold_test.go
+++ b/ctrl/cold_test.go
@@ -113,6 +113,8 @@
 func TestFormerProcessIsWarmAgain(t *testing.T) {
 	p, feed := startColdFeed(t, board.Pool{Name: "p", ColdRate: 20, ColdTime: coldTime})
 	check.Eventually(t, "a list", func() bool { return feed.List() != nil })
+	// The engines' first epochs are known.
+	time.Sleep(300 * time.Millisecond)
 	p.change(func(p *coldPlatform) { p.ended[p.listed[1].Addr] = true })
 	check.Eventually(t, "it is cold", func() bool { return len(coldIDs(feed)) == 1 })
 	p.change(func(p *coldPlatform) { p.ended[p.listed[1].Addr] = false })
@@ -133,3 +135,17 @@
 	check.Equal(t, "age of the list", clock.Now()-feed.Cold().ListedAt < time.Second, true)
 	check.Equal(t, "shared time is known", feed.Cold().Turn.Clock != 0, true)
 }
+
+// TestNewLeaderTakesNoProcessForTheFormer guards against a leader that first finds an engine ended, and then takes the process that answers for
+// the one before: entries would send to it without a bound until the list shows it.
+func TestNewLeaderTakesNoProcessForTheFormer(t *testing.T) {
+	p := &coldPlatform{staticPlatform: threeEngines(), ended: map[netip.AddrPort]bool{}, epoch: map[netip.AddrPort]int64{}}
+	p.listed = slices.Clone(p.engines)
+	p.ended[p.listed[1].Addr] = true
+	feed := startFeedOf(t, p, nil, board.Pool{Name: "p", ColdRate: 20, ColdTime: coldTime})
+	check.Eventually(t, "it is cold", func() bool { return slices.Equal(coldIDs(feed), []string{"e1"}) })
+	p.change(func(p *coldPlatform) { p.epoch[p.listed[1].Addr]++; p.ended[p.listed[1].Addr] = false })
+	// The engine is asked again twice a second.
+	time.Sleep(2 * time.Second)
+	check.Equal(t, "cold after another process has answered", coldIDs(feed), []string{"e1"})
+}
--- a/limit/cold_test.go
+++ b/limit/cold_test.go
@@ -323,6 +323,7 @@
 	check.Equal(t, "cold in the first list", cold(10*time.Second), false)
 	check.Equal(t, "news of a restart", w.Restart("a", coldTime, 11*time.Second), true)
 	check.Equal(t, "news of the same restart", w.Restart("a", coldTime, 11*time.Second), false)
+	check.Equal(t, "news of a restart without a time to be cold", w.Restart("a", 0, 20*time.Second), false)
 	list(11500*time.Millisecond, 1, 0)
 	check.Equal(t, "cold while the list shows the former incarnation", cold(13*time.Second), true)
 	list(12*time.Second, 2, 0)
@@ -334,6 +335,8 @@
 	check.Equal(t, "warm, as the list says", cold(17*time.Second), false)
 	check.Equal(t, "news of an unknown one", w.Restart("b", coldTime, 17*time.Second), false)
 	w.Restart("a", coldTime, 18*time.Second)
+	check.Equal(t, "news of a further restart", w.Restart("a", coldTime, 20*time.Second), false)
+	check.Equal(t, "news of a restart shortly before it would be warm", w.Restart("a", coldTime, 22600*time.Millisecond), true)
 	w.Recover("a")
 	check.Equal(t, "cold though its process goes on", cold(18*time.Second), false)
 }
--- a/pass/away.go
+++ b/pass/away.go
@@ -94,6 +94,9 @@
 func (t *topology) findSpread(e *Entry) {
 	place := e.config.Place
 	t.spread, t.own = map[string]bool{}, -1
+	if !e.config.KeepsToPlace {
+		return
+	}
 	for i, name := range t.places {
 		t.roundTrips = append(t.roundTrips, e.distances.roundTrip(name))
 		if name == place && place != "" {
--- a/pass/away_test.go
+++ b/pass/away_test.go
@@ -17,13 +17,19 @@
 
 // newAwayFixture returns a fixture of an entry in a data centre, with endpoints 0 and 1 there and 2 and 3 in another.
 func newAwayFixture(t *testing.T, place string, responses ...func(*pass.Send) (*pass.Reply, error)) (*fixture, *metrics.Set) {
+	t.Helper()
+	return newSpreadFixture(t, place, true, responses...)
+}
+
+// newSpreadFixture is newAwayFixture where requests keep to their data centre, or don't.
+func newSpreadFixture(t *testing.T, place string, keeps bool, responses ...func(*pass.Send) (*pass.Reply, error)) (*fixture, *metrics.Set) {
 	t.Helper()
 	draft := fixtureDraft()
 	set, err := board.New(draft)
 	check.NoError(t, err)
 	counters := metrics.NewSet()
 	fx := newFixtureWith(t, pass.Config{
-		Place: place, RolloutTimeout: time.Hour, Metrics: counters, RegionOf: func(place string) string { return regionsOf[place] },
+		Place: place, KeepsToPlace: keeps, RolloutTimeout: time.Hour, Metrics: counters, RegionOf: func(place string) string { return regionsOf[place] },
 		Decode: func([]byte) (*board.Set, error) { return set, nil },
 	}, responses...)
 	fx.place("a", "a", "b", "b")
@@ -89,6 +95,13 @@
 	}
 }
 
+// Guards against a deployment that doesn't ask for it in which requests keep to their data centre.
+func TestPlaceDoesntCountUnlessAskedFor(t *testing.T) {
+	fx, _ := newSpreadFixture(t, "a", false, respondWith(200, eventA))
+	got := fx.placesOfPrompts(t, 1000)
+	check.Equal(t, fmt.Sprint("some leave: ", got), got["b"] > 0, true)
+}
+
 // Guards against a history that is read again at home though an engine elsewhere has it.
 func TestPromptFollowsItsCachedHistory(t *testing.T) {
 	fx, counters := newAwayFixture(t, "a", respondWith(200, eventA))
--- a/pass/bench_test.go
+++ b/pass/bench_test.go
@@ -108,7 +108,7 @@
 	}
 	view.cold.Store(&cold)
 	return pass.New(pass.Config{
-		View: view, Place: "a", ColdExcess: 1.5, ColdSlack: 5,
+		View: view, Place: "a", KeepsToPlace: true, ColdExcess: 1.5, ColdSlack: 5,
 		Backend:      &scriptedBackend{responses: []func(*pass.Send) (*pass.Reply, error){respondWith(200, eventA)}},
 		Decode:       func([]byte) (*board.Set, error) { return set, nil },
 		RetryLimiter: limit.RetryLimiterConfig{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}, RolloutTimeout: time.Hour,
--- a/pass/cache.go
+++ b/pass/cache.go
@@ -97,7 +97,7 @@
 	candidates, addrs := make([]route.StoreState, 0, len(stores)), make([]netip.AddrPort, 0, len(stores))
 	for _, p := range stores {
 		if e.config.View.AcceptsParts(p.Store.Addr) && !slices.Contains(previous.triedStores, p.Store.Addr) {
-			candidates = append(candidates, route.StoreState{ID: p.Name, Capacity: p.Store.Tokens, Bandwidth: p.Store.Bandwidth, Remote: p.Store.Place != place})
+			candidates = append(candidates, route.StoreState{ID: p.Name, Capacity: p.Store.Tokens, Bandwidth: p.Store.Bandwidth, Remote: e.config.KeepsToPlace && p.Store.Place != place})
 			addrs = append(addrs, p.Store.Addr)
 		}
 	}
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -108,6 +108,9 @@
 	Budget *limit.Budget
 	// RegionOf returns the region of a data centre, "" if it isn't known; nil means that none is.
 	RegionOf func(place string) string
+	// KeepsToPlace is set if requests leave the entry's data centre only where that pays; otherwise data centres don't count in placement, except for
+	// plain requests of equal load.
+	KeepsToPlace bool
 	// TimePerByte is as how many nanoseconds a byte that a request moves between data centres counts in the choice of one; zero
 	// means route.DefaultTimePerByte.
 	TimePerByte float64
