limit: no holder is aborted for a request that is refused nevertheless

A request for more than could be freed aborted all that waited for their clients, one after the other, and was refused in the end. Keep now sums what may be aborted first, and aborts only if that makes enough room. TestBudgetAbortsNoneInVain fails without the change (seen).

--- a/limit/budget.go
+++ b/limit/budget.go
@@ -262,20 +262,16 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for !h.aborted {
-		small := min(int64(bytes), SmallBytes)
-		isSmallFull := small > h.small && b.small+small-h.small > b.config.Small
-		if isSmallFull {
-			// It may take the place of large ones.
-			small = h.small
-		}
-		large := int64(bytes) - small
-		if large <= h.large || b.large+large-h.large <= b.config.Large {
+		small, large, fits := h.split(int64(bytes), 0, 0)
+		if fits {
 			h.set(small, large)
 			return true
 		}
-		if !b.abortOne(func(other *Hold) bool {
-			return other != h && (other.large > 0 || isSmallFull && other.small > 0)
-		}) {
+		isSmallFull := small < min(int64(bytes), SmallBytes)
+		gives := func(other *Hold) bool { return other != h && (other.large > 0 || isSmallFull && other.small > 0) }
+		// None is aborted in vain: all that may be must make enough room.
+		freedSmall, freedLarge := b.freeable(gives)
+		if _, _, fits = h.split(int64(bytes), freedSmall, freedLarge); !fits || !b.abortOne(gives) {
 			break
 		}
 	}
@@ -283,6 +279,35 @@
 	return false
 }
 
+// split divides bytes between the two parts, of which so much is freed, and reports whether they fit. The caller holds mu.
+func (h *Hold) split(bytes, freedSmall, freedLarge int64) (small, large int64, fits bool) {
+	b := h.budget
+	small = min(bytes, SmallBytes)
+	if small > h.small && b.small-freedSmall+small-h.small > b.config.Small {
+		// It may take the place of large ones.
+		small = h.small
+	}
+	large = bytes - small
+	return small, large, large <= h.large || b.large-freedLarge+large-h.large <= b.config.Large
+}
+
+// freeable returns what the holders keep that fit and may be aborted now. The caller holds mu.
+func (b *Budget) freeable(fits func(*Hold) bool) (small, large int64) {
+	now := b.config.Now()
+	for h := range b.holders {
+		if h.mayAbort(now) && fits(h) {
+			small, large = small+h.small, large+h.large
+		}
+	}
+	return small, large
+}
+
+// mayAbort reports whether the holder has waited for long enough to be aborted for others. The caller holds the Budget's mu.
+func (h *Hold) mayAbort(now time.Duration) bool {
+	s := Stage(h.stage.Load())
+	return s != Busy && h.abort != nil && !h.aborting && now-time.Duration(h.since.Load()) >= patience[s]
+}
+
 // set sets what the holder keeps. The caller holds mu.
 func (h *Hold) set(small, large int64) {
 	h.budget.small += small - h.small
@@ -379,7 +404,7 @@
 	for h := range b.holders {
 		s := Stage(h.stage.Load())
 		w := now - time.Duration(h.since.Load())
-		if s == Busy || h.abort == nil || h.aborting || w < patience[s] || first != nil && (s > stage || s == stage && w <= waited) || !fits(h) {
+		if !h.mayAbort(now) || first != nil && (s > stage || s == stage && w <= waited) || !fits(h) {
 			continue
 		}
 		first, stage, waited = h, s, w
--- a/limit/budget_test.go
+++ b/limit/budget_test.go
@@ -71,6 +71,19 @@
 	check.Equal(t, "bytes in the end", x.Bytes(), int64(0))
 }
 
+// TestBudgetAbortsNoneInVain guards against bodies that are aborted for one that is refused nevertheless.
+func TestBudgetAbortsNoneInVain(t *testing.T) {
+	x := newBudgetFixture(limit.BudgetConfig{Small: mebibyte, Large: 3 * mebibyte})
+	running, stopped := x.body(t, 2*mebibyte, true), x.body(t, mebibyte, true)
+	running.Wait(limit.Busy)
+	x.now = limit.BodyPatience
+	next := x.Hold(limit.UseBody, nil)
+	check.Equal(t, "more than the one that stopped has", next.Keep(2*mebibyte), false)
+	check.Equal(t, "it is aborted", stopped.Aborted(), false)
+	check.Equal(t, "as much as it has", next.Keep(mebibyte), true)
+	check.Equal(t, "it is aborted then", stopped.Aborted(), true)
+}
+
 // TestBudgetPassesOverThoseThatHeard guards against the abort of a holder whose peer has just sent something.
 func TestBudgetPassesOverThoseThatHeard(t *testing.T) {
 	x := newBudgetFixture(limit.BudgetConfig{Small: mebibyte, Large: 2 * mebibyte})
