limit, pass: an unread response counts the body of its request

The body's holder is Busy once it has arrived, and a stream holds only some KiB: a client that sent a large body and read nothing of the response kept the body's memory until its deadline. Hold.Link links the response's holder with the body's; the abort of the response frees both, and counts both when the Budget looks for room. TestUnreadResponseFreesBody fails without the link (seen).

--- a/limit/budget.go
+++ b/limit/budget.go
@@ -99,7 +99,7 @@
 type Abort struct {
 	Use   Use
 	Stage Stage
-	// Bytes is what it held, Waited for how long it had waited for its peer.
+	// Bytes is what it held, and what is linked to it, Waited for how long it had waited for its peer.
 	Bytes  int64
 	Waited time.Duration
 }
@@ -206,6 +206,8 @@
 
 	// The Budget's mu guards the rest.
 	small, large int64
+	// linked is aborted with this holder; nil means none.
+	linked *Hold
 	// aborting is set while abort is called, aborted once the holder gave up.
 	aborting, aborted bool
 }
@@ -222,6 +224,24 @@
 	return h
 }
 
+// Link says that the abort of this holder ends another one too, such as that of the request's body with the response. What the other keeps counts as
+// what this one's abort frees. Nil means none.
+func (h *Hold) Link(other *Hold) {
+	if h.budget != nil {
+		h.budget.mu.Lock()
+		defer h.budget.mu.Unlock()
+		h.linked = other
+	}
+}
+
+// frees returns what the abort of the holder frees. The caller holds mu.
+func (h *Hold) frees() (small, large int64) {
+	if h.linked == nil {
+		return h.small, h.large
+	}
+	return h.small + h.linked.small, h.large + h.linked.large
+}
+
 // Conn returns the holder of a client's connection, in the stage Idle, or nil if there is no room for it. At the bound of all connections, or of
 // those of its address, the one that has been Idle for longest is aborted, then those in later stages.
 func (b *Budget) Conn(client netip.Addr, abort func(Stage) bool) *Hold {
@@ -268,7 +288,10 @@
 			return true
 		}
 		isSmallFull := small < min(int64(bytes), SmallBytes)
-		gives := func(other *Hold) bool { return other != h && (other.large > 0 || isSmallFull && other.small > 0) }
+		gives := func(other *Hold) bool {
+			small, large := other.frees()
+			return other != h && other.linked != h && (large > 0 || isSmallFull && small > 0)
+		}
 		// None is aborted in vain: all that may be must make enough room.
 		freedSmall, freedLarge := b.freeable(gives)
 		if _, _, fits = h.split(int64(bytes), freedSmall, freedLarge); !fits || !b.abortOne(gives) {
@@ -296,7 +319,8 @@
 	now := b.config.Now()
 	for h := range b.holders {
 		if h.mayAbort(now) && fits(h) {
-			small, large = small+h.small, large+h.large
+			s, l := h.frees()
+			small, large = small+s, large+l
 		}
 	}
 	return small, large
@@ -377,7 +401,8 @@
 		if h == nil {
 			return false
 		}
-		a := Abort{Use: h.use, Stage: stage, Bytes: h.small + h.large, Waited: waited}
+		small, large := h.frees()
+		a := Abort{Use: h.use, Stage: stage, Bytes: small + large, Waited: waited}
 		h.aborting = true
 		b.mu.Unlock()
 		gone := h.abort(stage)
@@ -387,8 +412,10 @@
 		b.mu.Lock()
 		h.aborting = false
 		if gone {
-			h.aborted = true
-			h.release()
+			h.giveUp()
+			if h.linked != nil {
+				h.linked.giveUp()
+			}
 			b.stats.Aborted[stage]++
 			return true
 		}
@@ -398,6 +425,12 @@
 	}
 }
 
+// giveUp notes that the holder was aborted. The caller holds mu.
+func (h *Hold) giveUp() {
+	h.aborted = true
+	h.release()
+}
+
 // longestWaiting returns the holder that is the first to go of those that fit; nil if there is none. The caller holds mu.
 func (b *Budget) longestWaiting(fits func(*Hold) bool) (first *Hold, stage Stage, waited time.Duration) {
 	now := b.config.Now()
--- a/pass/call.go
+++ b/pass/call.go
@@ -18,6 +18,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"egretshunt/limit"
 	"egretshunt/member"
 	"egretshunt/value"
 )
@@ -55,6 +56,8 @@
 	// Header holds the headers that are forwarded to the endpoint.
 	Header http.Header
 	Body   []byte
+	// Held counts Body under the entry's budget, until the request ends; nil counts nothing. It is given up with a response that isn't read.
+	Held *limit.Hold
 	// APIKey is the client's API key. It is never forwarded.
 	APIKey string
 	// Arrived is when the request was read, or, with ArrivalKnown, when it arrived, ClientTimeout how long the client
--- a/pass/serve.go
+++ b/pass/serve.go
@@ -237,6 +237,7 @@
 func (e *Entry) dispatch(ctx context.Context, j *job, w http.ResponseWriter) *failure {
 	out := newRelay(w, j.route.Kind == board.Stream, e.config.Budget)
 	defer out.held.Release()
+	out.held.Link(j.call.Held)
 	for {
 		j.step = stagePlacement
 		if out.headerSent && endOf(ctx) != nil {
