pass: a response without memory says nothing of its endpoint

Where the budget refused a stream's buffer, the relay ended it as Lost: the endpoint's failure was counted, it could be ejected, probed and taken for cold, and another endpoint was tried. It is an error of type NoRoom now: 502 with a reason of its own, no further attempt, the attempt unscored. The request may have run, so that 503 isn't possible. TestNoRoomSaysNothingOfEndpoint fails without the type, and without the attempt being unscored (both seen).

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -26,6 +26,7 @@
 	outcomeFailed        = "failed"
 	outcomeTimeout       = "no answer in time"
 	outcomeClientClosed  = "caller left"
+	outcomeNoRoom        = "no memory"
 )
 
 const (
@@ -136,7 +137,7 @@
 	err := out.copy(reply, &j.firstByteAt)
 	failed := err != nil || reply.Status >= http.StatusInternalServerError && j.route.Kind != board.Idempotent
 	if !ended {
-		if endOf(ctx) == context.Canceled || out.clientGone {
+		if endOf(ctx) == context.Canceled || out.clientGone || errorx.IsOfType(err, NoRoom) {
 			e.endAttemptUnscored(to)
 		} else {
 			e.endAttempt(to, failed, began)
@@ -162,6 +163,15 @@
 		}
 		return false, j.finalFailure(reasonTimeout, 0)
 	}
+	if errorx.IsOfType(err, NoRoom) {
+		// Another endpoint's response would have no more room.
+		e.recordUnanswered(j, to)
+		e.recordAttempt(j, to, outcomeNoRoom, "end", reply.Status)
+		if out.headerSent {
+			return false, e.cutResponse(j, out)
+		}
+		return false, &failure{status: http.StatusBadGateway, reason: reasonNoRoom}
+	}
 	outcome := outcomeLost
 	if errorx.IsOfType(err, BrokenOff) {
 		outcome = outcomeBrokenOff
--- a/pass/call.go
+++ b/pass/call.go
@@ -39,6 +39,8 @@
 	// BrokenOff is the subtype of Lost for bodies whose content or endpoint shows that the endpoint broke
 	// them off, though their connection ended as after a complete one.
 	BrokenOff = Lost.NewSubtype("brokenoff")
+	// NoRoom is the type of errors of responses for which the entry has no memory. They say nothing of the endpoint.
+	NoRoom = namespace.NewType("noroom")
 )
 
 // Part is one part of a prompt. Requests that share parts share their cached KV blocks.
--- a/pass/failure.go
+++ b/pass/failure.go
@@ -49,6 +49,8 @@
 	reasonEvacuated = "evacuated"
 	// reasonHomes: it is bound to regions none of which has an endpoint for it.
 	reasonHomes = "homes"
+	// reasonNoRoom: others hold the memory that its response needs.
+	reasonNoRoom = "no memory for the answer"
 )
 
 // notRun reports whether the failure's status says that the request has not run and won't.
--- a/pass/relay.go
+++ b/pass/relay.go
@@ -109,8 +109,8 @@
 	return r.isContinuable() && r.isEvents(reply) && reply.Status == r.firstReply.Status && body.IsSameType(reply.Header.Get("Content-Type"), r.firstReply.Header.Get("Content-Type"))
 }
 
-// copy relays one response and sets *first when its first bytes arrive. Its errors are of type Lost; those of
-// the client are recorded in clientGone.
+// copy relays one response and sets *first when its first bytes arrive. Its errors are of type Lost or NoRoom;
+// those of the client are recorded in clientGone.
 func (r *relay) copy(reply *Reply, first *time.Time) error {
 	defer r.held.Keep(0)
 	if r.isEvents(reply) {
@@ -230,7 +230,7 @@
 			return Lost.New("more than %d bytes without the end of an event", maxEventBytes)
 		}
 		if !r.held.Keep(cap(pending)) {
-			return Lost.New("%d bytes without the end of an event, while others hold too many", len(pending))
+			return NoRoom.New("%d bytes without the end of an event, while others hold too many", len(pending))
 		}
 		if errors.Is(err, io.EOF) {
 			r.openBytes = len(pending)
--- a/pass/unreadbody_test.go
+++ b/pass/unreadbody_test.go
@@ -1,14 +1,19 @@
 package pass_test
 
 import (
+	"context"
+	"fmt"
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"egretshunt/check"
+	"egretshunt/event"
 	"egretshunt/limit"
+	"egretshunt/member"
 	"egretshunt/pass"
 )
 
@@ -52,3 +57,35 @@
 	body.Release()
 	check.Equal(t, "bytes held in the end", budget.Bytes(), int64(bytes))
 }
+
+// probedBackend counts the probes of its endpoints, which follow lost responses.
+type probedBackend struct {
+	scriptedBackend
+	probes atomic.Int32
+}
+
+// Probe implements pass.Backend.
+func (b *probedBackend) Probe(context.Context, *member.Endpoint) member.Life {
+	b.probes.Add(1)
+	return member.Running
+}
+
+// TestNoRoomSaysNothingOfEndpoint guards against endpoints that are ejected or taken for cold, and against attempts that are repeated, because the entry
+// has no memory for a response.
+func TestNoRoomSaysNothingOfEndpoint(t *testing.T) {
+	b := &probedBackend{}
+	b.responses = append(b.responses, respondWith(200, strings.Repeat("x", 2*limit.SmallBytes)))
+	out := &buffer{}
+	fx := newFixtureWith(t, pass.Config{Events: event.New(event.Config{Out: out, Node: "n"}), Backend: b, Budget: limit.NewBudget(limit.BudgetConfig{Small: limit.SmallBytes, Large: 1})})
+	const requests = 100
+	for i := range requests {
+		got, _ := fx.call("/resume/x", "k", func(c *pass.Call) { c.ID = fmt.Sprint(i) })
+		check.Equal(t, "status", got.Code, http.StatusBadGateway)
+		check.Equal(t, "the reason is the memory", strings.Contains(got.Body.String(), "no memory for the answer"), true)
+	}
+	check.Equal(t, "one attempt for each", len(b.sends), requests)
+	check.Equal(t, "probes of the endpoints", b.probes.Load(), int32(0))
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	check.Equal(t, "an endpoint is ejected", strings.Contains(out.text.String(), "name=unfit"), false)
+}
