limit: bounds for the bytes of one client address, and for bodies that trickle in

The small part was full with 436 bodies of 32 KiB, of which one address may have 474 by its connections; with a byte every 0.9 s none of them was ever aborted, and ordinary requests of others were refused. - The small part is 0.15 of the memory (0.1 before): 32 KiB for each connection. - One client address may have 75 percent of each part (memory.percent, EGRETSHUNT_CLIENT_PERCENT; at least one small allowance); at its bound only its own holders give way. The response counts for the client of its request's body. - A body that waits counts as waiting for the time by which it is later than 1 KiB/s, once it is 5 s old. TestBudgetDefaults expects the new share.

--- a/conf/doc.go
+++ b/conf/doc.go
@@ -57,6 +57,7 @@
 | --- | --- |
 | ` + "`EGRETSHUNT_MAX_CONNS`" + ` | memory.conns |
 | ` + "`EGRETSHUNT_MAX_CLIENT_CONNS`" + ` | memory.client |
+| ` + "`EGRETSHUNT_CLIENT_PERCENT`" + ` | memory.percent |
 | ` + "`EGRETSHUNT_SMALL_BYTES`" + ` | memory.small |
 | ` + "`EGRETSHUNT_LARGE_BYTES`" + ` | memory.large |
 `
--- a/conns/bound.go
+++ b/conns/bound.go
@@ -58,8 +58,9 @@
 	k := c.newConn(raw)
 	var from netip.Addr
 	if at, err := netip.ParseAddrPort(raw.RemoteAddr().String()); err == nil {
-		from = at.Addr().Unmap()
+		from = at.Addr().Unmap().WithZone("")
 	}
+	k.client = from
 	if k.hold = c.budget.Conn(from, k.abort); k.hold == nil {
 		setLinger(raw, 0)
 		raw.Close()
@@ -141,7 +142,7 @@
 	}
 	if c.headerBytes > freeHeaderBytes {
 		if c.header == nil {
-			c.header = c.owner.budget.Hold(limit.UseHeader, c.abort)
+			c.header = c.owner.budget.Hold(limit.UseHeader, c.abort).Of(c.client)
 			c.header.Wait(limit.InHeader)
 		}
 		// The holder may be asked to end another connection meanwhile, not this one.
--- a/conns/bound_test.go
+++ b/conns/bound_test.go
@@ -145,16 +145,18 @@
 	block := strings.Repeat("A: b\r\n", 100)
 	for name, c := range map[string]struct {
 		small  int64
+		large  int64
 		bytes  int
 		status int
 	}{
-		"over the limit":     {1 << 20, 9 << 10, http.StatusRequestHeaderFieldsTooLarge},
-		"far over the limit": {1 << 20, 256 << 10, http.StatusRequestHeaderFieldsTooLarge},
-		"no memory":          {1, 7 << 10, http.StatusServiceUnavailable},
-		"within the limit":   {1 << 20, 7 << 10, http.StatusOK},
+		"over the limit":            {1 << 20, 1, 9 << 10, http.StatusRequestHeaderFieldsTooLarge},
+		"far over the limit":        {1 << 20, 1, 256 << 10, http.StatusRequestHeaderFieldsTooLarge},
+		"no memory":                 {1, 1, 7 << 10, http.StatusServiceUnavailable},
+		"no memory for its address": {1, 16 << 10, 7 << 10, http.StatusServiceUnavailable},
+		"within the limit":          {1 << 20, 1, 7 << 10, http.StatusOK},
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := serveBound(t, limit.BudgetConfig{Small: c.small, Large: 1})
+			b := serveBound(t, limit.BudgetConfig{Small: c.small, Large: c.large})
 			conn, in := b.dial(t)
 			go func() {
 				// The server closes the connection before it has read everything.
--- a/conns/conns.go
+++ b/conns/conns.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -231,6 +232,8 @@
 type conn struct {
 	net.Conn
 	owner *Conns
+	// client is the address of the client under a budget.
+	client netip.Addr
 	// hold counts the connection, header its header beyond freeHeaderBytes; header is nil before.
 	hold, header *limit.Hold
 
--- a/limit/budget.go
+++ b/limit/budget.go
@@ -56,6 +56,10 @@
 	BodyPatience = time.Second
 	// UnreadPatience is how long a client must have read nothing of a response that is aborted for others.
 	UnreadPatience = 10 * time.Second
+	// SlowRate is the average rate, in bytes a second, below which a body may be aborted for others though it goes on arriving, once it has been
+	// arriving for SlowAge. Slow links of ordinary clients carry far more.
+	SlowRate = 1 << 10
+	SlowAge  = 5 * time.Second
 )
 
 // patience is how long a holder must have waited in each stage to be aborted for others.
@@ -72,11 +76,13 @@
 	// defaultMemory is the memory of a VM that doesn't know its own.
 	defaultMemory = 512 << 20
 	// Shares of the memory. The rest is for the program, its tables and the garbage between two collections.
-	connShare, smallShare, largeShare = 0.4, 0.1, 0.2
+	connShare, largeShare = 0.4, 0.2
+	// smallShare has room for SmallBytes of a body on each connection.
+	smallShare = 0.15
 	// connFilesShare is the share of the descriptors that clients' connections may have. Each may need one to an endpoint, and some idle ones are kept.
 	connFilesShare = 0.4
-	// clientShare is the share of all connections that one client address may have.
-	clientShare = 0.75
+	// clientPercent is the share of all connections, and of each part of the memory, that one client address may have.
+	clientPercent = 75
 )
 
 // BudgetConfig constructs a Budget. Zero fields get defaults.
@@ -89,6 +95,8 @@
 	Conns, ClientConns int
 	// Small and Large bound the bytes of all holders together: up to SmallBytes of each, and beyond that.
 	Small, Large int64
+	// ClientPercent bounds what the holders of one client address have of Small and of Large, and by default of Conns.
+	ClientPercent int
 	// Now reads a monotonic clock.
 	Now func() time.Duration
 	// Aborted is called after a holder was aborted for others; nil means nothing. It must not call the Budget.
@@ -122,11 +130,52 @@
 	config BudgetConfig
 
 	// mu guards the rest.
-	mu           sync.Mutex
-	small, large int64
-	holders      map[*Hold]struct{}
-	clients      map[netip.Addr]int
-	stats        BudgetStats
+	mu      sync.Mutex
+	held    amounts
+	holders map[*Hold]struct{}
+	clients map[netip.Addr]*clientUse
+	stats   BudgetStats
+	// ofClient bounds what one client address has of each part.
+	ofClient amounts
+}
+
+// amounts are bytes of the two parts.
+type amounts struct{ small, large int64 }
+
+func (a amounts) add(other amounts) amounts {
+	return amounts{a.small + other.small, a.large + other.large}
+}
+func (a amounts) sub(other amounts) amounts {
+	return amounts{a.small - other.small, a.large - other.large}
+}
+
+// clientUse is what one client address has.
+type clientUse struct {
+	conns int
+	held  amounts
+}
+
+// updateClient changes what a client address has. Holders without one count for none. The caller holds mu.
+func (b *Budget) updateClient(client netip.Addr, change func(*clientUse)) {
+	if !client.IsValid() {
+		return
+	}
+	u := b.clients[client]
+	if u == nil {
+		u = &clientUse{}
+		b.clients[client] = u
+	}
+	if change(u); *u == (clientUse{}) {
+		delete(b.clients, client)
+	}
+}
+
+// clientUse returns what a client address has. The caller holds mu.
+func (b *Budget) clientUse(client netip.Addr) clientUse {
+	if u := b.clients[client]; u != nil {
+		return *u
+	}
+	return clientUse{}
 }
 
 // BudgetStats are the sums of a Budget.
@@ -163,14 +212,22 @@
 		}
 		c.Conns = max(c.Conns, 1)
 	}
+	if c.ClientPercent <= 0 {
+		c.ClientPercent = clientPercent
+	}
+	c.ClientPercent = min(c.ClientPercent, 100)
 	if c.ClientConns <= 0 {
-		c.ClientConns = max(int(clientShare*float64(c.Conns)), 1)
+		c.ClientConns = max(c.Conns*c.ClientPercent/100, 1)
 	}
 	if c.Now == nil {
 		began := time.Now()
 		c.Now = func() time.Duration { return time.Since(began) }
 	}
-	return &Budget{config: c, holders: map[*Hold]struct{}{}, clients: map[netip.Addr]int{}}
+	b := &Budget{config: c, holders: map[*Hold]struct{}{}, clients: map[netip.Addr]*clientUse{}}
+	share := func(n int64) int64 { return int64(float64(n) * float64(c.ClientPercent) / 100) }
+	// One holder of any client may keep SmallBytes.
+	b.ofClient = amounts{max(share(c.Small), min(c.Small, SmallBytes)), share(c.Large)}
+	return b
 }
 
 // Config returns the bounds in force.
@@ -201,11 +258,13 @@
 	abort func(Stage) bool
 
 	stage atomic.Int32
-	// since is when the holder last heard of its peer, or began to wait for it, by the Budget's clock.
-	since atomic.Int64
+	// since is when the holder last heard of its peer, or began to wait for it, by the Budget's clock; began is when it last began to wait.
+	since, began atomic.Int64
+	// received is how many bytes it has read since then.
+	received atomic.Int64
 
 	// The Budget's mu guards the rest.
-	small, large int64
+	held amounts
 	// linked is aborted with this holder; nil means none.
 	linked *Hold
 	// aborting is set while abort is called, aborted once the holder gave up.
@@ -225,21 +284,31 @@
 }
 
 // Link says that the abort of this holder ends another one too, such as that of the request's body with the response. What the other keeps counts as
-// what this one's abort frees. Nil means none.
+// what this one's abort frees. This one, which keeps nothing yet, counts for the client of the other. Nil means none.
 func (h *Hold) Link(other *Hold) {
+	if h.budget != nil && other != nil {
+		h.budget.mu.Lock()
+		defer h.budget.mu.Unlock()
+		h.linked, h.client = other, other.client
+	}
+}
+
+// Of says for which client address the holder, which keeps nothing yet, counts; it returns the holder.
+func (h *Hold) Of(client netip.Addr) *Hold {
 	if h.budget != nil {
 		h.budget.mu.Lock()
 		defer h.budget.mu.Unlock()
-		h.linked = other
+		h.client = client
 	}
+	return h
 }
 
 // frees returns what the abort of the holder frees. The caller holds mu.
-func (h *Hold) frees() (small, large int64) {
+func (h *Hold) frees() amounts {
 	if h.linked == nil {
-		return h.small, h.large
+		return h.held
 	}
-	return h.small + h.linked.small, h.large + h.linked.large
+	return h.held.add(h.linked.held)
 }
 
 // Conn returns the holder of a client's connection, in the stage Idle, or nil if there is no room for it. At the bound of all connections, or of
@@ -257,12 +326,12 @@
 	for {
 		fits := isConn
 		switch {
-		case b.clients[client] >= b.config.ClientConns:
+		case b.clientUse(client).conns >= b.config.ClientConns:
 			fits = isOfClient
 		case b.stats.Conns < b.config.Conns:
 			b.stats.Conns++
 			b.stats.Bytes[UseConn] += ConnBytes
-			b.clients[client]++
+			b.updateClient(client, func(u *clientUse) { u.conns++ })
 			b.holders[h] = struct{}{}
 			return h
 		}
@@ -282,19 +351,14 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for !h.aborted {
-		small, large, fits := h.split(int64(bytes), 0, 0)
-		if fits {
-			h.set(small, large)
+		want, full := h.split(int64(bytes), amounts{}, amounts{})
+		if full.fits() {
+			h.set(want)
 			return true
 		}
-		isSmallFull := small < min(int64(bytes), SmallBytes)
-		gives := func(other *Hold) bool {
-			small, large := other.frees()
-			return other != h && other.linked != h && (large > 0 || isSmallFull && small > 0)
-		}
 		// None is aborted in vain: all that may be must make enough room.
-		freedSmall, freedLarge := b.freeable(gives)
-		if _, _, fits = h.split(int64(bytes), freedSmall, freedLarge); !fits || !b.abortOne(gives) {
+		_, rest := h.split(int64(bytes), b.freeable(h, false), b.freeable(h, true))
+		if !rest.fits() || !b.abortOne(func(other *Hold) bool { return other.mayMakeRoom(h, full) }) {
 			break
 		}
 	}
@@ -302,48 +366,85 @@
 	return false
 }
 
-// split divides bytes between the two parts, of which so much is freed, and reports whether they fit. The caller holds mu.
-func (h *Hold) split(bytes, freedSmall, freedLarge int64) (small, large int64, fits bool) {
+// fullness is which bounds keep a holder from more: those of the parts, and those of its client address.
+type fullness struct{ small, ownSmall, large, ownLarge bool }
+
+func (f fullness) fits() bool { return !f.large && !f.ownLarge }
+
+// split divides bytes between the two parts, of which so much is freed in all and by the holder's client, and reports what is full. The caller
+// holds mu.
+func (h *Hold) split(bytes int64, freed, freedOwn amounts) (want amounts, full fullness) {
 	b := h.budget
-	small = min(bytes, SmallBytes)
-	if small > h.small && b.small-freedSmall+small-h.small > b.config.Small {
+	all, own := b.held.sub(freed), b.clientUse(h.client).held.sub(freedOwn)
+	bounded := h.client.IsValid()
+	want.small = min(bytes, SmallBytes)
+	if more := want.small - h.held.small; more > 0 {
+		full.small, full.ownSmall = all.small+more > b.config.Small, bounded && own.small+more > b.ofClient.small
+	}
+	if full.small || full.ownSmall {
 		// It may take the place of large ones.
-		small = h.small
+		want.small = h.held.small
+	}
+	want.large = bytes - want.small
+	if more := want.large - h.held.large; more > 0 {
+		full.large, full.ownLarge = all.large+more > b.config.Large, bounded && own.large+more > b.ofClient.large
 	}
-	large = bytes - small
-	return small, large, large <= h.large || b.large-freedLarge+large-h.large <= b.config.Large
+	return want, full
 }
 
-// freeable returns what the holders keep that fit and may be aborted now. The caller holds mu.
-func (b *Budget) freeable(fits func(*Hold) bool) (small, large int64) {
+// mayMakeRoom reports whether the abort of the holder helps another one for which parts are full. The caller holds mu.
+func (h *Hold) mayMakeRoom(other *Hold, full fullness) bool {
+	if h == other || h.linked == other {
+		return false
+	}
+	frees, isOwn := h.frees(), h.client == other.client
+	return frees.large > 0 && (isOwn || !full.ownLarge) || frees.small > 0 && (full.small || full.ownSmall) && (isOwn || !full.ownSmall)
+}
+
+// freeable returns what the holders keep that may be aborted now for another one; with own set, only those of its client address. The caller
+// holds mu.
+func (b *Budget) freeable(other *Hold, own bool) (sum amounts) {
 	now := b.config.Now()
 	for h := range b.holders {
-		if h.mayAbort(now) && fits(h) {
-			s, l := h.frees()
-			small, large = small+s, large+l
+		if h != other && h.linked != other && (!own || h.client == other.client) && h.mayAbort(now) {
+			sum = sum.add(h.frees())
 		}
 	}
-	return small, large
+	return sum
 }
 
 // mayAbort reports whether the holder has waited for long enough to be aborted for others. The caller holds the Budget's mu.
 func (h *Hold) mayAbort(now time.Duration) bool {
 	s := Stage(h.stage.Load())
-	return s != Busy && h.abort != nil && !h.aborting && now-time.Duration(h.since.Load()) >= patience[s]
+	return s != Busy && h.abort != nil && !h.aborting && h.waited(now, s) >= patience[s]
+}
+
+// waited returns how long the holder has waited for its peer in a stage: since it last heard of it, or, of a body that arrives below SlowRate, the
+// time by which it is late.
+func (h *Hold) waited(now time.Duration, s Stage) time.Duration {
+	w := now - time.Duration(h.since.Load())
+	if age := now - time.Duration(h.began.Load()); s == InBody && age >= SlowAge {
+		w = max(w, age-time.Duration(h.received.Load())*time.Second/SlowRate)
+	}
+	return w
 }
 
 // set sets what the holder keeps. The caller holds mu.
-func (h *Hold) set(small, large int64) {
-	h.budget.small += small - h.small
-	h.budget.large += large - h.large
-	h.budget.stats.Bytes[h.use] += small + large - h.small - h.large
-	h.small, h.large = small, large
+func (h *Hold) set(held amounts) {
+	b, more := h.budget, held.sub(h.held)
+	b.held = b.held.add(more)
+	b.updateClient(h.client, func(u *clientUse) { u.held = u.held.add(more) })
+	b.stats.Bytes[h.use] += more.small + more.large
+	h.held = held
 }
 
 // Wait says what the holder waits for from now on.
 func (h *Hold) Wait(s Stage) {
 	if h.budget != nil {
-		h.since.Store(int64(h.budget.config.Now()))
+		now := int64(h.budget.config.Now())
+		h.since.Store(now)
+		h.began.Store(now)
+		h.received.Store(0)
 		h.stage.Store(int32(s))
 	}
 }
@@ -382,15 +483,13 @@
 		return
 	}
 	delete(b.holders, h)
-	h.set(0, 0)
+	h.set(amounts{})
 	if h.use != UseConn {
 		return
 	}
 	b.stats.Conns--
 	b.stats.Bytes[UseConn] -= ConnBytes
-	if b.clients[h.client]--; b.clients[h.client] == 0 {
-		delete(b.clients, h.client)
-	}
+	b.updateClient(h.client, func(u *clientUse) { u.conns-- })
 }
 
 // abortOne aborts the holder that is the first to go of those that fit, and reports whether there was one. The caller holds mu, which is
@@ -401,8 +500,8 @@
 		if h == nil {
 			return false
 		}
-		small, large := h.frees()
-		a := Abort{Use: h.use, Stage: stage, Bytes: small + large, Waited: waited}
+		frees := h.frees()
+		a := Abort{Use: h.use, Stage: stage, Bytes: frees.small + frees.large, Waited: waited}
 		h.aborting = true
 		b.mu.Unlock()
 		gone := h.abort(stage)
@@ -436,7 +535,7 @@
 	now := b.config.Now()
 	for h := range b.holders {
 		s := Stage(h.stage.Load())
-		w := now - time.Duration(h.since.Load())
+		w := h.waited(now, s)
 		if !h.mayAbort(now) || first != nil && (s > stage || s == stage && w <= waited) || !fits(h) {
 			continue
 		}
@@ -478,6 +577,7 @@
 		data = data[:len(data)+n]
 		if n > 0 {
 			h.Heard()
+			h.received.Add(int64(n))
 		}
 		if err == io.EOF {
 			return data, true, nil
--- a/limit/budget_test.go
+++ b/limit/budget_test.go
@@ -138,11 +138,90 @@
 		t.Run(name, func(t *testing.T) {
 			got := limit.NewBudget(c.config).Config()
 			check.Equal(t, "connections, and those of a client", []int{got.Conns, got.ClientConns}, []int{c.conns, max(c.conns*3/4, 1)})
-			check.Equal(t, "parts", []int64{got.Small, got.Large}, []int64{c.config.Memory / 10, c.config.Memory / 5})
+			check.Equal(t, "parts", []int64{got.Small, got.Large}, []int64{c.config.Memory * 15 / 100, c.config.Memory / 5})
 		})
 	}
 }
 
+// TestBudgetHasRoomForSmallBodies guards against small bodies of one client that fill the part of all, though it may not have all connections.
+func TestBudgetHasRoomForSmallBodies(t *testing.T) {
+	x := newBudgetFixture(limit.BudgetConfig{Memory: 136 * mebibyte, Files: 2670, Large: 1})
+	a, b := netip.MustParseAddr("10.0.0.1"), netip.MustParseAddr("10.0.0.2")
+	for range x.Config().ClientConns {
+		check.Equal(t, "one address", x.Hold(limit.UseBody, nil).Of(a).Keep(limit.SmallBytes), true)
+	}
+	for range x.Config().Conns - x.Config().ClientConns {
+		check.Equal(t, "another address", x.Hold(limit.UseBody, nil).Of(b).Keep(limit.SmallBytes), true)
+	}
+}
+
+// TestBudgetOfClient guards against one client address that takes a part of the memory from all others.
+func TestBudgetOfClient(t *testing.T) {
+	a, b := netip.MustParseAddr("10.0.0.1"), netip.MustParseAddr("10.0.0.2")
+	for name, c := range map[string]struct {
+		bytes       int
+		ofA, ofB    int
+		small, rest int64
+	}{
+		"small": {limit.SmallBytes, 3, 1, 4 * limit.SmallBytes, 1},
+		"large": {limit.SmallBytes + mebibyte, 3, 1, mebibyte, 4 * mebibyte},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := newBudgetFixture(limit.BudgetConfig{Small: c.small, Large: c.rest})
+			fill := func(from netip.Addr) (kept []*limit.Hold) {
+				for {
+					h := x.Hold(limit.UseBody, func(limit.Stage) bool { return true }).Of(from)
+					if !h.Keep(c.bytes) {
+						h.Release()
+						return kept
+					}
+					h.Wait(limit.InBody)
+					kept = append(kept, h)
+				}
+			}
+			ofA := fill(a)
+			check.Equal(t, "of one address, and of another", []int{len(ofA), len(fill(b))}, []int{c.ofA, c.ofB})
+			x.now = limit.BodyPatience
+			next := x.Hold(limit.UseBody, nil).Of(a)
+			check.Equal(t, "in the place of one of its own", next.Keep(c.bytes), true)
+			check.Equal(t, "aborted of all", len(x.aborted), 1)
+			next.Release()
+			check.Equal(t, "another address in its place", x.Hold(limit.UseBody, nil).Of(b).Keep(c.bytes), true)
+		})
+	}
+}
+
+// TestBudgetAbortsSlow guards against bodies that keep their memory with a byte now and then, and against the abort of those that arrive steadily.
+func TestBudgetAbortsSlow(t *testing.T) {
+	for name, c := range map[string]struct {
+		piece int
+		kept  bool
+	}{"a byte now and then": {1, true}, "slow but steady": {limit.SlowRate, false}} {
+		t.Run(name, func(t *testing.T) {
+			x := newBudgetFixture(limit.BudgetConfig{Small: limit.SmallBytes, Large: 1})
+			h := x.Hold(limit.UseBody, func(limit.Stage) bool { return true })
+			h.Wait(limit.InBody)
+			pieces := 0
+			source := readerFunc(func(p []byte) (int, error) {
+				if x.now += limit.BodyPatience * 9 / 10; pieces == 10 {
+					return 0, io.EOF
+				}
+				if pieces++; x.now < limit.SlowAge || pieces == 10 {
+					check.Equal(t, "not before", x.Hold(limit.UseBody, nil).Keep(limit.SmallBytes), pieces == 10 && c.kept)
+				}
+				return min(len(p), c.piece), nil
+			})
+			h.Read(source, limit.SmallBytes, limit.SmallBytes)
+			check.Equal(t, "aborted", h.Aborted(), c.kept)
+		})
+	}
+}
+
+// readerFunc is a function as an io.Reader.
+type readerFunc func([]byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
 // TestBudgetRead guards against buffers that are allocated before they are granted, and against ends that are taken for the bound.
 func TestBudgetRead(t *testing.T) {
 	broken := errors.New("broken off")
