conns: 408 only while the handler reads the body

net/http reads what a handler has left of a body before it sends the response. A connection that was closed for others in that time got a 408, which promises that the request has not run. It is closed without a response now, unless the handler is reading. The handler gets a copy of the request with a body that notes its reads; the server decides by the type of its own request's body. TestBoundAnswersNoneThatRan fails without the condition (seen).

--- a/conns/bound.go
+++ b/conns/bound.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net"
+	"net/http"
 	"net/netip"
 	"syscall"
 	"time"
@@ -83,8 +84,11 @@
 	case c.closed:
 	case s == limit.Idle && c.timer != nil && !c.hasRequest(), s == limit.InHeader && c.timer != nil:
 		c.close()
-	case s == limit.InBody && c.inBody:
+	case s == limit.InBody && c.inBody && c.handlerReads:
 		c.end(stalledText)
+	case s == limit.InBody && c.inBody:
+		// The server reads what its handler has left unread: the request may have run.
+		c.close()
 	case s == limit.Unread && c.inWrite:
 		setLinger(c.Conn, 0)
 		c.close()
@@ -104,6 +108,36 @@
 	c.close()
 }
 
+// handlerBody is a request's body that notes when the handler reads it.
+type handlerBody struct {
+	io.ReadCloser
+	conn *conn
+}
+
+// Read implements io.Reader.
+func (b *handlerBody) Read(p []byte) (int, error) {
+	b.conn.setHandlerReads(true)
+	defer b.conn.setHandlerReads(false)
+	return b.ReadCloser.Read(p)
+}
+
+func (c *conn) setHandlerReads(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handlerReads = on
+}
+
+// withHandlerBody returns a request whose body notes when the handler reads it. The server's own request keeps its body, by whose type the server
+// decides what to do with the rest.
+func (c *conn) withHandlerBody(r *http.Request) *http.Request {
+	if r.Body == nil || r.Body == http.NoBody {
+		return r
+	}
+	r = r.WithContext(r.Context())
+	r.Body = &handlerBody{r.Body, c}
+	return r
+}
+
 // beginRead notes that a request's body is awaited, if it is. Under TLS reads don't tell that.
 func (c *conn) beginRead(p []byte) {
 	c.mu.Lock()
--- a/conns/bound_test.go
+++ b/conns/bound_test.go
@@ -29,6 +29,9 @@
 	t.Helper()
 	b := &boundServer{budget: limit.NewBudget(c)}
 	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/ignore" {
+			return
+		}
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			panic(http.ErrAbortHandler)
 		}
@@ -107,6 +110,23 @@
 	}
 }
 
+// TestBoundAnswersNoneThatRan guards against a 408, which says that the request hasn't run, for one whose handler has ended without reading its body.
+func TestBoundAnswersNoneThatRan(t *testing.T) {
+	t.Parallel()
+	b := serveBound(t, limit.BudgetConfig{Conns: 1, ClientConns: 1})
+	silent, in := b.dial(t)
+	_, err := io.WriteString(silent, "POST /ignore HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nx")
+	check.NoError(t, err)
+	check.Eventually(t, "its connection is closed for others", func() bool {
+		if conn, err := net.Dial("tcp", b.addr); err == nil {
+			defer conn.Close()
+		}
+		return b.budget.Stats().Aborted[limit.InBody] > 0
+	})
+	got, err := http.ReadResponse(in, nil)
+	check.Equal(t, fmt.Sprint("a response: ", got), err == nil, false)
+}
+
 // TestBoundKeepsRequests guards against a connection that is closed for others though its request was read.
 func TestBoundKeepsRequests(t *testing.T) {
 	release := make(chan struct{})
--- a/conns/conns.go
+++ b/conns/conns.go
@@ -156,6 +156,9 @@
 			panic(http.ErrAbortHandler)
 		}
 		w = &lastResponse{w, &c.draining}
+		if known && c.budget != nil {
+			r = c.tracked(raw).withHandlerBody(r)
+		}
 		if headerSize(r) > c.limits().Header {
 			w.Header().Set("Connection", "close")
 			http.Error(w, "the headers are too large", http.StatusRequestHeaderFieldsTooLarge)
@@ -243,6 +246,8 @@
 	// inWrite while a response is written, encrypted if the connection carries TLS.
 	headerBytes                int
 	inBody, inWrite, encrypted bool
+	// handlerReads is set while the handler reads the request's body; its request has not run.
+	handlerReads bool
 	// responded is set once something of the response to the present request was written.
 	responded bool
 	// timer closes the connection on expiry. It is nil while a request is in progress.
