limit: connections accepted just now go last

At the bound the longest idle connection was closed without any patience, and incomplete headers only after all idle ones: with many headers that arrive byte by byte, ordinary connections went first, before their request had come. Idle and InHeader are compared by their waiting time now, and those younger than half a second are closed only if nothing else gives way. TestBudgetOfConns expects the older of the two to go first, whatever its stage. TestBudgetSparesNewConns fails without the patience, TestBudgetComparesIdleAndHeader with the stages in their former order (both seen).

--- a/limit/budget.go
+++ b/limit/budget.go
@@ -31,7 +31,7 @@
 // Stage is what a holder of memory waits for.
 type Stage int32
 
-// Stages. Holders in later ones are aborted only if there are none in earlier ones.
+// Stages. Holders in later ones are aborted only if there are none in earlier ones; Idle and InHeader count as one (see HeaderPatience).
 const (
 	// Busy holders don't wait for their peer, and are never aborted.
 	Busy Stage = iota
@@ -52,6 +52,8 @@
 }
 
 const (
+	// HeaderPatience is how long a connection must have been Idle or InHeader to be aborted while there are others to abort.
+	HeaderPatience = 500 * time.Millisecond
 	// BodyPatience is how long a body must have been without a further byte to be aborted for others.
 	BodyPatience = time.Second
 	// UnreadPatience is how long a client must have read nothing of a response that is aborted for others.
@@ -312,7 +314,7 @@
 }
 
 // Conn returns the holder of a client's connection, in the stage Idle, or nil if there is no room for it. At the bound of all connections, or of
-// those of its address, the one that has been Idle for longest is aborted, then those in later stages.
+// those of its address, the one that has been Idle or InHeader for longest is aborted, then those in later stages.
 func (b *Budget) Conn(client netip.Addr, abort func(Stage) bool) *Hold {
 	h := &Hold{budget: b, use: UseConn, client: client, abort: abort}
 	if b == nil {
@@ -532,18 +534,30 @@
 
 // longestWaiting returns the holder that is the first to go of those that fit; nil if there is none. The caller holds mu.
 func (b *Budget) longestWaiting(fits func(*Hold) bool) (first *Hold, stage Stage, waited time.Duration) {
-	now := b.config.Now()
+	now, rank := b.config.Now(), 0
 	for h := range b.holders {
 		s := Stage(h.stage.Load())
 		w := h.waited(now, s)
-		if !h.mayAbort(now) || first != nil && (s > stage || s == stage && w <= waited) || !fits(h) {
+		r := order(s, w)
+		if !h.mayAbort(now) || first != nil && (r > rank || r == rank && w <= waited) || !fits(h) {
 			continue
 		}
-		first, stage, waited = h, s, w
+		first, stage, waited, rank = h, s, w, r
 	}
 	return first, stage, waited
 }
 
+// order returns the place of a holder in the order of aborts. Connections that were accepted just now come last: the next request may be on its way.
+func order(s Stage, waited time.Duration) int {
+	switch {
+	case s > InHeader:
+		return int(s)
+	case waited < HeaderPatience:
+		return int(stages)
+	}
+	return int(Idle)
+}
+
 // Read keeps and returns what source holds, most bytes of it at most; sized is how many it is known to hold, or below zero. Whole is set if that
 // is all. If it isn't, and fewer came than most, no more may be kept, or the holder was aborted.
 func (h *Hold) Read(source io.Reader, most, sized int64) (data []byte, whole bool, err error) {
