limit: a failed abort ends only the wait that it was for

After a failed abort the stage was set to Busy if it was still the same, though the holder may have begun a newer wait in that stage: it could never be aborted again. Stage and number of the wait are one value now. TestBudgetKeepsNewerWait fails without the change (seen).

--- a/limit/budget.go
+++ b/limit/budget.go
@@ -259,7 +259,8 @@
 	// abort makes the holder give up; it reports whether it does. It is called without locks.
 	abort func(Stage) bool
 
-	stage atomic.Int32
+	// wait is the present stage and the number of the wait: an abort that fails ends only the wait that it was for.
+	wait atomic.Uint64
 	// since is when the holder last heard of its peer, or began to wait for it, by the Budget's clock; began is when it last began to wait.
 	since, began atomic.Int64
 	// received is how many bytes it has read since then.
@@ -417,7 +418,7 @@
 
 // mayAbort reports whether the holder has waited for long enough to be aborted for others. The caller holds the Budget's mu.
 func (h *Hold) mayAbort(now time.Duration) bool {
-	s := Stage(h.stage.Load())
+	s := stageOf(h.wait.Load())
 	return s != Busy && h.abort != nil && !h.aborting && h.waited(now, s) >= patience[s]
 }
 
@@ -447,10 +448,23 @@
 		h.since.Store(now)
 		h.began.Store(now)
 		h.received.Store(0)
-		h.stage.Store(int32(s))
+		for {
+			last := h.wait.Load()
+			if h.wait.CompareAndSwap(last, nextWait(last, s)) {
+				return
+			}
+		}
 	}
 }
 
+// stageOf returns the stage of a wait.
+func stageOf(wait uint64) Stage { return Stage(wait % uint64(stages)) }
+
+// nextWait returns the wait that follows one.
+func nextWait(last uint64, s Stage) uint64 {
+	return (last/uint64(stages)+1)*uint64(stages) + uint64(s)
+}
+
 // Heard says that the holder's peer has sent or taken something.
 func (h *Hold) Heard() {
 	if h.budget != nil {
@@ -498,11 +512,11 @@
 // free while the holder learns of it.
 func (b *Budget) abortOne(fits func(*Hold) bool) bool {
 	for {
-		h, stage, waited := b.longestWaiting(fits)
+		h, wait, waited := b.longestWaiting(fits)
 		if h == nil {
 			return false
 		}
-		frees := h.frees()
+		frees, stage := h.frees(), stageOf(wait)
 		a := Abort{Use: h.use, Stage: stage, Bytes: frees.small + frees.large, Waited: waited}
 		h.aborting = true
 		b.mu.Unlock()
@@ -520,9 +534,8 @@
 			b.stats.Aborted[stage]++
 			return true
 		}
-		// It has just heard of its peer.
-		h.Heard()
-		h.stage.CompareAndSwap(int32(stage), int32(Busy))
+		// It has just heard of its peer, or waits anew.
+		h.wait.CompareAndSwap(wait, nextWait(wait, Busy))
 	}
 }
 
@@ -532,19 +545,20 @@
 	h.release()
 }
 
-// longestWaiting returns the holder that is the first to go of those that fit; nil if there is none. The caller holds mu.
-func (b *Budget) longestWaiting(fits func(*Hold) bool) (first *Hold, stage Stage, waited time.Duration) {
+// longestWaiting returns the holder that is the first to go of those that fit, and its wait; nil if there is none. The caller holds mu.
+func (b *Budget) longestWaiting(fits func(*Hold) bool) (first *Hold, wait uint64, waited time.Duration) {
 	now, rank := b.config.Now(), 0
 	for h := range b.holders {
-		s := Stage(h.stage.Load())
+		present := h.wait.Load()
+		s := stageOf(present)
 		w := h.waited(now, s)
 		r := order(s, w)
 		if !h.mayAbort(now) || first != nil && (r > rank || r == rank && w <= waited) || !fits(h) {
 			continue
 		}
-		first, stage, waited, rank = h, s, w, r
+		first, wait, waited, rank = h, present, w, r
 	}
-	return first, stage, waited
+	return first, wait, waited
 }
 
 // order returns the place of a holder in the order of aborts. Connections that were accepted just now come last: the next request may be on its way.
--- a/limit/budget_test.go
+++ b/limit/budget_test.go
@@ -95,6 +95,27 @@
 	check.Equal(t, "aborted", []bool{heard.Aborted(), silent.Aborted()}, []bool{false, true})
 }
 
+// TestBudgetKeepsNewerWait guards against a holder that is never aborted again because an abort failed while it began to wait anew.
+func TestBudgetKeepsNewerWait(t *testing.T) {
+	x := newBudgetFixture(limit.BudgetConfig{Small: limit.SmallBytes, Large: mebibyte})
+	var h *limit.Hold
+	yields := false
+	h = x.Hold(limit.UseBody, func(limit.Stage) bool {
+		if !yields {
+			h.Wait(limit.Busy)
+			h.Wait(limit.InBody)
+		}
+		return yields
+	})
+	check.Equal(t, "kept", h.Keep(mebibyte), true)
+	h.Wait(limit.InBody)
+	x.now = limit.BodyPatience
+	next := x.Hold(limit.UseBody, nil)
+	check.Equal(t, "room while it waits anew", next.Keep(mebibyte), false)
+	x.now, yields = 2*limit.BodyPatience, true
+	check.Equal(t, "room once it has waited for long enough again", next.Keep(mebibyte), true)
+}
+
 // TestBudgetOfConns guards against connections beyond the bounds, and against the loss of requests that were read.
 func TestBudgetOfConns(t *testing.T) {
 	a, b := netip.MustParseAddr("10.0.0.1"), netip.MustParseAddr("10.0.0.2")
