--- a/limit/budget.go
+++ b/limit/budget.go
@@ -346,6 +346,7 @@
 }
 
 // Keep reports whether the holder may keep so many bytes in all; if so, it does. It is asked before the bytes are allocated.
+// A holder that was released or aborted keeps nothing.
 func (h *Hold) Keep(bytes int) bool {
 	b := h.budget
 	if b == nil {
@@ -353,6 +354,9 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if _, held := b.holders[h]; !held && !h.aborted {
+		return false
+	}
 	for !h.aborted {
 		want, full := h.split(int64(bytes), amounts{}, amounts{})
 		if full.fits() {
--- a/limit/budget_test.go
+++ b/limit/budget_test.go
@@ -95,6 +95,15 @@
 	check.Equal(t, "aborted", []bool{heard.Aborted(), silent.Aborted()}, []bool{false, true})
 }
 
+// TestBudgetKeepsNothingAfterRelease guards against bytes that count for ever, as nobody releases them again.
+func TestBudgetKeepsNothingAfterRelease(t *testing.T) {
+	x := newBudgetFixture(limit.BudgetConfig{})
+	h := x.Hold(limit.UseBody, nil)
+	h.Release()
+	check.Equal(t, "kept", h.Keep(1), false)
+	check.Equal(t, "bytes", x.Bytes(), int64(0))
+}
+
 // TestBudgetKeepsNewerWait guards against a holder that is never aborted again because an abort failed while it began to wait anew.
 func TestBudgetKeepsNewerWait(t *testing.T) {
 	x := newBudgetFixture(limit.BudgetConfig{Small: limit.SmallBytes, Large: mebibyte})
