--- a/pass/unread_test.go
+++ b/pass/unread_test.go
@@ -59,3 +59,29 @@
 		})
 	}
 }
+
+// slowWriter is a response whose client takes each piece after some time.
+type slowWriter struct{ takes func() }
+
+func (slowWriter) Header() http.Header              { return http.Header{} }
+func (slowWriter) WriteHeader(int)                  {}
+func (slowWriter) SetWriteDeadline(time.Time) error { return nil }
+func (w slowWriter) Write(p []byte) (int, error) {
+	w.takes()
+	return len(p), nil
+}
+
+// TestSlowlyReadResponseIsKept guards against the abort of a response that takes long in all though its client goes on reading.
+func TestSlowlyReadResponseIsKept(t *testing.T) {
+	now := time.Duration(0)
+	budget := limit.NewBudget(limit.BudgetConfig{Small: limit.SmallBytes, Large: 100, Now: func() time.Duration { return now }})
+	other := budget.Hold(limit.UseResponse, nil)
+	defer other.Release()
+	r := newRelay(slowWriter{func() {
+		now += limit.UnreadPatience * 9 / 10
+		check.Equal(t, "room for another one", other.Keep(100), false)
+	}}, false, budget)
+	defer r.held.Release()
+	check.Equal(t, "held", r.held.Keep(limit.SmallBytes+100), true)
+	check.NoError(t, r.write(make([]byte, 4*pieceBytes)))
+}
