--- a/conf/conf.go
+++ b/conf/conf.go
@@ -50,6 +50,8 @@
 	Listen  netip.AddrPort `toml:"listen" doc:"Address to listen on for other processes."`
 	Secrets []string       `toml:"secrets" doc:"Shared secrets of at least 16 bytes each. The process authenticates itself with the first and accepts peers that use any of them. Reloaded on SIGHUP."`
 	File    string         `toml:"file" doc:"File with one secret per line, used instead of secrets."`
+	// MaxHandshakes bounds peers that connect and don't authenticate.
+	MaxHandshakes int `toml:"handshakes" doc:"Maximum number of connections whose peers haven't authenticated yet. 64 if unset. Beyond it the oldest of the address with the most of them is closed."`
 }
 
 // Log configures the event log.
@@ -62,6 +64,8 @@
 // Ops configures the listener for metrics and health checks.
 type Ops struct {
 	Listen netip.AddrPort `toml:"listen" doc:"Address that serves /metrics, /healthz and /readyz. If unset, they are not served."`
+	// MaxConns bounds connections that don't count among the callers'.
+	MaxConns int `toml:"conns" doc:"Maximum number of connections at this address, and of connections at member.admin. 32 if unset. Beyond it idle connections and incomplete requests give way."`
 }
 
 // Entry configures the listener for client requests and the limits on them.
@@ -196,6 +200,8 @@
 	c.requireValid("log.level", s.Log.Level == "" || event.Level(s.Log.Level) == nil, "must be debug, info, warn or error")
 	c.requireValid("log.queue", s.Log.Queue >= 0, "must not be negative")
 	s.Memory.check(c)
+	c.requireValid("ops.conns", s.Ops.MaxConns >= 0, "must not be negative")
+	c.requireValid("wire.handshakes", s.Wire.MaxHandshakes >= 0, "must not be negative")
 	c.requireValid("roles", s.Entry != nil || s.Member != nil || s.Agent != nil || s.Store != nil, "at least one of the sections [entry], [member], [agent] and [store] is required")
 	if s.Entry != nil {
 		s.Entry.check(c)
--- a/conns/bound.go
+++ b/conns/bound.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net"
+	"net/http"
 	"net/netip"
 	"syscall"
 	"time"
@@ -58,8 +59,9 @@
 	k := c.newConn(raw)
 	var from netip.Addr
 	if at, err := netip.ParseAddrPort(raw.RemoteAddr().String()); err == nil {
-		from = at.Addr().Unmap()
+		from = at.Addr().Unmap().WithZone("")
 	}
+	k.client = from
 	if k.hold = c.budget.Conn(from, k.abort); k.hold == nil {
 		setLinger(raw, 0)
 		raw.Close()
@@ -82,8 +84,11 @@
 	case c.closed:
 	case s == limit.Idle && c.timer != nil && !c.hasRequest(), s == limit.InHeader && c.timer != nil:
 		c.close()
-	case s == limit.InBody && c.inBody:
+	case s == limit.InBody && c.inBody && c.handlerReads:
 		c.end(stalledText)
+	case s == limit.InBody && c.inBody:
+		// The server reads what its handler has left unread: the request may have run.
+		c.close()
 	case s == limit.Unread && c.inWrite:
 		setLinger(c.Conn, 0)
 		c.close()
@@ -103,6 +108,36 @@
 	c.close()
 }
 
+// handlerBody is a request's body that notes when the handler reads it.
+type handlerBody struct {
+	io.ReadCloser
+	conn *conn
+}
+
+// Read implements io.Reader.
+func (b *handlerBody) Read(p []byte) (int, error) {
+	b.conn.setHandlerReads(true)
+	defer b.conn.setHandlerReads(false)
+	return b.ReadCloser.Read(p)
+}
+
+func (c *conn) setHandlerReads(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handlerReads = on
+}
+
+// withHandlerBody returns a request whose body notes when the handler reads it. The server's own request keeps its body, by whose type the server
+// decides what to do with the rest.
+func (c *conn) withHandlerBody(r *http.Request) *http.Request {
+	if r.Body == nil || r.Body == http.NoBody {
+		return r
+	}
+	r = r.WithContext(r.Context())
+	r.Body = &handlerBody{r.Body, c}
+	return r
+}
+
 // beginRead notes that a request's body is awaited, if it is. Under TLS reads don't tell that.
 func (c *conn) beginRead(p []byte) {
 	c.mu.Lock()
@@ -141,7 +176,7 @@
 	}
 	if c.headerBytes > freeHeaderBytes {
 		if c.header == nil {
-			c.header = c.owner.budget.Hold(limit.UseHeader, c.abort)
+			c.header = c.owner.budget.Hold(limit.UseHeader, c.abort).Of(c.client)
 			c.header.Wait(limit.InHeader)
 		}
 		// The holder may be asked to end another connection meanwhile, not this one.
--- a/limit/cold.go
+++ b/limit/cold.go
@@ -20,8 +20,8 @@
 	staleEntries = 1.5
 	// lateRequests is how many requests that were delayed on their way the bound leaves room for, if it allows several.
 	lateRequests = 2
-	// maxColdRate bounds the rate of turns at one endpoint, a second.
-	maxColdRate = 1e6
+	// minColdRate and maxColdRate bound the rate of turns at one endpoint, a second; there are none below.
+	minColdRate, maxColdRate = 1e-3, 1e6
 
 	// RosterTime is how long an entry counts for turns after its last sync: one without contact to control still sends.
 	RosterTime = 10 * time.Second
@@ -35,6 +35,8 @@
 
 	// MaxListAge is the age of a list from which all endpoints with a bound count as cold.
 	MaxListAge = 2 * time.Second
+	// restartNotice is the remaining coldness up to which a further restart is told at once: longer than entries go without a sync.
+	restartNotice = 500 * time.Millisecond
 	// evacuatedColdTime is how long after the end of their data centre's evacuation endpoints count as cold.
 	evacuatedColdTime = 3 * time.Second
 )
@@ -66,7 +68,7 @@
 // turns of 0.1 s at 20 requests a second.
 func (b ColdBound) Pace() ColdPace {
 	most := math.Floor(b.Most())
-	if !b.Bounded() || most < 1 {
+	if b.Rate < minColdRate || most < 1 {
 		return ColdPace{}
 	}
 	rate := min(b.Rate, maxColdRate)
@@ -75,6 +77,13 @@
 	return ColdPace{Rate: min(rate, usable/(1+validity)), Validity: time.Duration(validity * float64(time.Second))}
 }
 
+// After returns the turn of an entry that hasn't heard from control for some time. Once another leader may have given its turns to others, it
+// uses each second one: however many entries are without contact, all together send half as much again at most.
+func (t Turn) After(silence time.Duration) Turn {
+	t.Half = silence > RosterDelay
+	return t
+}
+
 // at returns the turn of the same entry at an endpoint. Endpoints have their turns at different times, so that those of one entry
 // don't all come at once.
 func (t Turn) at(id string) Turn {
@@ -88,7 +97,11 @@
 
 // period returns the time between two turns of one entry.
 func (t Turn) period(rate float64) time.Duration {
-	return time.Duration(float64(time.Second)/rate) * time.Duration(max(t.Count, 1))
+	period := time.Duration(float64(time.Second)/rate) * time.Duration(max(t.Count, 1))
+	if t.Half {
+		period *= 2
+	}
+	return period
 }
 
 // ColdTurns are the turns of one entry at cold endpoints, which send no more in sum than the endpoints' pace.
@@ -113,7 +126,9 @@
 	if used, ok := c.used[id]; ok {
 		// Whenever entries come or go, all turns move. No entry has more of them for that, also while many come one by one. The estimate of
 		// the shared time changes a little meanwhile.
-		period := t.period(p.Rate)
+		whole := t
+		whole.Half = false
+		period := whole.period(p.Rate)
 		after = max(after, used+period-min(period/2, turnTolerance))
 	}
 	return t.at(id).next(p.Rate, after)
@@ -252,14 +267,14 @@
 	w.runs, w.known = next, true
 }
 
-// Restart records that an endpoint's process has ended, and reports whether that wasn't known. It counts until coldTime has passed, or
-// the list shows another incarnation.
+// Restart records that an endpoint's process has ended, and reports whether entries must learn of it at once: they don't know it, or what they
+// know is about to expire. It counts until coldTime has passed, or the list shows another incarnation.
 func (w *Warmups) Restart(id string, coldTime, now time.Duration) (news bool) {
 	r, ok := w.runs[id]
-	if !ok {
+	if !ok || coldTime <= 0 {
 		return false
 	}
-	news = r.until() <= now
+	news = r.until()-now <= restartNotice
 	r.restarted = now + coldTime
 	w.runs[id], w.cold[id] = r, true
 	return news
--- a/limit/cold_test.go
+++ b/limit/cold_test.go
@@ -44,6 +44,8 @@
 	turns *limit.ColdTurns
 	turn  limit.Turn
 	clock limit.TurnClock
+	// heardAt is when it last heard from control.
+	heardAt time.Duration
 }
 
 func newColdPlay(seed uint64, entries int, bound limit.ColdBound) *coldPlay {
@@ -85,8 +87,9 @@
 				e.syncAt = now + 20*time.Millisecond + p.draw(130*time.Millisecond)
 				p.sync(e, now)
 			}
+			turn := e.turn.After(now - e.heardAt)
 			for _, id := range p.endpoints {
-				for e.turns.Take(id, pace, e.turn, now+e.ahead) {
+				for e.turns.Take(id, pace, turn, now+e.ahead) {
 					p.arrivals[id] = append(p.arrivals[id], now+p.draw(coldTransit))
 				}
 			}
@@ -103,6 +106,7 @@
 		return
 	}
 	p.roster.Record(e.name, now)
+	e.heardAt = now
 	shared := coldEpoch + now + time.Duration(p.term%3)*3*time.Millisecond - p.draw(20*time.Millisecond)
 	if p.random.IntN(20) == 0 {
 		shared -= p.draw(400 * time.Millisecond)
@@ -141,6 +145,29 @@
 			}
 		}
 	},
+	"all but a few without contact": func(p *coldPlay) {
+		p.change = func(p *coldPlay, now time.Duration) {
+			for i, e := range p.entries {
+				e.noContact = i%4 > 0 && now > 8*time.Second
+			}
+		}
+	},
+	"most are without contact to the next leader": func(p *coldPlay) {
+		p.leader = func(at time.Duration) uint64 {
+			switch {
+			case at < 8*time.Second:
+				return 1
+			case at < 8500*time.Millisecond:
+				return 0
+			}
+			return 2
+		}
+		p.change = func(p *coldPlay, now time.Duration) {
+			for i, e := range p.entries {
+				e.noContact = i%4 > 0 && now > 8*time.Second
+			}
+		}
+	},
 	"control is lost": func(p *coldPlay) {
 		p.leader = func(at time.Duration) uint64 {
 			if at > 8*time.Second {
@@ -249,7 +276,7 @@
 		check.Equal(t, fmt.Sprint("turns of a second ", b), turns <= max(b.Most(), 1), true)
 		check.Equal(t, fmt.Sprint("turns of a second by half as many entries again ", b), 1.5*turns <= b.Most()+0.001, true)
 	}
-	for _, b := range []limit.ColdBound{{}, {Rate: -1, Excess: 1.5, Slack: 5}, {Rate: 0.5, Excess: 1}} {
+	for _, b := range []limit.ColdBound{{}, {Rate: -1, Excess: 1.5, Slack: 5}, {Rate: 1e-300, Excess: 1.5, Slack: 5}, {Rate: 0.5, Excess: 1}} {
 		check.Equal(t, "rate where nothing may be sent or nothing is bounded", b.Pace().Rate, 0.0)
 	}
 }
@@ -296,6 +323,7 @@
 	check.Equal(t, "cold in the first list", cold(10*time.Second), false)
 	check.Equal(t, "news of a restart", w.Restart("a", coldTime, 11*time.Second), true)
 	check.Equal(t, "news of the same restart", w.Restart("a", coldTime, 11*time.Second), false)
+	check.Equal(t, "news of a restart without a time to be cold", w.Restart("a", 0, 20*time.Second), false)
 	list(11500*time.Millisecond, 1, 0)
 	check.Equal(t, "cold while the list shows the former incarnation", cold(13*time.Second), true)
 	list(12*time.Second, 2, 0)
@@ -307,6 +335,8 @@
 	check.Equal(t, "warm, as the list says", cold(17*time.Second), false)
 	check.Equal(t, "news of an unknown one", w.Restart("b", coldTime, 17*time.Second), false)
 	w.Restart("a", coldTime, 18*time.Second)
+	check.Equal(t, "news of a further restart", w.Restart("a", coldTime, 20*time.Second), false)
+	check.Equal(t, "news of a restart shortly before it would be warm", w.Restart("a", coldTime, 22600*time.Millisecond), true)
 	w.Recover("a")
 	check.Equal(t, "cold though its process goes on", cold(18*time.Second), false)
 }
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -26,6 +26,7 @@
 	outcomeFailed        = "failed"
 	outcomeTimeout       = "no answer in time"
 	outcomeClientClosed  = "caller left"
+	outcomeNoRoom        = "no memory"
 )
 
 const (
@@ -44,9 +45,11 @@
 	send := e.newSend(j, c, out.lastEventID)
 	watch := e.watchSilence(j, to)
 	send.Silent = watch.isGivenUp
+	send.Connected = func(took time.Duration) { e.recordConnect(to, took) }
 	e.config.Events.Emit(event.Placed, "id", j.call.ID, "route", j.route.Name, "endpoint", to.ID, "tried", len(j.tried), "urgency", c.urgency,
 		"expected", c.predictedFirstToken.Milliseconds(), "ahead", c.tokensAhead, "compute", c.computeTokens, "moved", c.fetchTokens, "weights", c.version,
-		"required", j.required, "behind", c.behind.Milliseconds(), "build", to.Build, "resumes", j.call.Resumes)
+		"required", j.required, "behind", c.behind.Milliseconds(), "build", to.Build, "resumes", j.call.Resumes, "away", string(c.away))
+	e.meters.away(c.away)
 	began := time.Now()
 	out.first = func() { e.settleFirstToken(j, c, time.Since(began), true) }
 	out.onData = func() {
@@ -134,7 +137,7 @@
 	err := out.copy(reply, &j.firstByteAt)
 	failed := err != nil || reply.Status >= http.StatusInternalServerError && j.route.Kind != board.Idempotent
 	if !ended {
-		if endOf(ctx) == context.Canceled || out.clientGone {
+		if endOf(ctx) == context.Canceled || out.clientGone || errorx.IsOfType(err, NoRoom) {
 			e.endAttemptUnscored(to)
 		} else {
 			e.endAttempt(to, failed, began)
@@ -160,6 +163,15 @@
 		}
 		return false, j.finalFailure(reasonTimeout, 0)
 	}
+	if errorx.IsOfType(err, NoRoom) {
+		// Another endpoint's response would have no more room.
+		e.recordUnanswered(j, to)
+		e.recordAttempt(j, to, outcomeNoRoom, "end", reply.Status)
+		if out.headerSent {
+			return false, e.cutResponse(j, out)
+		}
+		return false, &failure{status: http.StatusBadGateway, reason: reasonNoRoom}
+	}
 	outcome := outcomeLost
 	if errorx.IsOfType(err, BrokenOff) {
 		outcome = outcomeBrokenOff
@@ -371,6 +383,7 @@
 	e.config.Events.Emit(event.Served, "id", j.call.ID, "route", j.route.Name, "endpoint", to.ID, "status", reply.Status, "tried", len(j.tried),
 		"first", first.Milliseconds(), "took", time.Since(j.call.Arrived).Milliseconds(), "fetched", j.fetched, "saved", j.saved, "weights", j.version, "urgency", j.urgency, "expected", j.predictedFirstToken.Milliseconds(),
 		"unsized", reply.UntilClose, "rest", out.openBytes, "end", reply.Ending)
+	e.recordFlow(j, to, out.sentBytes)
 	e.meters.outcome(j.route.Name, "served")
 	e.meters.first(j.route.Kind.String(), first)
 	e.meters.predicted(j.route.Kind.String(), first, j.predictedFirstToken)
--- a/pass/call.go
+++ b/pass/call.go
@@ -18,6 +18,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"egretshunt/limit"
 	"egretshunt/member"
 	"egretshunt/value"
 )
@@ -38,6 +39,8 @@
 	// BrokenOff is the subtype of Lost for bodies whose content or endpoint shows that the endpoint broke
 	// them off, though their connection ended as after a complete one.
 	BrokenOff = Lost.NewSubtype("brokenoff")
+	// NoRoom is the type of errors of responses for which the entry has no memory. They say nothing of the endpoint.
+	NoRoom = namespace.NewType("noroom")
 )
 
 // Part is one part of a prompt. Requests that share parts share their cached KV blocks.
@@ -55,6 +58,8 @@
 	// Header holds the headers that are forwarded to the endpoint.
 	Header http.Header
 	Body   []byte
+	// Held counts Body under the entry's budget, until the request ends; nil counts nothing. It is given up with a response that isn't read.
+	Held *limit.Hold
 	// APIKey is the client's API key. It is never forwarded.
 	APIKey string
 	// Arrived is when the request was read, or, with ArrivalKnown, when it arrived, ClientTimeout how long the client
@@ -117,6 +122,8 @@
 	// Allowed reports whether the request may still be sent to the endpoint. The backend asks before the first byte, and returns an error
 	// of type Withheld if it may not. It may be nil.
 	Allowed func() bool
+	// Connected is called with the time that a new connection to the endpoint took, if the attempt needed one. It may be nil.
+	Connected func(took time.Duration)
 }
 
 // Reply is an endpoint's response.
--- a/pass/prefill.go
+++ b/pass/prefill.go
@@ -59,15 +59,19 @@
 		ownTokens -= p.Tokens
 	}
 	estimates, prefills, versions := e.scratch.estimates[:0], e.scratch.prefills[:0], e.scratch.versions[:0]
+	delays := o.addedDelays()
 	for _, c := range candidates {
 		version := c.state.version(c.to, j.call.Model)
-		estimate := route.CandidateEstimate{ID: c.to.ID, OwnTokens: ownTokens, Slowdown: 1, MemoryTokens: c.state.memoryTokens + c.others.memory + j.maxMemoryTokens()}
+		estimate := route.CandidateEstimate{ID: c.to.ID, Place: int32(c.place), OwnTokens: ownTokens, Slowdown: 1, MemoryTokens: c.state.memoryTokens + c.others.memory + j.maxMemoryTokens()}
 		if c.state.slowness > 0 {
 			estimate.Slowdown = c.state.slowness
 		}
 		if version < target {
 			estimate.Penalty = outdatedWeightsPenalty
 		}
+		if delays != nil {
+			estimate.Penalty += delays[c.place]
+		}
 		estimates, prefills, versions = append(estimates, estimate), append(prefills, route.Prefill{}), append(versions, version)
 	}
 	e.scratch.estimates, e.scratch.prefills, e.scratch.versions = estimates, prefills, versions
@@ -173,6 +177,9 @@
 	loads             []route.EndpointState
 	// sources are reused by version and part.
 	sources [][]*route.PartSources
+	// delays are the added round trips to the places, by index, and open is whether a place has eligible endpoints.
+	delays []time.Duration
+	open   []bool
 	// rules are those of the places, by index.
 	rules []placeRule
 	// mark counts the parts located.
