--- a/conns/port.go
+++ b/conns/port.go
@@ -30,7 +30,7 @@
 	portWriteTime = 5 * time.Second
 )
 
-// ServePort serves s on l in the background, within the bounds of a port. At the bound of connections, one that waits for its client gives way: the
+// ServePort serves s on l in the background, within the bounds of a port. At the bound of connections, one that waits for its client is closed: the
 // one that has been idle for longest, then the one with the oldest incomplete header.
 func ServePort(s *http.Server, l net.Listener, p PortConfig) {
 	if p.Conns <= 0 {
--- a/limit/attribute.go
+++ b/limit/attribute.go
@@ -262,7 +262,7 @@
 }
 
 // evict removes the records beyond maxTrackedRequests: expired ones first, then by rank. It runs once for all reports of a command, after
-// their crashes have been counted: before that a new record would rank last and give way to the next.
+// their crashes have been counted: before that a new record would rank last and be evicted by the next one.
 func (t *CrashTracker) evict(now time.Time) {
 	if len(t.records) <= maxTrackedRequests {
 		return
--- a/limit/budget.go
+++ b/limit/budget.go
@@ -363,7 +363,7 @@
 			h.set(want)
 			return true
 		}
-		// None is aborted in vain: all that may be must make enough room.
+		// Aborts nothing unless all that may be aborted make enough room.
 		_, rest := h.split(int64(bytes), b.freeable(h, false), b.freeable(h, true))
 		if !rest.fits() || !b.abortOne(func(other *Hold) bool { return other.mayMakeRoom(h, full) }) {
 			break
