Responses with a status that is none, such as 000, are refused

What callers saw: an endpoint's response with status 000 went on as a response. On the agents' path the entry gave that status to WriteHeader, which panics, so the caller got "an internal check failed", and with an idempotency key the response was recorded and did the same to each resend. 101, which no call asks for, reached callers there, too.

Cause: http.ReadResponse and net/http's transport take any three digits, and signs, for a status, and leave the rest to their caller. The platform's path checked for statuses below 100 (and took 101 for an interim one); the agents' path, the heads that entries get from agents, verdicts and recorded responses weren't checked.

TestBadHeadOfAgentIsNoResponse (entry) fails in all cases.

A request that runs at most once isn't sent again. A verdict or record without a sound head says "answer gone".

Why it works: no status reaches WriteHeader, a record or a frame that the check hasn't passed, whoever read it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -140,8 +140,9 @@
 		exchanges: map[string]*exchange{}, tokensPerSecond: c.PrefillRate, link: limit.NewLink(0), cache: newMirror(),
 	}
 	a.slots = newSlots(c.MaxRunning, c.MaxQueued, a.pace)
-	a.updateHealth(ctx)
-	a.tasks.Go(func() { every(ctx, healthInterval, a.updateHealth) })
+	// An error is recorded in a.responding.
+	_ = a.updateHealth(ctx)
+	a.tasks.Go(func() { every(ctx, healthInterval, func(ctx context.Context) { _ = a.updateHealth(ctx) }) })
 	a.tasks.Go(func() { every(ctx, time.Second, a.removeExpired) })
 	if _, ok := c.Backend.(Engine); ok {
 		a.tasks.Go(func() { every(ctx, cacheEventInterval, a.pollCacheEvents) })
@@ -165,8 +166,8 @@
 }
 
 // updateHealth requests the endpoint's health and resets the cache mirror when the incarnation
-// changed.
-func (a *Agent) updateHealth(ctx context.Context) {
+// changed. It returns the error of the health check.
+func (a *Agent) updateHealth(ctx context.Context) error {
 	// Serialised so that a response from before a change can't overwrite a later one.
 	a.healthMu.Lock()
 	defer a.healthMu.Unlock()
@@ -177,7 +178,7 @@
 	defer a.engine.Unlock()
 	a.responding = err == nil
 	if err != nil {
-		return
+		return err
 	}
 	if h.Incarnation != a.health.Incarnation {
 		a.pace.restart()
@@ -190,6 +191,7 @@
 	if p, ok := a.tables().Pools[a.config.Pool]; ok {
 		a.link.SetBudget(p.Link)
 	}
+	return nil
 }
 
 func (a *Agent) tables() *table.Tables {
--- a/agent/backend.go
+++ b/agent/backend.go
@@ -22,6 +22,8 @@
 	Unreachable = namespace.NewType("down")
 	// Interrupted reports a call that failed after it may have reached the endpoint.
 	Interrupted = namespace.NewType("broken")
+	// Malformed is the subtype of Interrupted for responses whose head breaks the grammar of HTTP: the endpoint runs.
+	Malformed = Interrupted.NewSubtype("malformed")
 	// Rejected reports a command, block or short call that was rejected, or a malformed response.
 	Rejected = namespace.NewType("refused")
 	// NotFound reports a block or path that does not exist.
--- a/agent/crash.go
+++ b/agent/crash.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"egretshunt/ctrl"
 	"egretshunt/event"
 	"egretshunt/limit"
@@ -20,9 +22,10 @@
 	a.engine.Lock()
 	before := a.health.Incarnation
 	a.engine.Unlock()
-	a.updateHealth(ctx)
+	err := a.updateHealth(ctx)
 	a.engine.Lock()
-	gone := !a.responding || (before != "" && a.health.Incarnation != before)
+	// A malformed response shows that the process runs.
+	gone := err != nil && !errorx.IsOfType(err, Malformed) || before != "" && a.health.Incarnation != before
 	a.engine.Unlock()
 	if !gone {
 		return false
--- a/agent/http.go
+++ b/agent/http.go
@@ -18,6 +18,7 @@
 
 	"egretshunt/block"
 	"egretshunt/body"
+	"egretshunt/heads"
 )
 
 const (
@@ -83,11 +84,24 @@
 	req.Header.Set("X-Request-Id", c.ID)
 	req.Header.Set("X-Priority", strconv.Itoa(int(c.Urgency)))
 	setCacheHeaders(req.Header, c)
+	resp, err := s.do(req)
+	if err != nil {
+		return nil, err
+	}
+	return &Response{Status: resp.StatusCode, Headers: resp.Header, Length: resp.ContentLength, UntilClose: body.IsUntilClose(resp), Body: resp.Body}, nil
+}
+
+// do sends a request and returns the response, whose body is yet to be read.
+func (s *Service) do(req *http.Request) (*http.Response, error) {
 	resp, err := s.client.Do(req)
 	if err != nil {
 		return nil, classifyCallError(err)
 	}
-	return &Response{Status: resp.StatusCode, Headers: resp.Header, Length: resp.ContentLength, UntilClose: body.IsUntilClose(resp), Body: resp.Body}, nil
+	if err := heads.CheckStatus(resp.StatusCode); err != nil {
+		resp.Body.Close()
+		return nil, Malformed.Wrap(err, "read the response of the endpoint")
+	}
+	return resp, nil
 }
 
 func setCacheHeaders(h http.Header, c Call) {
@@ -150,9 +164,9 @@
 	for k, v := range header {
 		req.Header[k] = v
 	}
-	resp, err := s.client.Do(req)
+	resp, err := s.do(req)
 	if err != nil {
-		return nil, nil, classifyCallError(err)
+		return nil, nil, err
 	}
 	defer resp.Body.Close()
 	tracker := body.NewTracker(resp.Header.Get("Content-Type"), body.IsUntilClose(resp))
--- /dev/null
+++ b/entry/badhead_test.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"egretshunt/check"
+	"egretshunt/ledger"
+	"egretshunt/wire"
+)
+
+// badHeads are heads that an agent of a former version may pass on.
+var badHeads = map[string]*wire.Head{
+	"none": {}, "status 99": {Status: 99}, "status 101": {Status: 101}, "status 1000": {Status: 1000},
+}
+
+// TestBadHeadOfAgentIsNoResponse guards against a head that an agent passes on without a check, and that reaches the caller or ends the
+// request's handler.
+func TestBadHeadOfAgentIsNoResponse(t *testing.T) {
+	for name, head := range badHeads {
+		t.Run(name+", repeatable", func(t *testing.T) {
+			run, rec := newScriptedRun(t, &scriptedAgent{head: head}, &scriptedAgent{})
+			got := run.e.try(t.Context(), run.j, run.j.plan.Targets[0], run.out, attempt{})
+			check.Equal(t, "code", got.code, "broken")
+			check.Equal(t, "ran", got.ran, Unknown)
+			check.Equal(t, "begun", run.out.started, false)
+			check.Equal(t, "bytes of the response", rec.Body.Len(), 0)
+		})
+		t.Run(name+", at most once", func(t *testing.T) {
+			first, second := &scriptedAgent{head: head, verdict: &wire.Verdict{State: "done", Head: head, Body: []byte("ok")}}, &scriptedAgent{}
+			run, _ := newScriptedRun(t, first, second)
+			checkGone(t, run.dispatch(t.Context(), run.j.plan.Targets[0]))
+			check.Equal(t, "offers to another endpoint", second.offers.Load(), int64(0))
+		})
+		t.Run(name+", recorded", func(t *testing.T) {
+			c := &claimRun{e: &Entry{}, j: &job{}, out: newResponseSink(httptest.NewRecorder(), false, time.Minute)}
+			f, settled := c.settled(t.Context(), &ledger.Claim{State: ledger.Done, Response: &ledger.Response{Status: int(head.GetStatus()), Body: []byte("ok")}})
+			check.Equal(t, "settled", settled, true)
+			checkGone(t, f)
+		})
+	}
+}
+
+// checkGone fails the test unless the failure says that the request has run and that its response isn't kept.
+func checkGone(t *testing.T, f *Failure) {
+	t.Helper()
+	if f == nil {
+		t.Fatal("the response counts as whole")
+	}
+	check.Equal(t, "code", f.Code, CodeResponseGone)
+	check.Equal(t, "ran", f.Ran, Yes)
+}
--- a/entry/begun_test.go
+++ b/entry/begun_test.go
@@ -23,6 +23,8 @@
 	data    []byte
 	offers  atomic.Int64
 	verdict *wire.Verdict
+	// head is that of the response; nil means status 200 without headers.
+	head *wire.Head
 	// breaks makes each stream break once the first sent bytes of a response are sent.
 	breaks bool
 	sent   int
@@ -50,7 +52,11 @@
 	case *wire.Frame_Offer:
 		a.offers.Add(1)
 		id := body.Offer.GetId()
-		_ = s.Send(&wire.Frame{Body: &wire.Frame_Accept{Accept: &wire.Accept{Boot: "boot"}}}, &wire.Frame{Body: &wire.Frame_Head{Head: &wire.Head{Status: 200}}})
+		head := a.head
+		if head == nil {
+			head = &wire.Head{Status: 200}
+		}
+		_ = s.Send(&wire.Frame{Body: &wire.Frame_Accept{Accept: &wire.Accept{Boot: "boot"}}}, &wire.Frame{Body: &wire.Frame_Head{Head: head}})
 		for at := 0; at < a.sent; at += 32 << 10 {
 			_ = s.Send(&wire.Frame{Body: &wire.Frame_Piece{Piece: &wire.Piece{Id: id, Offset: uint64(at), Data: a.data[at:min(at+32<<10, a.sent)]}}})
 		}
@@ -66,6 +72,30 @@
 	}
 }
 
+// newScriptedRun returns a request that must not run twice, whose first attempt is for the first agent, and the recorder of its response.
+func newScriptedRun(t *testing.T, first, second *scriptedAgent) (*claimRun, *httptest.ResponseRecorder) {
+	t.Helper()
+	keys, err := wire.NewKeys("secret of the test")
+	check.NoError(t, err)
+	first.start(t, keys)
+	second.start(t, keys)
+	pool := wire.NewPool(wire.PoolConfig{Keys: keys})
+	t.Cleanup(pool.Close)
+	follower, err := ctrl.NewFollower(ctrl.FollowerConfig{Pool: pool, Upstreams: func() []netip.AddrPort { return nil }})
+	check.NoError(t, err)
+	t.Cleanup(follower.Close)
+	e := New(Config{AgentConns: pool, Follower: follower, Seed: 1})
+	t.Cleanup(e.Close)
+	row := &table.Route{Name: "r"}
+	targets := []route.Target{{Pool: &table.Pool{Name: "p"}, Name: "first", Addr: first.addr}, {Pool: &table.Pool{Name: "p"}, Name: "second", Addr: second.addr}}
+	j := &job{id: "id", atMostOnce: true, plan: &route.Plan{Route: row, Targets: targets}, deadline: time.Now().Add(time.Minute), ran: No}
+	rec := httptest.NewRecorder()
+	run := &claimRun{e: e, j: j, out: newResponseSink(rec, false, time.Minute), tried: value.Set[string]{}}
+	run.tried.Add("first")
+	run.attempt = attempt{key: entryKeyPrefix + j.id, number: 1, incarnation: "boot"}
+	return run, rec
+}
+
 // TestBegunBookingIsCut guards against a booking whose caller got a part of its response, and then the sign that it was
 // complete, or the response of another run behind it.
 func TestBegunBookingIsCut(t *testing.T) {
@@ -84,27 +114,10 @@
 		"never before it began": {1000, &wire.Verdict{State: "never"}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			keys, err := wire.NewKeys("secret of the test")
-			check.NoError(t, err)
 			first := &scriptedAgent{data: whole, sent: c.sent, breaks: true, verdict: c.verdict}
 			second := &scriptedAgent{data: bytes.Repeat([]byte("b"), size), sent: size}
-			first.start(t, keys)
-			second.start(t, keys)
-			pool := wire.NewPool(wire.PoolConfig{Keys: keys})
-			defer pool.Close()
-			follower, err := ctrl.NewFollower(ctrl.FollowerConfig{Pool: pool, Upstreams: func() []netip.AddrPort { return nil }})
-			check.NoError(t, err)
-			defer follower.Close()
-			e := New(Config{AgentConns: pool, Follower: follower, Seed: 1})
-			defer e.Close()
-			row := &table.Route{Name: "r"}
-			targets := []route.Target{{Pool: &table.Pool{Name: "p"}, Name: "first", Addr: first.addr}, {Pool: &table.Pool{Name: "p"}, Name: "second", Addr: second.addr}}
-			j := &job{id: "id", atMostOnce: true, plan: &route.Plan{Route: row, Targets: targets}, deadline: time.Now().Add(time.Minute), ran: No}
-			rec := httptest.NewRecorder()
-			run := &claimRun{e: e, j: j, out: newResponseSink(rec, false, time.Minute), tried: value.Set[string]{}}
-			run.tried.Add("first")
-			run.attempt = attempt{key: entryKeyPrefix + j.id, number: 1, incarnation: "boot"}
-			f := run.dispatch(t.Context(), targets[0])
+			run, rec := newScriptedRun(t, first, second)
+			f := run.dispatch(t.Context(), run.j.plan.Targets[0])
 			check.Equal(t, "begun", run.out.started, c.begun || c.verdict.GetState() == "never")
 			if !c.begun {
 				check.Equal(t, "failed", f != nil, false)
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -160,11 +160,7 @@
 	switch claim.State {
 	case ledger.Done:
 		c.e.Replays.Add(1)
-		if claim.Response == nil || claim.Response.BodyDropped {
-			return newFailure(http.StatusConflict, CodeResponseGone, Yes, "the request has run; its answer is no longer kept"), true
-		}
-		c.replay(claim.Response)
-		return nil, true
+		return c.replay(claim.Response), true
 	case ledger.Unknown:
 		return c.recheckUnknown(ctx, claim)
 	}
@@ -186,8 +182,7 @@
 	case v.GetState() == "done":
 		a := ledgerResponse(v)
 		c.recordResponse(a)
-		c.replay(a)
-		return nil, true
+		return c.replay(a), true
 	}
 	// The attempt did not run and never will, so the key can be freed.
 	r, err := c.freeKey(ctx)
@@ -214,16 +209,23 @@
 	return newFailure(http.StatusConflict, CodeOutcomeUnknown, Unknown, "the request was accepted and its outcome is not known; it is not sent again")
 }
 
-// replay responds with the recorded response.
-func (c *claimRun) replay(a *ledger.Response) {
-	head := &wire.Head{Status: uint32(a.Status)}
-	for _, h := range a.Headers {
-		head.Headers = append(head.Headers, &wire.Header{Name: h.Name, Value: h.Value})
+// replay responds with the recorded response, unless that isn't kept whole. Entries of former versions recorded heads that they didn't check.
+func (c *claimRun) replay(a *ledger.Response) *Failure {
+	head := &wire.Head{}
+	if a != nil {
+		head.Status = uint32(a.Status)
+		for _, h := range a.Headers {
+			head.Headers = append(head.Headers, &wire.Header{Name: h.Name, Value: h.Value})
+		}
+	}
+	if a == nil || a.BodyDropped || checkHead(head) != nil {
+		return newFailure(http.StatusConflict, CodeResponseGone, Yes, "the request has run; its answer is no longer kept")
 	}
 	head.Headers = append(head.Headers, &wire.Header{Name: "Idempotency-Replayed", Value: "true"})
 	c.out.reset()
 	c.out.setHead(head)
 	c.out.buffered = a.Body
+	return nil
 }
 
 // dispatch sends the attempt to the target, and retries elsewhere while it is certain that no
@@ -232,7 +234,8 @@
 	for {
 		result := c.e.try(ctx, c.j, target, c.out, c.attempt)
 		if result.ok {
-			return c.recordResponse(c.sinkResponse())
+			c.recordResponse(c.sinkResponse())
+			return nil
 		}
 		if result.ran != No {
 			return c.resolveInDoubt(ctx, target, result)
@@ -312,14 +315,13 @@
 // recordResponse records the response in the ledger for resends. If that fails, the
 // caller still receives it, and the agent keeps it too for an entry that takes the
 // claim over.
-func (c *claimRun) recordResponse(a *ledger.Response) *Failure {
+func (c *claimRun) recordResponse(a *ledger.Response) {
 	if c.j.key == "" {
-		return nil
+		return
 	}
 	ctx, cancel := context.WithTimeout(c.e.ctx, controlTimeout)
 	defer cancel()
 	_, _ = c.proposeClaim(ctx, ledger.OpFinish, route.Target{}, c.attempt.incarnation, a)
-	return nil
 }
 
 // resolveInDoubt requests the agent's verdict on an attempt whose response was lost.
@@ -399,15 +401,11 @@
 			return c.retryRevoked(ctx)
 		case "done":
 			a := ledgerResponse(v)
-			f := c.recordResponse(a)
+			c.recordResponse(a)
 			if c.out.started {
 				return newFailure(http.StatusBadGateway, CodeResponseCut, Yes, "the connection to the endpoint was lost; a resend gets the whole answer"), true
 			}
-			if a.BodyDropped {
-				return newFailure(http.StatusConflict, CodeResponseGone, Yes, "the request has run; its answer is no longer kept"), true
-			}
-			c.replay(a)
-			return f, true
+			return c.replay(a), true
 		case "lost":
 			c.recordUnknown()
 			return c.outcomeUnknown(), true
@@ -431,8 +429,12 @@
 	return c.dispatch(ctx, target), true
 }
 
+// ledgerResponse returns the response of a verdict, in the form that the ledger records. Without a sound head it counts as dropped.
 func ledgerResponse(v *wire.Verdict) *ledger.Response {
-	a := &ledger.Response{Status: int(v.GetHead().GetStatus()), Body: v.GetBody(), BodyDropped: v.GetBody() == nil && v.GetHead() == nil}
+	if checkHead(v.GetHead()) != nil {
+		return &ledger.Response{BodyDropped: true}
+	}
+	a := &ledger.Response{Status: int(v.GetHead().GetStatus()), Body: v.GetBody()}
 	for _, h := range v.GetHead().GetHeaders() {
 		if !isHopByHop(h.GetName()) {
 			a.Headers = append(a.Headers, ledger.Header{Name: h.GetName(), Value: h.GetValue()})
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -344,6 +344,9 @@
 		r.endpointState.updateIncarnation(body.Accept.GetBoot())
 	case *wire.Frame_Head:
 		r.accepted = true
+		if checkHead(body.Head) != nil {
+			return outcome{code: "broken", text: "the endpoint's answer is malformed", ran: Unknown}, true, nil
+		}
 		r.out.setHead(body.Head)
 	case *wire.Frame_Piece:
 		return outcome{}, false, r.handlePiece(body.Piece)
@@ -393,6 +396,9 @@
 	if end.GetId() != r.j.id || end.GetTotal() != r.offset {
 		return outcome{}, false, misplacedFrame.New("response ends at offset %d, received %d bytes", end.GetTotal(), r.offset)
 	}
+	if r.out.head == nil {
+		return outcome{code: "broken", text: "the endpoint's answer has no status", ran: Unknown}, true, nil
+	}
 	if end.GetSum() != r.checksum {
 		return r.recordCut("the answer does not match its checksum"), true, nil
 	}
--- a/entry/response.go
+++ b/entry/response.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"egretshunt/body"
+	"egretshunt/heads"
 	"egretshunt/limit"
 	"egretshunt/wire"
 )
@@ -135,6 +136,9 @@
 	panic(http.ErrAbortHandler)
 }
 
+// checkHead returns an error unless a caller can be sent the head. Agents of former versions pass on heads that they didn't check.
+func checkHead(h *wire.Head) error { return heads.CheckStatus(int(h.GetStatus())) }
+
 func isHopByHop(name string) bool {
 	switch strings.ToLower(name) {
 	case "connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade", "proxy-authenticate", "proxy-authorization", "content-length":
--- /dev/null
+++ b/heads/heads.go
@@ -0,0 +1,31 @@
+// Package heads checks the heads of HTTP/1 responses against the grammar of RFC 9110 and RFC 9112. The parser of net/http takes more than
+// that, such as the status 000, and leaves the rest to its callers.
+package heads
+
+import "github.com/joomcode/errorx"
+
+// Malformed is the type of the errors for heads that break the grammar.
+var Malformed = errorx.NewNamespace("heads").NewType("malformed")
+
+// The statuses of responses. RFC 9110 leaves 600 to 999 undefined and has clients treat them as server errors: such a response is whole, and
+// callers get its status as it is.
+const (
+	minInterim = 100
+	minFinal   = 200
+	maxFinal   = 999
+	// switchingProtocols ends HTTP on a connection. No request here asks for that.
+	switchingProtocols = 101
+)
+
+// CheckStatus returns an error of type Malformed unless a final response can have the status.
+func CheckStatus(status int) error {
+	if status < minFinal || status > maxFinal {
+		return Malformed.New("a response has status %03d, want %d to %d", status, minFinal, maxFinal)
+	}
+	return nil
+}
+
+// IsInterim reports whether a status is that of a head before the one of the response.
+func IsInterim(status int) bool {
+	return status >= minInterim && status < minFinal && status != switchingProtocols
+}
