Responses whose head breaks the grammar of HTTP are refused

What callers saw: a response whose head had a blank in the name of a field was relayed with that line; where the line was meant to frame the body ("Transfer Encoding: chunked"), the caller got the chunks' own bytes as the body, or a body up to the end of the connection.

Cause: textproto takes a blank in a name, keeps the line under that name and leaves its refusal to the caller. It joins a line that begins with a blank or tab to the one before, so " Transfer-Encoding: chunked" became part of another value. http.ReadResponse ignores Transfer-Encoding in HTTP/1.0, takes any version of HTTP and control bytes in the reason phrase.

Entries check the fields of heads from agents, verdicts and records with the same rules.

Taken as before (TestUnusualFieldIsTaken): every byte of a token in a name, tabs and bytes above 0x7f in values, lines without CR, empty values, no reason phrase, HTTP/1.0. A folded line is refused: RFC 9112 has gateways do that or join it, and no case here tells a sound one from a torn line.

--- a/agent/badhead_test.go
+++ b/agent/badhead_test.go
@@ -58,3 +58,34 @@
 		})
 	}
 }
+
+// TestBadFieldIsNoResponse guards against a response whose head breaks the grammar of HTTP, and that reaches its caller with that line or with a body that
+// isn't the endpoint's.
+func TestBadFieldIsNoResponse(t *testing.T) {
+	for name, text := range fake.BadFields("Content-Type: text/plain\r\n") {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			_, _, err := exchangeWith(t, text)
+			check.Kind(t, err, Interrupted)
+		})
+		t.Run(name+", to a look-up", func(t *testing.T) {
+			t.Parallel()
+			_, _, err := startResponder(t, text).Outcome(t.Context(), "/outcome")
+			check.Kind(t, err, Interrupted)
+		})
+	}
+}
+
+// TestUnusualFieldIsTaken guards against a sound response that is refused for its head.
+func TestUnusualFieldIsTaken(t *testing.T) {
+	const note = "caf\xc3\xa9\tand \xff\x80"
+	for name, text := range fake.UnusualFields("Content-Type: text/plain\r\n", note) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			got, body, err := exchangeWith(t, text)
+			check.NoError(t, err)
+			check.Equal(t, "body", body, "ok")
+			check.Equal(t, "X-Note", got.Headers.Get("X-Note"), note)
+		})
+	}
+}
--- a/agent/http.go
+++ b/agent/http.go
@@ -46,6 +46,7 @@
 		base: "http://" + addr.String(),
 		client: &http.Client{
 			Transport: &http.Transport{
+				DialContext: dialEndpoint,
 				// No connection is kept: responses need not name their requests, so an earlier one that is written once
 				// more would be taken for that of the next call. DisableKeepAlives would also send Connection: close, and
 				// some servers then respond without a length or chunks.
@@ -97,10 +98,6 @@
 	if err != nil {
 		return nil, classifyCallError(err)
 	}
-	if err := heads.CheckStatus(resp.StatusCode); err != nil {
-		resp.Body.Close()
-		return nil, Malformed.Wrap(err, "read the response of the endpoint")
-	}
 	return resp, nil
 }
 
@@ -118,8 +115,12 @@
 }
 
 // classifyCallError distinguishes calls that were never sent (Unreachable) from the others
-// (Interrupted).
+// (Interrupted), of which some got a malformed response (Malformed).
 func classifyCallError(err error) error {
+	var known *errorx.Error
+	if errors.As(err, &known) && known.IsOfType(heads.Malformed) {
+		return Malformed.Wrap(err, "call endpoint")
+	}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" || errors.Is(err, syscall.ECONNREFUSED) {
 		return Unreachable.Wrap(err, "connect to endpoint")
--- a/entry/badhead_test.go
+++ b/entry/badhead_test.go
@@ -13,6 +13,9 @@
 // badHeads are heads that an agent of a former version may pass on.
 var badHeads = map[string]*wire.Head{
 	"none": {}, "status 99": {Status: 99}, "status 101": {Status: 101}, "status 1000": {Status: 1000},
+	"a blank in a name":  {Status: 200, Headers: []*wire.Header{{Name: "Transfer Encoding", Value: "chunked"}}},
+	"no name":            {Status: 200, Headers: []*wire.Header{{Value: "chunked"}}},
+	"a line end in text": {Status: 200, Headers: []*wire.Header{{Name: "X-Note", Value: "a\r\nb"}}},
 }
 
 // TestBadHeadOfAgentIsNoResponse guards against a head that an agent passes on without a check, and that reaches the caller or ends the
@@ -35,7 +38,11 @@
 		})
 		t.Run(name+", recorded", func(t *testing.T) {
 			c := &claimRun{e: &Entry{}, j: &job{}, out: newResponseSink(httptest.NewRecorder(), false, time.Minute)}
-			f, settled := c.settled(t.Context(), &ledger.Claim{State: ledger.Done, Response: &ledger.Response{Status: int(head.GetStatus()), Body: []byte("ok")}})
+			recorded := &ledger.Response{Status: int(head.GetStatus()), Body: []byte("ok")}
+			for _, h := range head.GetHeaders() {
+				recorded.Headers = append(recorded.Headers, ledger.Header{Name: h.GetName(), Value: h.GetValue()})
+			}
+			f, settled := c.settled(t.Context(), &ledger.Claim{State: ledger.Done, Response: recorded})
 			check.Equal(t, "settled", settled, true)
 			checkGone(t, f)
 		})
--- a/entry/response.go
+++ b/entry/response.go
@@ -137,7 +137,14 @@
 }
 
 // checkHead returns an error unless a caller can be sent the head. Agents of former versions pass on heads that they didn't check.
-func checkHead(h *wire.Head) error { return heads.CheckStatus(int(h.GetStatus())) }
+func checkHead(h *wire.Head) error {
+	for _, field := range h.GetHeaders() {
+		if err := heads.CheckField(field.GetName(), field.GetValue()); err != nil {
+			return err
+		}
+	}
+	return heads.CheckStatus(int(h.GetStatus()))
+}
 
 func isHopByHop(name string) bool {
 	switch strings.ToLower(name) {
--- a/fake/heads.go
+++ b/fake/heads.go
@@ -28,3 +28,57 @@
 		"behind interim statuses": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 199 Busy\r\n" + lines + "\r\nHTTP/1.1 299 Fine\r\n" + lines + body,
 	}
 }
+
+// BadFields returns responses, by name, whose heads break the grammar of HTTP in a line behind the status. In most of them that line was meant to say
+// where the body ends. lines are the sound header lines of each.
+func BadFields(lines string) map[string]string {
+	const (
+		ok     = "HTTP/1.1 200 OK\r\n"
+		length = "Content-Length: 2\r\n\r\nok"
+		chunks = ": chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+	)
+	return map[string]string{
+		"a blank in a name":               ok + lines + "Transfer Encoding" + chunks,
+		"a blank in another name":         ok + lines + "X Note: a\r\n" + length,
+		"a blank behind a name":           ok + lines + "Transfer-Encoding " + chunks,
+		"a blank before a name":           ok + lines + " Transfer-Encoding" + chunks,
+		"a tab before a name":             ok + lines + "\tTransfer-Encoding" + chunks,
+		"a blank before the first name":   ok + " Transfer-Encoding" + chunks,
+		"a blank before the end":          ok + lines + "Content-Length: 2\r\n \r\nok",
+		"a tab in a name":                 ok + lines + "Transfer\tEncoding" + chunks,
+		"a control byte in a name":        ok + lines + "Transfer\x01Encoding" + chunks,
+		"NUL in a name":                   ok + lines + "Transfer\x00Encoding" + chunks,
+		"a CR in a name":                  ok + lines + "Transfer\rEncoding" + chunks,
+		"a name beyond ASCII":             ok + lines + "Transfer\xe9Encoding" + chunks,
+		"no name":                         ok + lines + chunks,
+		"no colon":                        ok + lines + "Transfer-Encoding chunked\r\n" + length,
+		"NUL in a value":                  ok + lines + "X-Note: a\x00b\r\n" + length,
+		"a control byte in a value":       ok + lines + "X-Note: a\x01b\r\n" + length,
+		"DEL in a value":                  ok + lines + "X-Note: a\x7fb\r\n" + length,
+		"a CR in a value":                 ok + lines + "X-Note: a\rb\r\n" + length,
+		"a control byte in the reason":    "HTTP/1.1 200 O\x01K\r\n" + lines + length,
+		"chunks in HTTP/1.0":              "HTTP/1.0 200 OK\r\n" + lines + "Transfer-Encoding" + chunks,
+		"another version of HTTP":         "HTTP/0.9 200 OK\r\n" + lines + length,
+		"a blank in an interim head":      "HTTP/1.1 103 Early Hints\r\nLi nk: a\r\n\r\n" + ok + lines + length,
+		"a blank behind an interim head":  "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + ok + lines + "Transfer Encoding" + chunks,
+		"a status line in the same place": ok + lines + "HTTP/1.1 200 OK\r\n" + length,
+	}
+}
+
+// UnusualFields returns sound responses, by name, with the body "ok", the given header lines and the header X-Note of the given value.
+func UnusualFields(lines, note string) map[string]string {
+	const length = "Content-Length: 2\r\n\r\nok"
+	held := lines + "X-Note: " + note + "\r\n"
+	return map[string]string{
+		"every byte of a name":   "HTTP/1.1 200 OK\r\n" + held + "!#$%&'*+-.^_`|~0123456789abcXYZ: a\r\n" + length,
+		"a name of one byte":     "HTTP/1.1 200 OK\r\n" + held + "~: a\r\n" + length,
+		"an empty value":         "HTTP/1.1 200 OK\r\n" + held + "X-Empty:\r\n" + length,
+		"blanks round a value":   "HTTP/1.1 200 OK\r\n" + lines + "X-Note: \t " + note + " \t \r\n" + length,
+		"colons in a value":      "HTTP/1.1 200 OK\r\n" + held + "X-Time: 12:00:00\r\n" + length,
+		"lines without CR":       "HTTP/1.1 200 OK\n" + held + "Content-Length: 2\n\nok",
+		"HTTP/1.0":               "HTTP/1.0 200 OK\r\n" + held + length,
+		"a reason beyond ASCII":  "HTTP/1.1 200 Tr\xe8s bien\r\n" + held + length,
+		"interim heads before":   "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\n" + held + length,
+		"a body like a bad head": "HTTP/1.1 200 OK\r\n" + held + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	}
+}
