A response that ends with its connection counts only behind a whole request

What callers saw: an endpoint answered a long upload at once with a 200 that had neither a length nor chunks, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete response.

Cause: the end of such a body is the end of its connection, and the kernel gives the error of a reset to one call only. Where the goroutine that writes the upload gets ECONNRESET, the one that reads finds a plain end. platform.responseBody looked at the writer's result without waiting for it, and only to decide on reuse; the probe behind the end asks whether the endpoint runs, and it does. net/http's transport has the same race on the agents' path. A peer that closes its socket while more is on the way sends an end first and the reset behind it: there the write may get no error at all.

Why it works: the verdict depends on what was written and acknowledged, not on the order in which writer and reader learn of the end.

What follows: the attempt is broken off, so a request that may run once isn't sent again and its caller gets 502; the endpoint is probed and runs, so that nothing counts as its end.

--- a/agent/conn.go
+++ b/agent/conn.go
@@ -2,15 +2,29 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
+	"time"
 
 	"egretshunt/heads"
+	"egretshunt/socket"
 )
 
-// endpointConn is a connection that carries one call. It refuses heads that break the grammar of HTTP: net/http doesn't.
+// endpointConn is a connection that carries one call. It refuses heads that break the grammar of HTTP, and reports the end of the connection as an error
+// unless the endpoint has the whole request: net/http does neither.
 type endpointConn struct {
 	net.Conn
-	heads heads.Scanner
+	heads   heads.Scanner
+	request *requestWrite
+}
+
+// bodyBytesKey is the context key for the length of a call's body, in bytes.
+type bodyBytesKey struct{}
+
+// withBodyBytes adds the length of a call's body to the context with which its connection is made.
+func withBodyBytes(ctx context.Context, n int) context.Context {
+	return context.WithValue(ctx, bodyBytesKey{}, n)
 }
 
 // dialEndpoint connects to an endpoint; it is an http.Transport's DialContext.
@@ -20,14 +34,88 @@
 	if err != nil {
 		return nil, err
 	}
-	return &endpointConn{Conn: c}, nil
+	bodyBytes, _ := ctx.Value(bodyBytesKey{}).(int)
+	return &endpointConn{Conn: c, request: newRequestWrite(bodyBytes)}, nil
 }
 
-// Read implements net.Conn. An error of type heads.Malformed means that the response can't be trusted.
+// Read implements net.Conn. An error of type heads.Malformed means that the response can't be trusted, one of type Interrupted that the connection ended
+// before the endpoint had the request.
 func (c *endpointConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if failed := c.heads.Scan(p[:n]); failed != nil {
 		return 0, failed
 	}
+	// Before the end of the head there is no response that could be taken for complete.
+	if errors.Is(err, io.EOF) && c.heads.Ended() {
+		failed := c.request.await(endProofTime)
+		if failed == nil {
+			failed = socket.AwaitDelivery(c.Conn, endProofTime)
+		}
+		if failed != nil {
+			return n, Interrupted.Wrap(failed, "the endpoint ended its response before it had the whole request")
+		}
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *endpointConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.request.add(p[:n], err)
 	return n, err
 }
+
+// headEnd ends the head of a request.
+const headEnd = "\r\n\r\n"
+
+// requestWrite follows the write of one request. net/http doesn't tell when the last byte has left its buffer.
+type requestWrite struct {
+	// matched is how much of headEnd was written last, left how much of the body is to be written behind the head.
+	matched, left int
+	// ended is closed once the request was written or its write has failed with err.
+	ended  chan struct{}
+	isOver bool
+	err    error
+}
+
+func newRequestWrite(bodyBytes int) *requestWrite {
+	return &requestWrite{left: bodyBytes, ended: make(chan struct{})}
+}
+
+// add records a write to the connection. Writes don't overlap.
+func (w *requestWrite) add(p []byte, err error) {
+	for w.matched < len(headEnd) && len(p) > 0 {
+		switch p[0] {
+		case headEnd[w.matched]:
+			w.matched++
+		case headEnd[0]:
+			w.matched = 1
+		default:
+			w.matched = 0
+		}
+		p = p[1:]
+	}
+	w.left -= len(p)
+	if !w.isOver && (err != nil || w.matched == len(headEnd) && w.left <= 0) {
+		w.isOver, w.err = true, err
+		close(w.ended)
+	}
+}
+
+// await waits for the end of the write, for at most the given time, and returns an error unless the request was written whole.
+func (w *requestWrite) await(limit time.Duration) error {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-w.ended:
+		return w.err
+	case <-timer.C:
+	}
+	// Both are ready after the process was frozen.
+	select {
+	case <-w.ended:
+		return w.err
+	default:
+		return Interrupted.New("the request wasn't written in %v after the end of its response", limit)
+	}
+}
--- a/agent/http.go
+++ b/agent/http.go
@@ -68,7 +68,7 @@
 
 // Run implements Backend.
 func (s *Service) Run(ctx context.Context, c Call) (*Response, error) {
-	req, err := http.NewRequestWithContext(ctx, c.Method, s.base+c.Path, nil)
+	req, err := http.NewRequestWithContext(withBodyBytes(ctx, len(c.Body)), c.Method, s.base+c.Path, nil)
 	if err != nil {
 		return nil, Unreachable.Wrap(err, "create request")
 	}
@@ -158,7 +158,7 @@
 
 // roundTrip makes one short call and returns a successful response and its body.
 func (s *Service) roundTrip(ctx context.Context, method, path string, header http.Header, request []byte) (*Response, []byte, error) {
-	req, err := http.NewRequestWithContext(ctx, method, s.base+path, bytes.NewReader(request))
+	req, err := http.NewRequestWithContext(withBodyBytes(ctx, len(request)), method, s.base+path, bytes.NewReader(request))
 	if err != nil {
 		return nil, nil, Unreachable.Wrap(err, "create request")
 	}
--- a/fake/cut.go
+++ b/fake/cut.go
@@ -37,6 +37,8 @@
 	// Whole is the response to the requests before that on a connection, Before their number.
 	Whole  string
 	Before int
+	// Unread makes the server break its response off before it has read the request's body.
+	Unread bool
 	// ID is the header whose value replaces {id} in Text and Whole; empty for none.
 	ID string
 }
@@ -75,7 +77,7 @@
 	in := bufio.NewReader(c)
 	for n := 0; ; n++ {
 		r, err := http.ReadRequest(in)
-		if err == nil {
+		if err == nil && !s.config.Unread {
 			_, err = io.Copy(io.Discard, r.Body)
 		}
 		if err != nil {
--- a/heads/scanner.go
+++ b/heads/scanner.go
@@ -39,6 +39,9 @@
 	return nil
 }
 
+// Ended reports whether the response's head has ended, behind the interim ones.
+func (s *Scanner) Ended() bool { return s.ended }
+
 // check checks one line without its end.
 func (s *Scanner) check(line string) error {
 	switch {
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -11,8 +11,15 @@
 	"golang.org/x/sys/unix"
 )
 
-// NoState is the type of the errors for connections whose state isn't known.
-var NoState = errorx.NewNamespace("socket").NewType("nostate")
+var (
+	namespace = errorx.NewNamespace("socket")
+	// NoState is the type of the errors for connections whose state isn't known.
+	NoState = namespace.NewType("nostate")
+	// Closed is the subtype of NoState for connections that were closed here.
+	Closed = NoState.NewSubtype("closed")
+	// Undelivered is the type of the errors for connections whose peer didn't get all that was written.
+	Undelivered = namespace.NewType("undelivered")
+)
 
 // State is what the kernel knows of a connection: its TCP_INFO, and how many bytes the peer has yet to acknowledge.
 type State struct {
@@ -20,7 +27,7 @@
 	Undelivered int
 }
 
-// StateOf returns the state of a TCP connection. Its errors are of type NoState; that of a closed connection wraps net.ErrClosed.
+// StateOf returns the state of a TCP connection. Its errors are of type NoState.
 func StateOf(c net.Conn) (State, error) {
 	tcp, ok := c.(syscall.Conn)
 	if !ok {
@@ -37,7 +44,10 @@
 			s.Undelivered, optErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
 		}
 	})
-	if err = errors.Join(err, optErr); err != nil {
+	switch err = errors.Join(err, optErr); {
+	case errors.Is(err, net.ErrClosed):
+		return State{}, Closed.Wrap(err, "read the state of the socket")
+	case err != nil:
 		return State{}, NoState.Wrap(err, "read the state of the socket")
 	}
 	return s, nil
@@ -47,6 +57,12 @@
 // reads as now.
 func (s State) HasTimes() bool { return s.Info.Segs_in > 0 }
 
+// isClosed reports whether the connection has ended in both directions. Before it is closed here, only a reset does that.
+func (s State) isClosed() bool {
+	const tcpClose = 7
+	return s.Info.State == tcpClose
+}
+
 // SinceData returns how long ago the last data arrived on a connection, read or not. It isn't known where the connection has no times.
 func SinceData(c net.Conn) (age time.Duration, known bool) {
 	s, err := StateOf(c)
@@ -55,3 +71,29 @@
 	}
 	return time.Duration(s.Info.Last_data_recv) * time.Millisecond, true
 }
+
+// deliveryPoll is the pause between two looks at what the peer has acknowledged.
+const deliveryPoll = 5 * time.Millisecond
+
+// AwaitDelivery waits until the peer has acknowledged all that was written to a connection, for at most the given time. Its errors are of type
+// Undelivered; a connection whose state isn't known counts as one that has delivered all.
+//
+// It tells the end that a peer sends from a reset: the kernel gives the error of a reset to one call only, which may be a write, and a reader then finds a
+// plain end. A peer that closes its socket before all has arrived sends first an end and then, for what arrives later, a reset.
+func AwaitDelivery(c net.Conn, limit time.Duration) error {
+	for began := time.Now(); ; time.Sleep(deliveryPoll) {
+		s, err := StateOf(c)
+		switch {
+		case errorx.IsOfType(err, Closed):
+			return Undelivered.Wrap(err, "learn what the peer has acknowledged")
+		case err != nil:
+			return nil
+		case s.isClosed():
+			return Undelivered.New("the peer has reset the connection, of which it hadn't acknowledged %d bytes", s.Undelivered)
+		case s.Undelivered == 0:
+			return nil
+		case time.Since(began) >= limit:
+			return Undelivered.New("the peer hasn't acknowledged %d bytes in %v", s.Undelivered, limit)
+		}
+	}
+}
