Agents' path: a whole response isn't lost to the write of its request

What callers saw: an endpoint that answered a long upload early, with a length or chunks, and then reset the connection: the response was whole, and most callers got a failure in its place.

Cause: net/http's transport closes the connection when a write fails, before the body of a response that has come is read.

Change: behind a failed write the agent's connection discards what it is given and reports no error. The reader learns of the end: a response with a length or chunks is complete if it is whole, one without isn't, as the failed write is kept for its end.

--- a/agent/conn.go
+++ b/agent/conn.go
@@ -58,10 +58,17 @@
 	return n, err
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. Once the peer has ended the connection it discards what it is given: net/http closes the connection when a write fails,
+// and a response that came before may be whole. The reader learns of the end.
 func (c *endpointConn) Write(p []byte) (int, error) {
+	if c.request.hasFailed() {
+		return len(p), nil
+	}
 	n, err := c.Conn.Write(p)
 	c.request.add(p[:n], err)
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		return len(p), nil
+	}
 	return n, err
 }
 
@@ -102,6 +109,9 @@
 	}
 }
 
+// hasFailed reports whether a write has failed. It is called by the writer.
+func (w *requestWrite) hasFailed() bool { return w.err != nil }
+
 // await waits for the end of the write, for at most the given time, and returns an error unless the request was written whole.
 func (w *requestWrite) await(limit time.Duration) error {
 	timer := time.NewTimer(limit)
