--- a/agent/conn.go
+++ b/agent/conn.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net"
-	"time"
 
 	"egretshunt/heads"
 	"egretshunt/socket"
@@ -47,11 +46,7 @@
 	}
 	// Before the end of the head there is no response that could be taken for complete.
 	if errors.Is(err, io.EOF) && c.heads.Ended() {
-		failed := c.request.await(endProofTime)
-		if failed == nil {
-			failed = socket.AwaitDelivery(c.Conn, endProofTime)
-		}
-		if failed != nil {
+		if failed := socket.AwaitDelivery(c.Conn, c.request.result, endProofTime); failed != nil {
 			return n, Interrupted.Wrap(failed, "the endpoint ended its response before it had the whole request")
 		}
 	}
@@ -61,7 +56,7 @@
 // Write implements net.Conn. Once the peer has ended the connection it discards what it is given: net/http closes the connection when a write fails,
 // and a response that came before may be whole. The reader learns of the end.
 func (c *endpointConn) Write(p []byte) (int, error) {
-	if c.request.hasFailed() {
+	if c.request.failed {
 		return len(p), nil
 	}
 	n, err := c.Conn.Write(p)
@@ -79,14 +74,13 @@
 type requestWrite struct {
 	// matched is how much of headEnd was written last, left how much of the body is to be written behind the head.
 	matched, left int
-	// ended is closed once the request was written or its write has failed with err.
-	ended  chan struct{}
-	isOver bool
-	err    error
+	// result gets the result of the write once that is over; failed is set if it is an error.
+	result       chan error
+	over, failed bool
 }
 
 func newRequestWrite(bodyBytes int) *requestWrite {
-	return &requestWrite{left: bodyBytes, ended: make(chan struct{})}
+	return &requestWrite{left: bodyBytes, result: make(chan error, 1)}
 }
 
 // add records a write to the connection. Writes don't overlap.
@@ -103,29 +97,8 @@
 		p = p[1:]
 	}
 	w.left -= len(p)
-	if !w.isOver && (err != nil || w.matched == len(headEnd) && w.left <= 0) {
-		w.isOver, w.err = true, err
-		close(w.ended)
-	}
-}
-
-// hasFailed reports whether a write has failed. It is called by the writer.
-func (w *requestWrite) hasFailed() bool { return w.err != nil }
-
-// await waits for the end of the write, for at most the given time, and returns an error unless the request was written whole.
-func (w *requestWrite) await(limit time.Duration) error {
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	select {
-	case <-w.ended:
-		return w.err
-	case <-timer.C:
-	}
-	// Both are ready after the process was frozen.
-	select {
-	case <-w.ended:
-		return w.err
-	default:
-		return Interrupted.New("the request wasn't written in %v after the end of its response", limit)
+	if !w.over && (err != nil || w.matched == len(headEnd) && w.left <= 0) {
+		w.over, w.failed = true, err != nil
+		w.result <- err
 	}
 }
--- a/agent/conn_test.go
+++ b/agent/conn_test.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"testing"
-	"time"
 
 	"egretshunt/check"
 )
@@ -36,7 +35,13 @@
 				}
 				w.add([]byte(p), err)
 			}
-			check.Equal(t, "whole", w.await(time.Millisecond) == nil, c.whole)
+			whole := false
+			select {
+			case err := <-w.result:
+				whole = err == nil
+			default:
+			}
+			check.Equal(t, "whole", whole, c.whole)
 		})
 	}
 }
--- a/agent/http.go
+++ b/agent/http.go
@@ -128,7 +128,7 @@
 	return Interrupted.Wrap(err, "call endpoint")
 }
 
-// Health implements Backend. A service need not implement the path: any response
+// Health implements Backend. A service need not implement the path: any sound response
 // shows that it is running.
 func (s *Service) Health(ctx context.Context) (Health, error) {
 	_, err := s.get(ctx, "/health")
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -75,13 +75,17 @@
 // deliveryPoll is the pause between two looks at what the peer has acknowledged.
 const deliveryPoll = 5 * time.Millisecond
 
-// AwaitDelivery waits until the peer has acknowledged all that was written to a connection, for at most the given time. Its errors are of type
-// Undelivered; a connection whose state isn't known counts as one that has delivered all.
+// AwaitDelivery waits until a request was written to a connection and the peer has acknowledged all of it, for at most the given time. written gets the
+// result of the write. The errors are of type Undelivered; a connection whose state isn't known counts as one that has delivered what was written.
 //
 // It tells the end that a peer sends from a reset: the kernel gives the error of a reset to one call only, which may be a write, and a reader then finds a
 // plain end. A peer that closes its socket before all has arrived sends first an end and then, for what arrives later, a reset.
-func AwaitDelivery(c net.Conn, limit time.Duration) error {
-	for began := time.Now(); ; time.Sleep(deliveryPoll) {
+func AwaitDelivery(c net.Conn, written <-chan error, limit time.Duration) error {
+	began := time.Now()
+	if err := awaitWrite(written, limit); err != nil {
+		return err
+	}
+	for ; ; time.Sleep(deliveryPoll) {
 		s, err := StateOf(c)
 		switch {
 		case errorx.IsOfType(err, Closed):
@@ -97,3 +101,24 @@
 		}
 	}
 }
+
+// awaitWrite waits for the result of a write.
+func awaitWrite(written <-chan error, limit time.Duration) error {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	var err error
+	select {
+	case err = <-written:
+	case <-timer.C:
+		// After a time in which the process was frozen, both are ready.
+		select {
+		case err = <-written:
+		default:
+			return Undelivered.New("the request wasn't written in %v", limit)
+		}
+	}
+	if err != nil {
+		return Undelivered.Wrap(err, "write the request")
+	}
+	return nil
+}
--- a/socket/socket_test.go
+++ b/socket/socket_test.go
@@ -36,6 +36,13 @@
 	return dialed.(*net.TCPConn), accepted.(*net.TCPConn)
 }
 
+// result returns a channel with the result of a write.
+func result(err error) <-chan error {
+	written := make(chan error, 1)
+	written <- err
+	return written
+}
+
 // TestAwaitDelivery guards against a connection that counts as one whose peer got all that was written to it.
 func TestAwaitDelivery(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -66,7 +73,7 @@
 			if c.after != nil {
 				c.after(t, far)
 			}
-			err = socket.AwaitDelivery(near, time.Minute)
+			err = socket.AwaitDelivery(near, result(nil), time.Minute)
 			if c.delivered {
 				check.NoError(t, err)
 			} else {
@@ -80,11 +87,23 @@
 		check.NoError(t, near.SetWriteDeadline(time.Now().Add(200*time.Millisecond)))
 		_, err := near.Write(make([]byte, 64<<20))
 		check.Equal(t, "the write takes all", err == nil, false)
-		check.Kind(t, socket.AwaitDelivery(near, 20*time.Millisecond), socket.Undelivered)
+		check.Kind(t, socket.AwaitDelivery(near, result(nil), 20*time.Millisecond), socket.Undelivered)
 	})
 	t.Run("closed here", func(t *testing.T) {
 		near, _ := connect(t)
 		near.Close()
-		check.Kind(t, socket.AwaitDelivery(near, time.Minute), socket.Undelivered)
+		check.Kind(t, socket.AwaitDelivery(near, result(nil), time.Minute), socket.Undelivered)
+	})
+	t.Run("the write has failed", func(t *testing.T) {
+		near, _ := connect(t)
+		check.Kind(t, socket.AwaitDelivery(near, result(io.ErrClosedPipe), time.Minute), socket.Undelivered)
+	})
+	t.Run("the write isn't over in time", func(t *testing.T) {
+		near, _ := connect(t)
+		check.Kind(t, socket.AwaitDelivery(near, make(chan error), 20*time.Millisecond), socket.Undelivered)
+	})
+	t.Run("the write is over, and no time is left", func(t *testing.T) {
+		near, _ := connect(t)
+		check.NoError(t, socket.AwaitDelivery(near, result(nil), 0))
 	})
 }
