ctl: a status that is none is no success

What operators saw: a command whose response had the status 000 counted as carried out, as any status below 300 did.

Cause: the same as on the endpoints' paths, net/http takes any three digits for a status. Of the other places that read responses, those that want 200 refuse such a status already (check, ctl's members, the list that node reads) and are unchanged.

Evidence: TestBadStatusIsNoSuccess fails in all 7 cases without the change.

Change: ctl asks heads.CheckStatus, and goes on with another control VM or a later try, as after a response that couldn't be read.

--- a/prog/ctl.go
+++ b/prog/ctl.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	"egretshunt/heads"
 )
 
 // ctlArgs are the options and subcommands of ctl, which operates a deployment through its administration API.
@@ -175,6 +177,9 @@
 	if err != nil {
 		return nil, false, Failed.Wrap(err, "read response of %s", addr)
 	}
+	if err := heads.CheckStatus(resp.StatusCode); err != nil {
+		return nil, false, Failed.Wrap(err, "read response of %s", addr)
+	}
 	if resp.StatusCode < 300 {
 		return data, true, nil
 	}
