The end of a response waits for a request that its endpoint still takes

One that has ended its response and reads on, as servers do that close gracefully, may take longer for megabytes over a slow link, and its response was refused though it was whole. socket.AwaitDelivery now gives up after a second in which the peer acknowledges nothing more; the request's own deadline, which closes the connection, bounds it beside that.

Tests of socket 20 times and of agent with the race detector, and those of platform for uploads, heads, ends and silent endpoints twice: all pass.

--- a/agent/offer.go
+++ b/agent/offer.go
@@ -406,7 +406,7 @@
 
 const (
 	// endCheckTime bounds one check whether an endpoint has ended, endProofTime all of them, endCheckPause is the pause between two; the
-	// end of a response waits for them.
+	// end of a response waits for them, and before that for at most endProofTime until the endpoint takes more of the request.
 	endCheckTime  = 200 * time.Millisecond
 	endProofTime  = time.Second
 	endCheckPause = 10 * time.Millisecond
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -75,50 +75,38 @@
 // deliveryPoll is the pause between two looks at what the peer has acknowledged.
 const deliveryPoll = 5 * time.Millisecond
 
-// AwaitDelivery waits until a request was written to a connection and the peer has acknowledged all of it, for at most the given time. written gets the
-// result of the write. The errors are of type Undelivered; a connection whose state isn't known counts as one that has delivered what was written.
+// AwaitDelivery waits until a request was written to a connection and the peer has acknowledged all of it, for as long as the peer acknowledges more
+// within the patience. written gets the result of the write. The errors are of type Undelivered; where the state isn't known, the result of the write decides.
 //
 // It tells the end that a peer sends from a reset: the kernel gives the error of a reset to one call only, which may be a write, and a reader then finds a
 // plain end. A peer that closes its socket before all has arrived sends first an end and then, for what arrives later, a reset.
-func AwaitDelivery(c net.Conn, written <-chan error, limit time.Duration) error {
-	began := time.Now()
-	if err := awaitWrite(written, limit); err != nil {
-		return err
-	}
-	for ; ; time.Sleep(deliveryPoll) {
+func AwaitDelivery(c net.Conn, written <-chan error, patience time.Duration) error {
+	var acknowledged uint64
+	isWritten := false
+	for progress := time.Now(); ; time.Sleep(deliveryPoll) {
+		// A process that was frozen looks once more before it gives up.
+		late := time.Since(progress) >= patience
+		select {
+		case err := <-written:
+			if err != nil {
+				return Undelivered.Wrap(err, "write the request")
+			}
+			isWritten = true
+		default:
+		}
 		s, err := StateOf(c)
+		known := err == nil
 		switch {
 		case errorx.IsOfType(err, Closed):
 			return Undelivered.Wrap(err, "learn what the peer has acknowledged")
-		case err != nil:
-			return nil
-		case s.isClosed():
+		case known && s.isClosed():
 			return Undelivered.New("the peer has reset the connection, of which it hadn't acknowledged %d bytes", s.Undelivered)
-		case s.Undelivered == 0:
+		case isWritten && (!known || s.Undelivered == 0):
 			return nil
-		case time.Since(began) >= limit:
-			return Undelivered.New("the peer hasn't acknowledged %d bytes in %v", s.Undelivered, limit)
+		case known && s.Info.Bytes_acked != acknowledged:
+			acknowledged, progress = s.Info.Bytes_acked, time.Now()
+		case late:
+			return Undelivered.New("the peer has acknowledged no more for %v; written: %v, not acknowledged: %d bytes", patience, isWritten, s.Undelivered)
 		}
 	}
 }
-
-// awaitWrite waits for the result of a write.
-func awaitWrite(written <-chan error, limit time.Duration) error {
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	var err error
-	select {
-	case err = <-written:
-	case <-timer.C:
-		// After a time in which the process was frozen, both are ready.
-		select {
-		case err = <-written:
-		default:
-			return Undelivered.New("the request wasn't written in %v", limit)
-		}
-	}
-	if err != nil {
-		return Undelivered.Wrap(err, "write the request")
-	}
-	return nil
-}
