--- a/agent/conn.go
+++ b/agent/conn.go
@@ -22,7 +22,7 @@
 type bodyBytesKey struct{}
 
 // withBodyBytes adds the length of a call's body to the context with which its connection is made.
-func withBodyBytes(ctx context.Context, n int) context.Context {
+func withBodyBytes(ctx context.Context, n int64) context.Context {
 	return context.WithValue(ctx, bodyBytesKey{}, n)
 }
 
@@ -33,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	bodyBytes, _ := ctx.Value(bodyBytesKey{}).(int)
+	bodyBytes, _ := ctx.Value(bodyBytesKey{}).(int64)
 	return &endpointConn{Conn: c, request: newRequestWrite(bodyBytes)}, nil
 }
 
@@ -73,13 +73,14 @@
 // requestWrite follows the write of one request. net/http doesn't tell when the last byte has left its buffer.
 type requestWrite struct {
 	// matched is how much of headEnd was written last, left how much of the body is to be written behind the head.
-	matched, left int
+	matched int
+	left    int64
 	// result gets the result of the write once that is over; failed is set if it is an error.
 	result       chan error
 	over, failed bool
 }
 
-func newRequestWrite(bodyBytes int) *requestWrite {
+func newRequestWrite(bodyBytes int64) *requestWrite {
 	return &requestWrite{left: bodyBytes, result: make(chan error, 1)}
 }
 
@@ -96,7 +97,7 @@
 		}
 		p = p[1:]
 	}
-	w.left -= len(p)
+	w.left -= int64(len(p))
 	if !w.over && (err != nil || w.matched == len(headEnd) && w.left <= 0) {
 		w.over, w.failed = true, err != nil
 		w.result <- err
--- a/agent/conn_test.go
+++ b/agent/conn_test.go
@@ -11,7 +11,7 @@
 func TestRequestWrite(t *testing.T) {
 	failed := errors.New("reset")
 	for name, c := range map[string]struct {
-		body   int
+		body   int64
 		writes []string
 		err    error
 		whole  bool
--- a/agent/http.go
+++ b/agent/http.go
@@ -68,7 +68,7 @@
 
 // Run implements Backend.
 func (s *Service) Run(ctx context.Context, c Call) (*Response, error) {
-	req, err := http.NewRequestWithContext(withBodyBytes(ctx, len(c.Body)), c.Method, s.base+c.Path, nil)
+	req, err := http.NewRequestWithContext(ctx, c.Method, s.base+c.Path, nil)
 	if err != nil {
 		return nil, Unreachable.Wrap(err, "create request")
 	}
@@ -94,7 +94,9 @@
 
 // do sends a request and returns the response, whose body is yet to be read.
 func (s *Service) do(req *http.Request) (*http.Response, error) {
-	resp, err := s.client.Do(req)
+	// The length is unknown, -1, only for an empty body.
+	bodyBytes := max(req.ContentLength, 0)
+	resp, err := s.client.Do(req.WithContext(withBodyBytes(req.Context(), bodyBytes)))
 	if err != nil {
 		return nil, classifyCallError(err)
 	}
@@ -158,7 +160,7 @@
 
 // roundTrip makes one short call and returns a successful response and its body.
 func (s *Service) roundTrip(ctx context.Context, method, path string, header http.Header, request []byte) (*Response, []byte, error) {
-	req, err := http.NewRequestWithContext(withBodyBytes(ctx, len(request)), method, s.base+path, bytes.NewReader(request))
+	req, err := http.NewRequestWithContext(ctx, method, s.base+path, bytes.NewReader(request))
 	if err != nil {
 		return nil, nil, Unreachable.Wrap(err, "create request")
 	}
--- a/agent/upload_test.go
+++ b/agent/upload_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 
@@ -12,6 +13,17 @@
 	"egretshunt/fake"
 )
 
+// TestEndBeforeRequestArrived guards against a response without length and chunks that counts as complete though its endpoint, which has ended it, takes
+// nothing more of a request that the kernel has taken whole.
+func TestEndBeforeRequestArrived(t *testing.T) {
+	_, err := upload(t, fake.CutConfig{Text: "HTTP/1.1 200 OK\r\n\r\npart", Unread: true, End: func(c *net.TCPConn) {
+		_ = c.CloseWrite()
+		<-t.Context().Done()
+		c.Close()
+	}}, 512<<10)
+	check.Equal(t, "taken for complete", err == nil, false)
+}
+
 // TestEndDuringUpload guards against a response without length and chunks that counts as complete because its connection ended while the request was
 // still being written: the writer may get the error of a reset, and the reader a plain end.
 func TestEndDuringUpload(t *testing.T) {
--- a/entry/badhead_test.go
+++ b/entry/badhead_test.go
@@ -36,6 +36,10 @@
 			checkGone(t, run.dispatch(t.Context(), run.j.plan.Targets[0]))
 			check.Equal(t, "offers to another endpoint", second.offers.Load(), int64(0))
 		})
+		t.Run(name+", in a verdict", func(t *testing.T) {
+			recorded := ledgerResponse(&wire.Verdict{State: "done", Head: head, Body: []byte("ok")})
+			check.Equal(t, "recorded", recorded, &ledger.Response{BodyDropped: true})
+		})
 		t.Run(name+", recorded", func(t *testing.T) {
 			c := &claimRun{e: &Entry{}, j: &job{}, out: newResponseSink(httptest.NewRecorder(), false, time.Minute)}
 			recorded := &ledger.Response{Status: int(head.GetStatus()), Body: []byte("ok")}
@@ -49,6 +53,14 @@
 	}
 }
 
+// TestResponseWithoutHead guards against a response that an agent ends without a head, and that is recorded for resends.
+func TestResponseWithoutHead(t *testing.T) {
+	run, _ := newScriptedRun(t, &scriptedAgent{noHead: true, verdict: &wire.Verdict{State: "done", Body: []byte("ok")}}, &scriptedAgent{})
+	got := run.e.try(t.Context(), run.j, run.j.plan.Targets[0], run.out, run.attempt)
+	check.Equal(t, "complete", got.ok, false)
+	checkGone(t, run.dispatch(t.Context(), run.j.plan.Targets[0]))
+}
+
 // checkGone fails the test unless the failure says that the request has run and that its response isn't kept.
 func checkGone(t *testing.T, f *Failure) {
 	t.Helper()
--- a/entry/begun_test.go
+++ b/entry/begun_test.go
@@ -23,8 +23,9 @@
 	data    []byte
 	offers  atomic.Int64
 	verdict *wire.Verdict
-	// head is that of the response; nil means status 200 without headers.
-	head *wire.Head
+	// head is that of the response; nil means status 200 without headers. With noHead, the response has none.
+	head   *wire.Head
+	noHead bool
 	// breaks makes each stream break once the first sent bytes of a response are sent.
 	breaks bool
 	sent   int
@@ -56,7 +57,10 @@
 		if head == nil {
 			head = &wire.Head{Status: 200}
 		}
-		_ = s.Send(&wire.Frame{Body: &wire.Frame_Accept{Accept: &wire.Accept{Boot: "boot"}}}, &wire.Frame{Body: &wire.Frame_Head{Head: head}})
+		_ = s.Send(&wire.Frame{Body: &wire.Frame_Accept{Accept: &wire.Accept{Boot: "boot"}}})
+		if !a.noHead {
+			_ = s.Send(&wire.Frame{Body: &wire.Frame_Head{Head: head}})
+		}
 		for at := 0; at < a.sent; at += 32 << 10 {
 			_ = s.Send(&wire.Frame{Body: &wire.Frame_Piece{Piece: &wire.Piece{Id: id, Offset: uint64(at), Data: a.data[at:min(at+32<<10, a.sent)]}}})
 		}
--- a/heads/heads.go
+++ b/heads/heads.go
@@ -2,7 +2,10 @@
 // that, such as the status 000, and leaves the rest to its callers.
 package heads
 
-import "github.com/joomcode/errorx"
+import (
+	"github.com/joomcode/errorx"
+	"golang.org/x/net/http/httpguts"
+)
 
 // Malformed is the type of the errors for heads that break the grammar.
 var Malformed = errorx.NewNamespace("heads").NewType("malformed")
@@ -29,3 +32,11 @@
 func IsInterim(status int) bool {
 	return status >= minInterim && status < minFinal && status != switchingProtocols
 }
+
+// CheckField returns an error of type Malformed unless a head can have a field of that name and value.
+func CheckField(name, value string) error {
+	if !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
+		return Malformed.New("a response's head has the field %.40q with the value %.40q", name, value)
+	}
+	return nil
+}
--- a/heads/scanner.go
+++ b/heads/scanner.go
@@ -79,9 +79,10 @@
 
 func (s *Scanner) checkField(line string) error {
 	name, value, ok := strings.Cut(line, ":")
-	if line[0] == ' ' || line[0] == '\t' || !ok {
+	if !ok {
 		return Malformed.New("a response's head has the line %.40q, want a field", line)
 	}
+	// A folded line has a blank or a tab in its name.
 	if err := CheckField(name, value); err != nil {
 		return err
 	}
@@ -92,14 +93,6 @@
 	return nil
 }
 
-// CheckField returns an error of type Malformed unless a head can have a field of that name and value.
-func CheckField(name, value string) error {
-	if !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
-		return Malformed.New("a response's head has the field %.40q with the value %.40q", name, value)
-	}
-	return nil
-}
-
 func isDigits(text string) bool {
 	return strings.Trim(text, "0123456789") == ""
 }
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -81,32 +81,48 @@
 // It tells the end that a peer sends from a reset: the kernel gives the error of a reset to one call only, which may be a write, and a reader then finds a
 // plain end. A peer that closes its socket before all has arrived sends first an end and then, for what arrives later, a reset.
 func AwaitDelivery(c net.Conn, written <-chan error, patience time.Duration) error {
-	var acknowledged uint64
-	isWritten := false
-	for progress := time.Now(); ; time.Sleep(deliveryPoll) {
-		// A process that was frozen looks once more before it gives up.
-		late := time.Since(progress) >= patience
+	d := delivery{patience: patience, progressAt: time.Now()}
+	for ; ; time.Sleep(deliveryPoll) {
+		// The time comes first: a process that was frozen looks once more before it gives up.
+		now := time.Now()
 		select {
 		case err := <-written:
 			if err != nil {
 				return Undelivered.Wrap(err, "write the request")
 			}
-			isWritten = true
+			d.written = true
 		default:
 		}
 		s, err := StateOf(c)
-		known := err == nil
-		switch {
-		case errorx.IsOfType(err, Closed):
+		if errorx.IsOfType(err, Closed) {
 			return Undelivered.Wrap(err, "learn what the peer has acknowledged")
-		case known && s.isClosed():
-			return Undelivered.New("the peer has reset the connection, of which it hadn't acknowledged %d bytes", s.Undelivered)
-		case isWritten && (!known || s.Undelivered == 0):
-			return nil
-		case known && s.Info.Bytes_acked != acknowledged:
-			acknowledged, progress = s.Info.Bytes_acked, time.Now()
-		case late:
-			return Undelivered.New("the peer has acknowledged no more for %v; written: %v, not acknowledged: %d bytes", patience, isWritten, s.Undelivered)
 		}
+		if over, err := d.judge(now, s, err == nil); over {
+			return err
+		}
+	}
+}
+
+// delivery is what is known of the delivery of a request.
+type delivery struct {
+	patience time.Duration
+	written  bool
+	// acknowledged is what the peer had acknowledged when it last acknowledged more, at progressAt.
+	acknowledged uint64
+	progressAt   time.Time
+}
+
+// judge reports whether the wait is over at a time, in which the state of the connection is s, or not known, and with which error.
+func (d *delivery) judge(now time.Time, s State, known bool) (over bool, err error) {
+	switch {
+	case known && s.isClosed():
+		return true, Undelivered.New("the peer has reset the connection, of which it hadn't acknowledged %d bytes", s.Undelivered)
+	case d.written && (!known || s.Undelivered == 0):
+		return true, nil
+	case known && s.Info.Bytes_acked != d.acknowledged:
+		d.acknowledged, d.progressAt = s.Info.Bytes_acked, now
+	case now.Sub(d.progressAt) >= d.patience:
+		return true, Undelivered.New("the peer has acknowledged no more for %v; written: %v, not acknowledged: %d bytes", d.patience, d.written, s.Undelivered)
 	}
+	return false, nil
 }
