pass: log requests that are admitted by tables whose lease is over

The entry's log couldn't tell why: a served request has no line with the table set it was judged by, so a lease that counts wrongly, a newer set that didn't arrive and a decision that doesn't ask for the lease look alike.

The new line `expired` names the request, the route, the set, its age and whether a key came with it. It is written only while the lease is over, at most once a request.

--- a/pass/serve.go
+++ b/pass/serve.go
@@ -41,8 +41,11 @@
 
 // job is the state of one request while it is served.
 type job struct {
-	call    *Call
-	set     *board.Set
+	call *Call
+	set  *board.Set
+	// setAge is how long ago control had last confirmed the set when it was read for the request; expired is set if the lease was over.
+	setAge  time.Duration
+	expired bool
 	route   *board.Route
 	pool    string
 	account string
@@ -114,6 +117,9 @@
 		f.write(w)
 		return
 	}
+	if j.expired {
+		e.config.Events.Emit(event.AdmittedExpired, "id", c.ID, "route", j.route.Name, "set", j.set.Number, "age", j.setAge.Milliseconds(), "keyed", c.APIKey != "")
+	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
 	defer e.endStream(j)
@@ -194,8 +200,9 @@
 		return j, refuse(reasonNoTables, staleRetryAfter)
 	}
 	fresh := e.config.View.Fresh()
+	j.setAge, j.expired = e.config.View.Age(), !fresh
 	// A newer table set may allow what this one doesn't.
-	mayDeny := fresh && (e.config.MaxDenialAge == 0 || e.config.View.Age() <= e.config.MaxDenialAge)
+	mayDeny := fresh && (e.config.MaxDenialAge == 0 || j.setAge <= e.config.MaxDenialAge)
 	if j.route = j.set.Match(c.Host, c.Path); j.route == nil {
 		if !mayDeny {
 			return j, refuse(reasonStale, staleRetryAfter)
