pass: a request with a key runs only while the lease of the tables lasts

Cause: admit asked whether its tables are fresh only where these tables wanted a key (`RequireKeys && !Public`). A set whose lease is over was still believed when it permitted: a public route, or no accounts. A newer one may close the route, hide it behind a longer prefix or bring accounts, and take the key away with it.

Change: a request that carries a key is refused as stale while the lease is over, whatever the tables say of its route. As before it first waits briefly for control, and is judged by the newer set as soon as that is there.

Requests without a key are served as before where the last set is open to anybody: no key can be revoked there, and all callers of public routes would lose them for the length of an outage.

--- /dev/null
+++ b/pass/lease_test.go
@@ -0,0 +1,110 @@
+package pass_test
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"egretshunt/board"
+	"egretshunt/check"
+	"egretshunt/ctrl"
+	"egretshunt/pass"
+)
+
+// withoutAccounts makes a set need no keys at all.
+func withoutAccounts(d *board.Draft) { d.RequireKeys, d.Accounts = false, nil }
+
+// changingFixture returns a fixture whose table set is replaced by a second one once its view has changed. Until then its lease is over.
+func changingFixture(t *testing.T, before, after func(*board.Draft)) (*fixture, *changingView) {
+	t.Helper()
+	sets := map[string]*board.Set{}
+	for body, change := range map[string]func(*board.Draft){"": before, "2": after} {
+		d := fixtureDraft()
+		d.Number += uint64(len(body))
+		change(&d)
+		var err error
+		sets[body], err = board.New(d)
+		check.NoError(t, err)
+	}
+	view := &changingView{next: &ctrl.View{Set: &ctrl.TableSetDocument{Number: 2, Body: []byte("2")}}}
+	view.stale.Store(true)
+	fx := newFixtureWith(t, pass.Config{RolloutTimeout: time.Hour, View: view, Decode: func(body []byte) (*board.Set, error) {
+		return sets[string(body)], nil
+	}}, respondWith(200, "ok"))
+	view.nextList = fx.feed.list
+	return fx, view
+}
+
+// Guards against requests that ran though their key had been revoked: the entry's tables, whose lease was over, needed no key.
+func TestRequestWithKeyNeedsLease(t *testing.T) {
+	keep := func(*board.Draft) {}
+	for name, c := range map[string]struct {
+		change func(*board.Draft)
+		path   string
+		key    string
+		status int
+	}{
+		"public route":                      {keep, "/public/x", "k", 503},
+		"public route, key unknown":         {keep, "/public/x", "nobody's", 503},
+		"public route, isolated account":    {keep, "/public/x", "i", 503},
+		"no accounts":                       {withoutAccounts, "/once/x", "k", 503},
+		"no accounts, public route":         {withoutAccounts, "/public/x", "k", 503},
+		"route with key":                    {keep, "/once/x", "k", 503},
+		"stream":                            {withoutAccounts, "/resume/x", "k", 503},
+		"public route without key":          {keep, "/public/x", "", 200},
+		"no accounts, without key":          {withoutAccounts, "/once/x", "", 200},
+		"route with key, request has none":  {keep, "/once/x", "", 503},
+		"unknown route, request has no key": {withoutAccounts, "/none/x", "", 503},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fx, view := changingFixture(t, c.change, c.change)
+			got, _ := fx.call(c.path, c.key, func(c *pass.Call) { c.ClientTimeout = 100 * time.Millisecond })
+			check.Equal(t, "status", got.Code, c.status)
+			check.Equal(t, "sent", len(fx.backend.sends) > 0, c.status == 200)
+			check.Equal(t, "Retry-After", got.Header().Get("Retry-After") != "", c.status == 503)
+			if c.status == 503 {
+				checkRejected(t, got, "control can't be reached")
+			}
+			// The same request is judged by the key as soon as the lease runs again.
+			view.stale.Store(false)
+			if got, _ = fx.call(c.path, c.key); got.Code == 503 {
+				t.Errorf("with a lease: status %d, body %s", got.Code, got.Body)
+			}
+		})
+	}
+}
+
+// Guards against an answer by the old tables to a request that waits for control, and against one that comes later than it could.
+func TestRequestWithKeyWaitsForLease(t *testing.T) {
+	for name, c := range map[string]struct {
+		after  func(*board.Draft)
+		status int
+	}{
+		"nothing changed": {func(*board.Draft) {}, 200},
+		"key revoked, route not public": {func(d *board.Draft) {
+			d.Accounts[0].Keys = []string{"k-secret"}
+			d.Routes[4].Public = false
+		}, 401},
+		"key revoked, another route takes the path": {func(d *board.Draft) {
+			d.Accounts[0].Keys = []string{"k-secret"}
+			hidden := d.Routes[4]
+			hidden.Name, hidden.Prefix, hidden.Public = "inner", "/public/x/", false
+			d.Routes = append(d.Routes, hidden)
+		}, 401},
+		"route removed": {func(d *board.Draft) { d.Routes = d.Routes[:4] }, 404},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fx, view := changingFixture(t, func(*board.Draft) {}, c.after)
+			answered := make(chan *httptest.ResponseRecorder, 1)
+			go func() {
+				got, _ := fx.call("/public/x/y", "k")
+				answered <- got
+			}()
+			check.Eventually(t, "the request has come", func() bool { return fx.entry.InFlight() == 1 || len(answered) > 0 })
+			check.Equal(t, "answers by the old tables", len(answered), 0)
+			view.changed.Store(true)
+			view.stale.Store(false)
+			check.Equal(t, "status", (<-answered).Code, c.status)
+		})
+	}
+}
--- a/pass/serve.go
+++ b/pass/serve.go
@@ -201,6 +201,11 @@
 	}
 	fresh := e.config.View.Fresh()
 	j.setAge, j.expired = e.config.View.Age(), !fresh
+	if !fresh && c.APIKey != "" {
+		// The key may have been revoked since the last update. A route that needs no key by these tables may need one now, or be
+		// hidden by a newer one that does.
+		return j, refuse(reasonStale, staleRetryAfter)
+	}
 	// A newer table set may allow what this one doesn't.
 	mayDeny := fresh && (e.config.MaxDenialAge == 0 || j.setAge <= e.config.MaxDenialAge)
 	if j.route = j.set.Match(c.Host, c.Path); j.route == nil {
@@ -214,9 +219,6 @@
 	if j.set.RequireKeys && !j.route.Public {
 		a := j.set.Account(c.APIKey)
 		switch {
-		case !fresh:
-			// The key may have been revoked since the last update.
-			return j, refuse(reasonStale, staleRetryAfter)
 		case a == nil && !mayDeny:
 			return j, refuse(reasonStale, staleRetryAfter)
 		case a == nil:
