--- a/ctrl/feed.go
+++ b/ctrl/feed.go
@@ -77,13 +77,10 @@
 	leader                           netip.AddrPort
 	sums                             *tally.Reader
 
-	// Published to readers; the values pointed to are immutable.
-	view atomic.Pointer[View]
+	// Published to readers; the values pointed to are immutable. copy holds the view together with its confirmation.
+	copy atomic.Pointer[confirmedView]
 	list atomic.Pointer[member.List]
-	// confirmedAt is when control last confirmed this copy, in nanoseconds of clock.Now; zero
-	// before the first time. engineClock is the offset of the engines' clock from clock.Now in
-	// milliseconds; zero if unknown.
-	confirmedAt atomic.Int64
+	// engineClock is the offset of the engines' clock from clock.Now in milliseconds; zero if unknown.
 	engineClock atomic.Int64
 	entries     atomic.Int64
 	// syncedWith is the leader that has answered last; nil before the first. groupClock is the offset of the group time
@@ -103,6 +100,28 @@
 	members, used value.Set[string]
 }
 
+// confirmedView is a view, and when control last confirmed that it was current, by clock.Now; zero before the first time.
+type confirmedView struct {
+	view *View
+	at   time.Duration
+}
+
+func (c *confirmedView) age() time.Duration {
+	if c.at == 0 {
+		return time.Hour
+	}
+	return clock.Now() - c.at
+}
+
+// Snapshot is a view and how current it was when it was read.
+type Snapshot struct {
+	View *View
+	// Age is the time since control last confirmed that the view was current; an hour before the first time.
+	Age time.Duration
+	// Fresh reports whether that is within the lease.
+	Fresh bool
+}
+
 // NewFeed starts a Feed.
 func NewFeed(c FeedConfig) *Feed {
 	if c.Lease == 0 {
@@ -115,7 +134,7 @@
 		c.Events = event.Discard()
 	}
 	f := &Feed{config: c, crashes: newCrashGuard(c.Node, c.Events), rates: newRateGuard(c.Events), streams: newStreamGuard(), cold: newColdGuard(), changed: newNotifier(), catalog: block.NewCatalog(), sums: tally.NewReader(), members: value.SetOf[string](), used: value.SetOf[string]()}
-	f.view.Store(&View{Suspects: limit.NewSuspects()})
+	f.copy.Store(&confirmedView{view: &View{Suspects: limit.NewSuspects()}})
 	f.stale.Store(true)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
@@ -262,7 +281,7 @@
 		f.rejectSync(to, reply, err)
 		return false, err
 	}
-	f.confirmedAt.Store(int64(current - age))
+	f.copy.Store(&confirmedView{f.View(), current - age})
 	f.syncedWith.Store(&to)
 	return true, nil
 }
@@ -296,7 +315,7 @@
 			return err
 		}
 		if former := f.View(); v.Rev > former.Rev {
-			f.view.Store(v)
+			f.copy.Store(&confirmedView{v, f.copy.Load().at})
 			reportPlaces(f.config.Events, former, v)
 			number := uint64(0)
 			if v.Set != nil {
@@ -428,7 +447,15 @@
 }
 
 // View returns the replicated view.
-func (f *Feed) View() *View { return f.view.Load() }
+func (f *Feed) View() *View { return f.copy.Load().view }
+
+// Snapshot returns the replicated view with its age. A decision that uses both must take them from one snapshot: between two
+// calls a sync may install a newer view, and the age would be that one's.
+func (f *Feed) Snapshot() Snapshot {
+	c := f.copy.Load()
+	age := c.age()
+	return Snapshot{c.view, age, age <= f.config.Lease}
+}
 
 // List returns the endpoints, or nil before the first were received.
 func (f *Feed) List() *member.List { return f.list.Load() }
@@ -437,16 +464,10 @@
 func (f *Feed) Changed() <-chan struct{} { return f.changed.wait() }
 
 // Age returns the time since control last confirmed this copy; an hour before the first time.
-func (f *Feed) Age() time.Duration {
-	confirmedAt := f.confirmedAt.Load()
-	if confirmedAt == 0 {
-		return time.Hour
-	}
-	return clock.Now() - time.Duration(confirmedAt)
-}
+func (f *Feed) Age() time.Duration { return f.copy.Load().age() }
 
 // Fresh reports whether control has confirmed the view within the lease.
-func (f *Feed) Fresh() bool { return f.Age() <= f.config.Lease }
+func (f *Feed) Fresh() bool { return f.Snapshot().Fresh }
 
 // Holders returns the stores and engines that hold a part; none once the catalogue lease has
 // expired.
--- a/pass/allowed.go
+++ b/pass/allowed.go
@@ -172,7 +172,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	t := e.topologyOf(list, j.set)
+	t := e.topologyOf(list, j.tables.set)
 	rules := e.placeRules(j, t)
 	for _, addrs := range [][]netip.AddrPort{s.FetchFrom, s.SaveTo} {
 		for i, addr := range addrs {
--- a/pass/cache.go
+++ b/pass/cache.go
@@ -72,8 +72,8 @@
 	s.SaveTo = make([]netip.AddrPort, len(j.call.Parts))
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	t := e.topologyOf(list, j.set)
-	stores := e.savable(j.homes, j.set.Stores())
+	t := e.topologyOf(list, j.tables.set)
+	stores := e.savable(j.homes, j.tables.set.Stores())
 	for i, p := range j.call.Shared() {
 		name := block.PartName(s.Salt, p.ID)
 		if t.holdsInStore(e.config.View.Holders(name)) {
--- a/pass/change_test.go
+++ b/pass/change_test.go
@@ -77,6 +77,8 @@
 	changed, stale atomic.Bool
 	next           *ctrl.View
 	nextList       *member.List
+	// onDecode is called if it isn't nil when a set is about to be decoded.
+	onDecode func()
 }
 
 // View implements pass.View.
@@ -95,8 +97,11 @@
 	return w.feed.List()
 }
 
-// Fresh implements pass.View.
-func (w *changingView) Fresh() bool { return !w.stale.Load() }
+// Snapshot implements pass.View. The view is never older than the lease.
+func (w *changingView) Snapshot() ctrl.Snapshot {
+	fresh := !w.stale.Load()
+	return ctrl.Snapshot{View: w.View(), Age: w.Age(), Fresh: fresh}
+}
 
 // TestChangeDropsRequests guards against requests that end without their answer because tables or endpoints change while they are served.
 func TestChangeDropsRequests(t *testing.T) {
--- a/pass/entry.go
+++ b/pass/entry.go
@@ -26,9 +26,10 @@
 // View is the entry's view of the rest of the system. In production it is a *ctrl.Feed.
 type View interface {
 	View() *ctrl.View
+	// Snapshot returns the view together with its age.
+	Snapshot() ctrl.Snapshot
 	List() *member.List
 	Changed() <-chan struct{}
-	Fresh() bool
 	Age() time.Duration
 	Holders(part string) []block.Holder
 	// AcceptsParts reports whether parts may be saved to a store.
@@ -339,9 +340,23 @@
 	}
 }
 
-// tableSet returns the table set in force, or nil before the first.
-func (e *Entry) tableSet() *board.Set {
-	doc := e.config.View.View().Set
+// tables is the table set in force at an entry, and how current it was when it was read.
+type tables struct {
+	// set is nil before the first.
+	set *board.Set
+	// age is the time since control last confirmed the set, and fresh is set if that is within the lease.
+	age   time.Duration
+	fresh bool
+}
+
+// tables returns the table set in force.
+func (e *Entry) tables() tables {
+	s := e.config.View.Snapshot()
+	return tables{e.decoded(s.View.Set), s.Age, s.Fresh}
+}
+
+// decoded returns the table set of a document or a newer one, or nil if there is none.
+func (e *Entry) decoded(doc *ctrl.TableSetDocument) *board.Set {
 	if doc == nil {
 		return nil
 	}
@@ -369,10 +384,10 @@
 
 // Ready reports whether the entry can serve requests, and the reason if it can't.
 func (e *Entry) Ready() (reason string, ok bool) {
-	switch {
-	case e.tableSet() == nil:
+	switch t := e.tables(); {
+	case t.set == nil:
 		return reasonNoTables, false
-	case !e.config.View.Fresh():
+	case !t.fresh:
 		return reasonStale, false
 	case e.list() == nil:
 		return reasonNoTables, false
@@ -383,7 +398,7 @@
 // Limits returns the bounds on client requests and connections; all are zero before the first
 // table set.
 func (e *Entry) Limits() board.Limits {
-	if set := e.tableSet(); set != nil {
+	if set := e.tables().set; set != nil {
 		return set.Limits
 	}
 	return board.Limits{}
--- a/pass/feed_test.go
+++ b/pass/feed_test.go
@@ -81,8 +81,10 @@
 	return time.Since(s.At), ok && !s.Evacuated
 }
 
-func (f *feed) Changed() <-chan struct{}           { return nil }
-func (f *feed) Fresh() bool                        { return !f.stale }
+func (f *feed) Changed() <-chan struct{} { return nil }
+func (f *feed) Snapshot() ctrl.Snapshot {
+	return ctrl.Snapshot{View: f.View(), Age: f.age, Fresh: !f.stale}
+}
 func (f *feed) Age() time.Duration                 { return f.age }
 func (f *feed) Holders(part string) []block.Holder { return f.where[part] }
 func (f *feed) AcceptsParts(netip.AddrPort) bool   { return true }
--- a/pass/lease_test.go
+++ b/pass/lease_test.go
@@ -29,6 +29,9 @@
 	view := &changingView{next: &ctrl.View{Set: &ctrl.TableSetDocument{Number: 2, Body: []byte("2")}}}
 	view.stale.Store(true)
 	fx := newFixtureWith(t, pass.Config{RolloutTimeout: time.Hour, View: view, Decode: func(body []byte) (*board.Set, error) {
+		if view.onDecode != nil {
+			view.onDecode()
+		}
 		return sets[string(body)], nil
 	}}, respondWith(200, "ok"))
 	view.nextList = fx.feed.list
@@ -108,3 +111,32 @@
 		})
 	}
 }
+
+// Guards against a request that is judged by the tables from before a sync and takes that sync for their confirmation: the entry was
+// suspended, or busy decoding, between the two.
+func TestSyncConfirmsNoEarlierTables(t *testing.T) {
+	for name, c := range map[string]struct {
+		path, key string
+		after     func(*board.Draft)
+		status    int
+	}{
+		"key revoked":   {"/once/x", "k", func(d *board.Draft) { d.Accounts[0].Keys = []string{"k-secret"} }, 401},
+		"key added":     {"/once/x", "new", func(d *board.Draft) { d.Accounts[0].Keys = []string{"k", "new"} }, 200},
+		"route closed":  {"/public/x", "k", func(d *board.Draft) { d.Accounts[0].Keys, d.Routes[4].Public = nil, false }, 401},
+		"route removed": {"/safe/x", "k", func(d *board.Draft) { d.Routes = d.Routes[1:] }, 404},
+		"route added": {"/new/x", "k", func(d *board.Draft) {
+			d.Routes[0].Prefix = "/new/"
+		}, 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fx, view := changingFixture(t, func(*board.Draft) {}, c.after)
+			view.onDecode = func() {
+				view.changed.Store(true)
+				view.stale.Store(false)
+			}
+			got, _ := fx.call(c.path, c.key)
+			check.Equal(t, "status", got.Code, c.status)
+			check.Equal(t, "sent", len(fx.backend.sends) > 0, c.status == 200)
+		})
+	}
+}
--- a/pass/place.go
+++ b/pass/place.go
@@ -87,7 +87,7 @@
 	if list == nil {
 		return nil, j.finalFailure(reasonNoneLeft, staleRetryAfter), false
 	}
-	t := e.topologyOf(list, j.set)
+	t := e.topologyOf(list, j.tables.set)
 	all := e.eligible(j, t, now)
 	eligible := all.candidates
 	switch {
--- a/pass/place_reference_test.go
+++ b/pass/place_reference_test.go
@@ -53,7 +53,7 @@
 	others := func(name string) int { return int(v.work.Value(name)) * ctrl.WorkUnitTokens }
 	engine := route.Engine{Rate: e.prefillRate(j.pool)}
 	bandwidth := 0.0
-	if p := j.set.Pool(j.pool); p != nil && p.Engine != nil {
+	if p := j.tables.set.Pool(j.pool); p != nil && p.Engine != nil {
 		engine.TokenBytes, engine.Memory, bandwidth = p.Engine.TokenBytes, p.Engine.Tokens, p.Engine.Bandwidth
 	}
 	source := func(at netip.AddrPort, place string) (route.Source, bool) {
@@ -61,7 +61,7 @@
 		if own := e.linkTokens[at]; own != nil {
 			queued += *own
 		}
-		for _, p := range j.set.Stores() {
+		for _, p := range j.tables.set.Stores() {
 			if s := p.Store; s.Addr == at {
 				return route.Source{Bandwidth: s.Bandwidth, Delay: s.Delay, Remote: s.Place != place, QueuedTokens: queued}, true
 			}
@@ -261,7 +261,7 @@
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			for range 6 {
-				j := &job{call: &Call{ID: fmt.Sprint(r.Uint64()), Model: "m", MaxOutputTokens: r.IntN(500)}, set: c.set, pool: "p", isolated: false}
+				j := &job{call: &Call{ID: fmt.Sprint(r.Uint64()), Model: "m", MaxOutputTokens: r.IntN(500)}, tables: tables{set: c.set}, pool: "p", isolated: false}
 				for _, id := range ids {
 					j.call.Parts = append(j.call.Parts, Part{ID: id, Tokens: 1 + r.IntN(9000)})
 				}
--- a/pass/prefill.go
+++ b/pass/prefill.go
@@ -43,7 +43,7 @@
 	o := &promptPlan{
 		entry: e, job: j, topology: t, engine: route.Engine{Rate: e.prefillRate(j.pool)}, canBoundFetch: e.config.View.EngineClock(clock.Now()) > 0, now: now, rules: e.placeRules(j, t),
 	}
-	if p := j.set.Pool(j.pool); p != nil && p.Engine != nil {
+	if p := j.tables.set.Pool(j.pool); p != nil && p.Engine != nil {
 		o.engine.TokenBytes, o.engine.Memory, o.bandwidth = p.Engine.TokenBytes, p.Engine.Tokens, p.Engine.Bandwidth
 	}
 	return o
--- a/pass/serve.go
+++ b/pass/serve.go
@@ -42,10 +42,8 @@
 // job is the state of one request while it is served.
 type job struct {
 	call *Call
-	set  *board.Set
-	// setAge is how long ago control had last confirmed the set when it was read for the request; expired is set if the lease was over.
-	setAge  time.Duration
-	expired bool
+	// tables is the set that the request is judged by, as it was on admission.
+	tables  tables
 	route   *board.Route
 	pool    string
 	account string
@@ -117,8 +115,8 @@
 		f.write(w)
 		return
 	}
-	if j.expired {
-		e.config.Events.Emit(event.AdmittedExpired, "id", c.ID, "route", j.route.Name, "set", j.set.Number, "age", j.setAge.Milliseconds(), "keyed", c.APIKey != "")
+	if !j.tables.fresh {
+		e.config.Events.Emit(event.AdmittedExpired, "id", c.ID, "route", j.route.Name, "set", j.tables.set.Number, "age", j.tables.age.Milliseconds(), "keyed", c.APIKey != "")
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
@@ -182,7 +180,7 @@
 
 // Deadline returns when a request must be answered; it isn't known without a route.
 func (e *Entry) Deadline(c *Call) (at time.Time, known bool) {
-	set := e.tableSet()
+	set := e.tables().set
 	if set == nil {
 		return time.Time{}, false
 	}
@@ -196,19 +194,19 @@
 // admit resolves the route, account, pool and deadline of a request from the table set.
 func (e *Entry) admit(c *Call) (*job, *failure) {
 	j := &job{call: c, step: stageAdmission}
-	if j.set = e.tableSet(); j.set == nil || e.list() == nil {
+	j.tables = e.tables()
+	set, fresh := j.tables.set, j.tables.fresh
+	if set == nil || e.list() == nil {
 		return j, refuse(reasonNoTables, staleRetryAfter)
 	}
-	fresh := e.config.View.Fresh()
-	j.setAge, j.expired = e.config.View.Age(), !fresh
 	if !fresh && c.APIKey != "" {
 		// The key may have been revoked since the last update. A route that needs no key by these tables may need one now, or be
 		// hidden by a newer one that does.
 		return j, refuse(reasonStale, staleRetryAfter)
 	}
 	// A newer table set may allow what this one doesn't.
-	mayDeny := fresh && (e.config.MaxDenialAge == 0 || j.setAge <= e.config.MaxDenialAge)
-	if j.route = j.set.Match(c.Host, c.Path); j.route == nil {
+	mayDeny := fresh && (e.config.MaxDenialAge == 0 || j.tables.age <= e.config.MaxDenialAge)
+	if j.route = set.Match(c.Host, c.Path); j.route == nil {
 		if !mayDeny {
 			return j, refuse(reasonStale, staleRetryAfter)
 		}
@@ -216,8 +214,8 @@
 	}
 	j.rank = j.route.Rank
 	j.homes = homesOf(j.route, nil)
-	if j.set.RequireKeys && !j.route.Public {
-		a := j.set.Account(c.APIKey)
+	if set.RequireKeys && !j.route.Public {
+		a := set.Account(c.APIKey)
 		switch {
 		case a == nil && !mayDeny:
 			return j, refuse(reasonStale, staleRetryAfter)
@@ -392,8 +390,8 @@
 		kind, outcome = event.RequestDenied, "denied"
 	}
 	number := uint64(0)
-	if j.set != nil {
-		number = j.set.Number
+	if j.tables.set != nil {
+		number = j.tables.set.Number
 	}
 	e.config.Events.Emit(kind, "id", j.call.ID, "route", route, "pool", j.pool, "account", j.account, "status", f.status, "why", f.reason, "required", j.required,
 		"set", number, "age", e.config.View.Age().Milliseconds(), "tried", len(j.tried), "ran", ranText(j),
