pass: tables that control confirms but the entry can't read end the lease

Callers could see a request run whose key had been taken away, for as long as their entry ran an older build than control: suspected by reading, not played.

Cause: where the newest table set can't be decoded, the entry went on with the one before it, and took control's confirmation of the newest for one of that set. So it judged by keys and routes that are gone, said 401 and 404 for new ones, and reported itself ready. Each request also decoded the document once more.

Evidence: TestUnreadableTablesEndLease fails without the change: 200 for a key by the set before, and "no tables or endpoints known yet" after a wait of a second where the first set can't be read.

Change: the result of a decode that failed is kept with its document. Until a readable set comes, requests with a key and those that the older set doesn't allow are rejected at once as not run, with a reason of their own ("the newest tables can't be read here"); requests without a key go on as during an outage of control. The entry isn't ready, and each document is decoded once. The line `expired` says why; its field `keyed` goes, since no request with a key gets there any more.

Why it works: what is confirmed and what is judged are now the same document, or the lease counts as over.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -88,7 +88,7 @@
 	BodyAborted     = declare(330, "aborted", "warn", "A client was given up that held memory: its request's body didn't arrive in time, or others needed the memory of a body that had stopped (the request has not run), or of a response that the client didn't read.")
 	EndpointLimited = declare(319, "limited", "info", "An endpoint named a limit for the requests of all entries together, changed it or, with limited=false, ended it.")
 	ColdSeen        = declare(323, "coldseen", "info", "The leader noticed that an endpoint's process has ended, before the platform's list shows it: it counts as cold, and entries send to it by turns.")
-	AdmittedExpired = declare(324, "expired", "info", "A request was admitted by tables whose lease is over: control has not confirmed them for age.")
+	AdmittedExpired = declare(324, "expired", "info", "A request without a key was admitted by tables that may be out of date; why says whether control can't be reached or newer ones can't be read.")
 	Fenced          = declare(307, "fenced", "warn", "A command with an old epoch was rejected.")
 )
 
--- a/event/fields.go
+++ b/event/fields.go
@@ -54,7 +54,6 @@
 		{"index", "Position in the replicated log."},
 		{"kept", "Whether the tables were on this process's disk before they were used."},
 		{"key", "Idempotency key of the request; not a secret."},
-		{"keyed", "Whether the request carries a key."},
 		{"lag", "By how much the group time was behind this VM's wall clock when it was elected, in milliseconds."},
 		{"last", "Last event of the stream that the client received completely."},
 		{"leader", "Address of the control VM that is leader."},
--- a/pass/lease_test.go
+++ b/pass/lease_test.go
@@ -140,3 +140,64 @@
 		})
 	}
 }
+
+// Guards against requests that are judged by keys and routes that are gone, at an entry that can't decode the newest set though control,
+// which may run another build, has confirmed it.
+func TestUnreadableTablesEndLease(t *testing.T) {
+	const why = "the newest tables can't be read here"
+	set, err := board.New(fixtureDraft())
+	check.NoError(t, err)
+	decodes := map[string]int{}
+	fx := newFixtureWith(t, pass.Config{RolloutTimeout: time.Hour, Decode: func(body []byte) (*board.Set, error) {
+		decodes[string(body)]++
+		if string(body) == "odd" {
+			return nil, board.Invalid.New("of another build")
+		}
+		return set, nil
+	}}, respondWith(200, "ok"))
+	former := fx.feed.view
+	newest := func(number uint64, body string) {
+		fx.feed.view = &ctrl.View{Set: &ctrl.TableSetDocument{Number: number, Body: []byte(body)}}
+	}
+	expect := func(t *testing.T, path, key string, status int) {
+		t.Helper()
+		sent := len(fx.backend.sends)
+		got, _ := fx.call(path, key)
+		check.Equal(t, "status of "+path, got.Code, status)
+		check.Equal(t, "sent", len(fx.backend.sends) > sent, status == 200)
+		if status == 503 {
+			checkRejected(t, got, why)
+		}
+	}
+	t.Run("first set", func(t *testing.T) {
+		newest(1, "odd")
+		expect(t, "/once/x", "k", 503)
+		expect(t, "/public/x", "", 503)
+		reason, ready := fx.entry.Ready()
+		check.Equal(t, "readiness", []any{reason, ready}, []any{why, false})
+	})
+	t.Run("after another", func(t *testing.T) {
+		newest(2, "2")
+		expect(t, "/once/x", "k", 200)
+		newest(3, "odd")
+		for _, path := range []string{"/once/x", "/public/x", "/none/x"} {
+			for _, key := range []string{"k", "nobody's"} {
+				expect(t, path, key, 503)
+			}
+		}
+		expect(t, "/once/x", "", 503)
+		expect(t, "/public/x", "", 200)
+		_, ready := fx.entry.Ready()
+		check.Equal(t, "ready", ready, false)
+		check.Equal(t, "decodes", decodes, map[string]int{"odd": 2, "2": 1})
+	})
+	t.Run("before another", func(t *testing.T) {
+		newest(4, "4")
+		expect(t, "/once/x", "k", 200)
+		expect(t, "/once/x", "nobody's", 401)
+		_, ready := fx.entry.Ready()
+		check.Equal(t, "ready", ready, true)
+		fx.feed.view = former
+		expect(t, "/none/x", "k", 404)
+	})
+}
--- a/pass/serve.go
+++ b/pass/serve.go
@@ -115,8 +115,8 @@
 		f.write(w)
 		return
 	}
-	if !j.tables.fresh {
-		e.config.Events.Emit(event.AdmittedExpired, "id", c.ID, "route", j.route.Name, "set", j.tables.set.Number, "age", j.tables.age.Milliseconds(), "keyed", c.APIKey != "")
+	if j.tables.expired != "" {
+		e.config.Events.Emit(event.AdmittedExpired, "id", c.ID, "route", j.route.Name, "set", j.tables.set.Number, "age", j.tables.age.Milliseconds(), "why", j.tables.expired)
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
@@ -195,21 +195,27 @@
 func (e *Entry) admit(c *Call) (*job, *failure) {
 	j := &job{call: c, step: stageAdmission}
 	j.tables = e.tables()
-	set, fresh := j.tables.set, j.tables.fresh
-	if set == nil || e.list() == nil {
+	set, expired := j.tables.set, j.tables.expired
+	switch {
+	case set == nil && expired == reasonUnreadable:
+		return j, refuse(expired, staleRetryAfter)
+	case set == nil || e.list() == nil:
 		return j, refuse(reasonNoTables, staleRetryAfter)
-	}
-	if !fresh && c.APIKey != "" {
+	case expired != "" && c.APIKey != "":
 		// The key may have been revoked since the last update. A route that needs no key by these tables may need one now, or be
 		// hidden by a newer one that does.
-		return j, refuse(reasonStale, staleRetryAfter)
+		return j, refuse(expired, staleRetryAfter)
 	}
 	// A newer table set may allow what this one doesn't.
-	mayDeny := fresh && (e.config.MaxDenialAge == 0 || j.tables.age <= e.config.MaxDenialAge)
-	if j.route = set.Match(c.Host, c.Path); j.route == nil {
-		if !mayDeny {
-			return j, refuse(reasonStale, staleRetryAfter)
-		}
+	undecided := expired
+	if undecided == "" && e.config.MaxDenialAge > 0 && j.tables.age > e.config.MaxDenialAge {
+		undecided = reasonStale
+	}
+	j.route = set.Match(c.Host, c.Path)
+	switch {
+	case j.route == nil && undecided != "":
+		return j, refuse(undecided, staleRetryAfter)
+	case j.route == nil:
 		return j, &failure{status: http.StatusNotFound, reason: reasonNoRoute}
 	}
 	j.rank = j.route.Rank
@@ -217,8 +223,8 @@
 	if set.RequireKeys && !j.route.Public {
 		a := set.Account(c.APIKey)
 		switch {
-		case a == nil && !mayDeny:
-			return j, refuse(reasonStale, staleRetryAfter)
+		case a == nil && undecided != "":
+			return j, refuse(undecided, staleRetryAfter)
 		case a == nil:
 			return j, &failure{status: http.StatusUnauthorized, reason: reasonKey}
 		}
