entry, agent: a request is judged by tables and a confirmation of one moment

Callers saw: a booking whose route was removed while its body was uploaded got 503 no_endpoint, as if it might be served later, where 404 is the answer. A request that came as an entry had just found its way back to control could get 404 for a route that the newest tables have.

Cause: the agents' path read the route first and asked later, after the body, whether the tables are fresh. Newer tables that came in between confirmed the older ones' answer; the agent, which judges by its own tables, then refused the offer. The agent and the 404 had the same two reads, closer together.

Evidence: TestTablesDuringUpload fails without the change: "503 no_endpoint no" where "404 unknown_service no" is wanted.

Why it works: the confirmation is read before the tables, and what control has confirmed was installed before, so the tables are those confirmed or newer.

--- a/agent/offer.go
+++ b/agent/offer.go
@@ -174,12 +174,12 @@
 	if a.config.Follower == nil {
 		return nil
 	}
-	t := a.tables()
+	t, fresh := a.config.Follower.Snapshot(time.Now())
 	r, ok := t.Find(o.GetAccount(), o.GetTarget())
 	if !ok || r.Name != o.GetRoute() || !slices.Contains(r.Pools, a.config.Pool) {
 		return newRefuse(codeNotAllowed, ranNo, "no route leads this account here")
 	}
-	if !a.config.Follower.Fresh(time.Now()) && r.Stale != table.StaleServe {
+	if !fresh && r.Stale != table.StaleServe {
 		return newRefuse(codeStale, ranNo, "the agent's tables may be out of date")
 	}
 	p, ok := t.Pools[a.config.Pool]
--- a/ctrl/follow.go
+++ b/ctrl/follow.go
@@ -469,6 +469,14 @@
 // Tables returns the installed tables.
 func (f *Follower) Tables() *table.Tables { return f.tables.Load() }
 
+// Snapshot returns the installed tables, and whether control had confirmed them within the lease. A decision that uses both must take
+// them from here: between two calls newer tables may be installed and confirmed.
+func (f *Follower) Snapshot(now time.Time) (t *table.Tables, fresh bool) {
+	// In this order: what control has confirmed was installed before.
+	fresh = f.Fresh(now)
+	return f.Tables(), fresh
+}
+
 // View returns the installed view.
 func (f *Follower) View() *View { return f.view.Load() }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -186,10 +186,8 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// plan returns the compiled route from an account to a target in the installed tables,
-// compiling it on first use.
-func (e *Entry) plan(account, target string) (*route.Plan, bool) {
-	t := e.config.Follower.Tables()
+// plan returns the compiled route from an account to a target in some tables, compiling it on first use.
+func (e *Entry) plan(t *table.Tables, account, target string) (*route.Plan, bool) {
 	c := e.plans.Load()
 	if c == nil || c.tables != t {
 		c = &planCache{tables: t, plans: map[string]*route.Plan{}}
--- a/entry/request.go
+++ b/entry/request.go
@@ -23,6 +23,7 @@
 	id              string
 	account         string
 	target          string
+	kind            table.Kind
 	plan            *route.Plan
 	method          string
 	path            string
@@ -66,12 +67,8 @@
 		if f != nil {
 			return nil, f
 		}
-		plan, ok := e.plan(account, p.Model)
-		if !ok || !isKind(e.config.Follower.Tables(), plan, table.Model) {
-			return nil, e.routeNotFound(CodeUnknownModel, "no route leads this account to a model of that name")
-		}
 		return &job{
-			target: p.Model, plan: plan, method: http.MethodPost, path: r.URL.Path, body: body, promptText: p.promptText,
+			target: p.Model, kind: table.Model, method: http.MethodPost, path: r.URL.Path, body: body, promptText: p.promptText,
 			promptTokens: estimateTokens(p.promptText), maxOutputTokens: p.MaxTokens, root: block.RootHash(account, p.Model, p.promptText), stream: p.Stream,
 			fingerprint: ledger.Fingerprint([]byte(p.Model), p.promptText), parts: p.sharedParts(account),
 		}, nil
@@ -83,9 +80,9 @@
 func (e *Entry) serveService(w http.ResponseWriter, r *http.Request) {
 	e.serve(w, r, func(account string, source *bodyReader) (*job, *Failure) {
 		name := chi.URLParam(r, "name")
-		plan, ok := e.plan(account, name)
-		if !ok || !isKind(e.config.Follower.Tables(), plan, table.Service) {
-			return nil, e.routeNotFound(CodeUnknownService, "no route leads this account to a service of that name")
+		// Without a route the body isn't worth reading.
+		if _, f := e.findPlan(account, name, table.Service); f != nil {
+			return nil, f
 		}
 		key := r.Header.Get(IdempotencyKeyHeader)
 		if len(key) > maxKeyBytes {
@@ -104,7 +101,7 @@
 		}
 		safe := r.Method == http.MethodGet || r.Method == http.MethodHead || r.Method == http.MethodOptions
 		j := &job{
-			target: name, plan: plan, method: r.Method, path: path, body: body, atMostOnce: !safe,
+			target: name, kind: table.Service, method: r.Method, path: path, body: body, atMostOnce: !safe,
 			root: block.RootHash(account, name, []byte(path)), fingerprint: ledger.Fingerprint([]byte(name), []byte(r.Method), []byte(path), body),
 		}
 		if !safe {
@@ -114,13 +111,24 @@
 	})
 }
 
-// routeNotFound returns a not-found failure if the tables are fresh, and otherwise a
-// stale failure, because the route may have been added since.
-func (e *Entry) routeNotFound(code, text string) *Failure {
-	if e.config.Follower.Fresh(time.Now()) {
-		return newFailure(http.StatusNotFound, code, No, text)
+// findPlan returns the route from an account to a target. The tables and whether control has confirmed them are of one moment: what
+// a sync brings during an upload must not confirm the tables from before it.
+func (e *Entry) findPlan(account, target string, kind table.Kind) (*route.Plan, *Failure) {
+	t, fresh := e.config.Follower.Snapshot(time.Now())
+	p, ok := e.plan(t, account, target)
+	ok = ok && isKind(t, p, kind)
+	switch {
+	case ok && (fresh || p.Route.Stale == table.StaleServe):
+		return p, nil
+	case ok:
+		return nil, newFailure(http.StatusServiceUnavailable, CodeStale, No, "this entry can't reach control, and the route does not allow old tables").withRetryAfter(time.Second)
+	case !fresh:
+		// The route may have been added since.
+		return nil, newFailure(http.StatusServiceUnavailable, CodeStale, No, "this entry can't reach control, and knows no such route").withRetryAfter(time.Second)
+	case kind == table.Model:
+		return nil, newFailure(http.StatusNotFound, CodeUnknownModel, No, "no route leads this account to a model of that name")
 	}
-	return newFailure(http.StatusServiceUnavailable, CodeStale, No, "this entry can't reach control, and knows no such route").withRetryAfter(time.Second)
+	return nil, newFailure(http.StatusNotFound, CodeUnknownService, No, "no route leads this account to a service of that name")
 }
 
 func isKind(t *table.Tables, p *route.Plan, kind table.Kind) bool {
@@ -155,7 +163,8 @@
 	}
 	j.id, j.account, j.ran = uuid.NewString(), account, No
 	j.headers = forwardedHeaders(r.Header)
-	if f := e.checkFreshness(j.plan.Route); f != nil {
+	// Only now: reading the body may have taken long.
+	if j.plan, f = e.findPlan(account, j.target, j.kind); f != nil {
 		e.reject(w, f)
 		return
 	}
@@ -173,15 +182,6 @@
 	f.write(w)
 }
 
-// checkFreshness rejects requests while the tables may be out of date, unless the route
-// allows serving from stale tables.
-func (e *Entry) checkFreshness(r *table.Route) *Failure {
-	if r.Stale == table.StaleServe || e.config.Follower.Fresh(time.Now()) {
-		return nil
-	}
-	return newFailure(http.StatusServiceUnavailable, CodeStale, No, "this entry can't reach control, and the route does not allow old tables").withRetryAfter(time.Second)
-}
-
 // respond dispatches the job and writes its response or failure.
 func (e *Entry) respond(w http.ResponseWriter, r *http.Request, j *job) {
 	j.deadline = time.Now().Add(j.plan.Route.Timeout())
