ctrl: the lease of a node's tables also ends while its VM is suspended

Callers of the agents' path could see, after a VM had been suspended for minutes, requests run by routes that were removed meanwhile: by an entry and an agent that slept side by side, until their first pull. Found by reading, while the same cause was looked for on related paths; a suspension can't be played here.

Cause: ctrl.Follower measured its lease with time.Now, whose monotonic reading stands still while the machine is suspended (CLOCK_MONOTONIC). The platform's entries and control's own lease use clock.Now, which goes on.

Evidence: TestLeaseEndsDuringSuspension has the clock of the lease jump ahead of the process's by the length of the lease; with the age taken by the process's own time (trial) it fails: fresh after the suspension.

Change: confirmations and ages of a Follower are by clock.Now (FollowerConfig.Now in tests). What an upstream grants is still counted by its running time: a suspended upstream only waits longer before it takes a change for in force.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -185,7 +185,7 @@
 		a.cache.reset()
 	}
 	a.health = h
-	if a.config.Follower != nil && a.config.Follower.Fresh(time.Now()) {
+	if a.config.Follower != nil && a.config.Follower.Fresh() {
 		a.fencing.Confirm(a.config.Follower.View().Epoch)
 	}
 	if p, ok := a.tables().Pools[a.config.Pool]; ok {
--- a/agent/offer.go
+++ b/agent/offer.go
@@ -174,7 +174,7 @@
 	if a.config.Follower == nil {
 		return nil
 	}
-	t, fresh := a.config.Follower.Snapshot(time.Now())
+	t, fresh := a.config.Follower.Snapshot()
 	r, ok := t.Find(o.GetAccount(), o.GetTarget())
 	if !ok || r.Name != o.GetRoute() || !slices.Contains(r.Pools, a.config.Pool) {
 		return newRefuse(codeNotAllowed, ranNo, "no route leads this account here")
--- a/ctrl/follow.go
+++ b/ctrl/follow.go
@@ -12,6 +12,7 @@
 	"github.com/joomcode/errorx"
 	"google.golang.org/protobuf/proto"
 
+	"egretshunt/clock"
 	"egretshunt/disk"
 	"egretshunt/event"
 	"egretshunt/limit"
@@ -58,6 +59,8 @@
 	EndpointLoad func() *wire.Load
 	Lease        time.Duration
 	Hold         time.Duration
+	// Now is the clock of the lease; nil means clock.Now.
+	Now func() time.Duration
 }
 
 // Follower keeps a node's copy of the tables up to date and serves it to other nodes.
@@ -92,8 +95,8 @@
 	// Published for readers; what they point to is immutable.
 	tables atomic.Pointer[table.Tables]
 	view   atomic.Pointer[View]
-	// confirmedAt is the time as of which control last confirmed that the tables are fresh.
-	confirmedAt atomic.Pointer[time.Time]
+	// confirmedAt is when control last confirmed the tables, in nanoseconds of FollowerConfig.Now; zero before the first time.
+	confirmedAt atomic.Int64
 	stale       atomic.Bool
 
 	// Metrics; received and sent are in bytes.
@@ -111,6 +114,9 @@
 	if c.Events == nil {
 		c.Events = event.Discard()
 	}
+	if c.Now == nil {
+		c.Now = clock.Now
+	}
 	f := &Follower{
 		config: c, roster: NewRoster(c.Lease), saveRequests: make(chan saveRequest, 1), placeSaves: make(chan saveRequest, 1), changed: newNotifier(),
 		incarnation: rand.Uint64(),
@@ -184,7 +190,7 @@
 	staleFrom := time.Now()
 	first := true
 	for {
-		fresh, err := f.exchangePull(s, f.config.Hold, first || !f.Fresh(time.Now()))
+		fresh, err := f.exchangePull(s, f.config.Hold, first || !f.Fresh())
 		if err != nil {
 			return
 		}
@@ -259,10 +265,10 @@
 // exchangePull sends one pull with the pending reports and installs the response. fresh reports
 // whether the upstream confirmed that the tables are current.
 func (f *Follower) exchangePull(s *wire.Stream, hold time.Duration, all bool) (fresh bool, err error) {
-	began := time.Now()
+	began := f.config.Now()
 	// After a failure it is unknown which reports the upstream has and which nodes it still tracks.
 	all = f.resendAll.Swap(false) || all
-	pull := f.buildPull(began, all, hold)
+	pull := f.buildPull(time.Now(), all, hold)
 	reply, err := f.sendPull(s, pull, hold)
 	f.roster.RecordDelivery(pull.GetAcks(), err == nil)
 	if err != nil {
@@ -286,7 +292,7 @@
 	// The upstream responded no earlier than the pull was sent plus the time it was held.
 	held := time.Duration(reply.GetHeldMs()) * time.Millisecond
 	age := time.Duration(reply.GetAgeMs()) * time.Millisecond
-	f.recordConfirmation(began.Add(held - age))
+	f.recordConfirmation(began + held - age)
 	return true, nil
 }
 
@@ -384,9 +390,9 @@
 	return nil
 }
 
-func (f *Follower) recordConfirmation(confirmedAt time.Time) {
-	if old := f.confirmedAt.Load(); old == nil || confirmedAt.After(*old) {
-		f.confirmedAt.Store(&confirmedAt)
+func (f *Follower) recordConfirmation(at time.Duration) {
+	if int64(at) > f.confirmedAt.Load() {
+		f.confirmedAt.Store(int64(at))
 	}
 }
 
@@ -454,7 +460,7 @@
 		case <-ctx.Done():
 			return
 		}
-		stale := !f.Fresh(time.Now())
+		stale := !f.Fresh()
 		if f.stale.Swap(stale) == stale {
 			continue
 		}
@@ -471,9 +477,9 @@
 
 // Snapshot returns the installed tables, and whether control had confirmed them within the lease. A decision that uses both must take
 // them from here: between two calls newer tables may be installed and confirmed.
-func (f *Follower) Snapshot(now time.Time) (t *table.Tables, fresh bool) {
+func (f *Follower) Snapshot() (t *table.Tables, fresh bool) {
 	// In this order: what control has confirmed was installed before.
-	fresh = f.Fresh(now)
+	fresh = f.Fresh()
 	return f.Tables(), fresh
 }
 
@@ -481,17 +487,19 @@
 func (f *Follower) View() *View { return f.view.Load() }
 
 // Fresh reports whether control has confirmed the tables within the lease.
-func (f *Follower) Fresh(now time.Time) bool {
-	age, ok := f.age(now)
-	return ok && age <= f.config.Lease
+func (f *Follower) Fresh() bool {
+	_, fresh := f.freshness()
+	return fresh
 }
 
-func (f *Follower) age(now time.Time) (time.Duration, bool) {
+// freshness implements tableSource.
+func (f *Follower) freshness() (age time.Duration, fresh bool) {
 	confirmedAt := f.confirmedAt.Load()
-	if confirmedAt == nil {
+	if confirmedAt == 0 {
 		return 0, false
 	}
-	return now.Sub(*confirmedAt), true
+	age = f.config.Now() - time.Duration(confirmedAt)
+	return age, age <= f.config.Lease
 }
 
 // Rev implements wire.RevisionTracker.
--- a/ctrl/follow_test.go
+++ b/ctrl/follow_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"egretshunt/check"
+	"egretshunt/clock"
 	"egretshunt/ctrl"
 	"egretshunt/disk"
 	"egretshunt/fake"
@@ -104,3 +106,28 @@
 	rev := c.mustChange(poolChange("1", "row", 0, "here")).Rev
 	check.Eventually(t, "the change", func() bool { return f.Rev() >= rev })
 }
+
+// Guards against a node that acts by old tables after its VM was suspended: the time of a process stands still then, its lease doesn't.
+func TestLeaseEndsDuringSuspension(t *testing.T) {
+	c := newCluster(t, 1)
+	addr, keys := serveControl(t, ctrl.ServerConfig{Node: c.node(c.leader())})
+	pool := wire.NewPool(wire.PoolConfig{Keys: keys})
+	t.Cleanup(pool.Close)
+	var suspended atomic.Int64
+	f, err := ctrl.NewFollower(ctrl.FollowerConfig{
+		Node: "n", Role: "entry", Pool: pool, Upstreams: func() []netip.AddrPort { return []netip.AddrPort{addr} },
+		Now: func() time.Duration { return clock.Now() + time.Duration(suspended.Load()) },
+	})
+	check.NoError(t, err)
+	defer f.Close()
+	rev := c.mustChange(poolChange("1", "row", 0, "here")).Rev
+	check.Eventually(t, "fresh tables", func() bool {
+		tables, fresh := f.Snapshot()
+		return fresh && tables.Rev >= rev
+	})
+	pool.Close()
+	suspended.Store(int64(ctrl.Lease))
+	_, fresh := f.Snapshot()
+	check.Equal(t, "fresh after the suspension", fresh, false)
+	check.Equal(t, "ready", f.Fresh(), false)
+}
--- a/ctrl/pull_server.go
+++ b/ctrl/pull_server.go
@@ -19,7 +19,7 @@
 	// not be told that its tables are fresh.
 	confirm(ctx context.Context, pull *wire.Pull) error
 	// freshness returns the age of the source's tables and whether they are fresh.
-	freshness(now time.Time) (age time.Duration, ok bool)
+	freshness() (age time.Duration, fresh bool)
 }
 
 // pullIdleTimeout is how long a downstream may leave its stream idle.
@@ -51,7 +51,7 @@
 		waitForChange(ctx, pull, source, began)
 	}
 	now := time.Now()
-	age, fresh := source.freshness(now)
+	age, fresh := source.freshness()
 	reply := &wire.Tables{
 		HeldMs: uint32(now.Sub(began).Milliseconds()), AgeMs: uint32(age.Milliseconds() + 1),
 		Fresh: fresh && confirmed, Roster: source.Roster().id,
@@ -122,11 +122,6 @@
 	return f.roster.AwaitConfirmed(ctx, pull)
 }
 
-func (f *Follower) freshness(now time.Time) (time.Duration, bool) {
-	age, ok := f.age(now)
-	return age, ok && age <= f.config.Lease
-}
-
 // RelayPulls serves the pulls of other nodes from this node's copy.
 func (f *Follower) RelayPulls(ctx context.Context, s *wire.Stream, first *wire.Pull) {
 	ServePulls(ctx, s, first, func() tableSource { return f }, func() netip.AddrPort { return netip.AddrPort{} })
@@ -162,7 +157,7 @@
 	return err
 }
 
-func (l leaderSource) freshness(time.Time) (time.Duration, bool) {
+func (l leaderSource) freshness() (time.Duration, bool) {
 	_, ok := l.server.config.Node.IsLeader()
 	return 0, ok
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -179,7 +179,7 @@
 
 // serveReady tells the load balancer whether to send requests to this entry.
 func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if e.draining.Load() || !e.config.Follower.Fresh(time.Now()) {
+	if e.draining.Load() || !e.config.Follower.Fresh() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -114,7 +114,7 @@
 // findPlan returns the route from an account to a target. The tables and whether control has confirmed them are of one moment: what
 // a sync brings during an upload must not confirm the tables from before it.
 func (e *Entry) findPlan(account, target string, kind table.Kind) (*route.Plan, *Failure) {
-	t, fresh := e.config.Follower.Snapshot(time.Now())
+	t, fresh := e.config.Follower.Snapshot()
 	p, ok := e.plan(t, account, target)
 	ok = ok && isKind(t, p, kind)
 	switch {
--- a/node/ops.go
+++ b/node/ops.go
@@ -27,7 +27,7 @@
 		}
 	})
 	r.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !p.follower.Fresh(time.Now()) {
+		if !p.follower.Fresh() {
 			http.Error(w, "tables are not fresh", http.StatusServiceUnavailable)
 		}
 	})
@@ -58,7 +58,7 @@
 	gauge := func(name string, f func() float64) { p.metrics.NewGauge("egretshunt_"+name, f) }
 	gauge("tables_rev", func() float64 { return float64(p.follower.Rev()) })
 	gauge("tables_fresh", func() float64 {
-		if p.follower.Fresh(time.Now()) {
+		if p.follower.Fresh() {
 			return 1
 		}
 		return 0
--- a/node/stop.go
+++ b/node/stop.go
@@ -159,7 +159,7 @@
 func (p *Process) Rev() uint64 { return p.follower.Rev() }
 
 // Fresh reports whether the control plane confirmed the tables within the lease.
-func (p *Process) Fresh() bool { return p.follower.Fresh(time.Now()) }
+func (p *Process) Fresh() bool { return p.follower.Fresh() }
 
 // ControlClient returns the process's client of the control plane.
 func (p *Process) ControlClient() *ctrl.Client { return p.client }
--- a/slopes/nodes.go
+++ b/slopes/nodes.go
@@ -63,7 +63,7 @@
 // awaitRevision waits until all simulated nodes have reached a revision and are fresh.
 func (g *nodeGroup) awaitRevision(ctx context.Context, rev uint64) error {
 	for _, f := range g.follows {
-		for f.Rev() < max(rev, 1) || !f.Fresh(time.Now()) {
+		for f.Rev() < max(rev, 1) || !f.Fresh() {
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
