pass: a turn at cold endpoints is judged by the silence before it was read

An entry that returns from a long silence could use all turns of before it for one placement, though the leader may have given them to other entries: cold endpoints then get more than they tolerate.

Cause: the turn was read from the feed when the topology was brought up to date, the feed's age afterwards. A sync in between made the older turn look confirmed.

Change: the age is read first and kept with the turn. What control says of cold endpoints is installed before its sync is confirmed, so the turn is the confirmed one or newer.

--- a/pass/cold.go
+++ b/pass/cold.go
@@ -17,9 +17,11 @@
 type coldBounds struct {
 	// paces are those of the pools with a bound.
 	paces map[string]limit.ColdPace
-	// known is what control last said; marked are the candidates that are cold by it.
-	known  *ctrl.Cold
-	marked []*candidate
+	// known is what control last said; marked are the candidates that are cold by it. silence is how long control had said nothing when
+	// known was read.
+	known   *ctrl.Cold
+	marked  []*candidate
+	silence time.Duration
 	// places is until when the endpoints of each place are cold since its evacuation ended, by the place's index.
 	places []time.Duration
 }
@@ -75,7 +77,7 @@
 	if !bounded {
 		return nil
 	}
-	p := &coldPool{entry: e, pace: pace, turn: t.cold.known.Turn.After(e.config.View.Age()), now: clock.Now(), listedAt: t.cold.known.ListedAt}
+	p := &coldPool{entry: e, pace: pace, turn: t.cold.known.Turn.After(t.cold.silence), now: clock.Now(), listedAt: t.cold.known.ListedAt}
 	if read := e.fallback.Load(); read != nil && read.list == t.list {
 		p.listedAt, p.own = read.askedAt, true
 	}
--- a/pass/place_reference_test.go
+++ b/pass/place_reference_test.go
@@ -27,6 +27,7 @@
 // placeView is a View of cached parts and of the other entries' work.
 type placeView struct {
 	unusedView
+	age     time.Duration
 	cold    *ctrl.Cold
 	view    *ctrl.View
 	work    *tally.Snapshot
@@ -39,7 +40,7 @@
 func (v *placeView) OtherWork() *tally.Snapshot         { return v.work }
 func (v *placeView) Holders(part string) []block.Holder { return v.holders[part] }
 func (v *placeView) EntryCount() int                    { return v.entries }
-func (v *placeView) Age() time.Duration                 { return 0 }
+func (v *placeView) Age() time.Duration                 { return v.age }
 func (v *placeView) RecordUse(string)                   {}
 func (v *placeView) EngineClock(time.Duration) int64    { return v.clock }
 func (v *placeView) Permitted() <-chan struct{}         { return nil }
--- a/pass/topology.go
+++ b/pass/topology.go
@@ -102,6 +102,8 @@
 	if work := e.config.View.OtherWork(); work != t.work {
 		t.installWork(work)
 	}
+	// Before the turn is read: a sync in between must not make an older turn look confirmed.
+	t.cold.silence = e.config.View.Age()
 	if known := e.config.View.Cold(); known != t.cold.known {
 		t.installCold(known)
 	}
