heads: a head that goes on with another one is no response, on both paths

Callers on the agents' path saw: an endpoint that breaks its head off inside a value or the reason, and writes another response behind it, had that taken for one: 200 with the body of a 503. On the platform's path one form got through.

Cause: only the platform's connection looked for a second status line in a head, and there only at the first "HTTP/1." of each value: "X-Note: aHTTP/1.1 5HTTP/1.1 503 Busy" passed.

Change: heads.CheckField and the Scanner refuse a value or reason that holds a status line anywhere.

Why it works: no sound name or line can hold the second head's first line, so it is in a value or a reason, and both are searched whole.

--- a/agent/badhead_test.go
+++ b/agent/badhead_test.go
@@ -86,3 +86,13 @@
 		})
 	}
 }
+
+// TestJoinedHeadIsNoResponse guards against a response made of the beginning of one head and the rest of another response.
+func TestJoinedHeadIsNoResponse(t *testing.T) {
+	for name, text := range fake.JoinedHeads("Content-Type: text/plain\r\n") {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkRefused(t, text)
+		})
+	}
+}
--- a/fake/heads.go
+++ b/fake/heads.go
@@ -65,6 +65,31 @@
 	}
 }
 
+// JoinedHeads returns responses, by name, whose head was broken off and went on with that of another response. lines are sound header lines
+// of both.
+func JoinedHeads(lines string) map[string]string {
+	const (
+		ok     = "HTTP/1.1 200 OK\r\n"
+		other  = "HTTP/1.1 503 Busy\r\n"
+		length = "Content-Length: 2\r\n\r\nno"
+	)
+	return map[string]string{
+		"in a value":               ok + lines + "X-Note: a" + other + length,
+		"before a value":           ok + lines + "X-Note: " + other + length,
+		"in the first value":       ok + "X-Note: a" + other + lines + length,
+		"in the last value":        ok + lines + "Content-Length: 2\r\nX-Note: a" + other + "\r\nno",
+		"in a reason":              "HTTP/1.1 200 O" + other + lines + length,
+		"before a reason":          "HTTP/1.1 200 " + other + lines + length,
+		"without a reason":         ok + lines + "X-Note: aHTTP/1.1 503\r\n" + length,
+		"in a value, HTTP/1.0":     ok + lines + "X-Note: aHTTP/1.0 503 Busy\r\n" + length,
+		"two in a value":           ok + lines + "X-Note: aHTTP/1.1 5HTTP/1.1 503 Busy\r\n" + length,
+		"without length":           ok + lines + "X-Note: a" + other + "\r\nno",
+		"behind an interim head":   "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + ok + lines + "X-Note: a" + other + length,
+		"an interim head":          "HTTP/1.1 103 Early Hints\r\nLink: a" + ok + lines + "\r\n" + ok + lines + length,
+		"an interim head's reason": "HTTP/1.1 103 Early" + ok + lines + "\r\n" + ok + lines + length,
+	}
+}
+
 // UnusualFields returns sound responses, by name, with the body "ok", the given header lines and the header X-Note of the given value.
 func UnusualFields(lines, note string) map[string]string {
 	const length = "Content-Length: 2\r\n\r\nok"
--- a/heads/heads.go
+++ b/heads/heads.go
@@ -3,6 +3,8 @@
 package heads
 
 import (
+	"strings"
+
 	"github.com/joomcode/errorx"
 	"golang.org/x/net/http/httpguts"
 )
@@ -38,5 +40,24 @@
 	if !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
 		return Malformed.New("a response's head has the field %.40q with the value %.40q", name, value)
 	}
+	if holdsStatusLine(value) {
+		return Malformed.New("a response's head was broken off in the field %.40q, and went on with another one: %.60q", name, value)
+	}
 	return nil
 }
+
+// holdsStatusLine reports whether a text holds the beginning of a status line, such as "HTTP/1.1 200": a head that its endpoint broke off there
+// and behind which another response came would be taken for one.
+func holdsStatusLine(text string) bool {
+	const versionAndStatus = len("1 200")
+	for {
+		_, rest, ok := strings.Cut(text, "HTTP/1.")
+		if !ok {
+			return false
+		}
+		if len(rest) >= versionAndStatus && isDigits(rest[:1]) && rest[1] == ' ' && isDigits(rest[2:versionAndStatus]) {
+			return true
+		}
+		text = rest
+	}
+}
--- a/heads/scanner.go
+++ b/heads/scanner.go
@@ -68,6 +68,9 @@
 	if !isDigits(status) || hasReason && reason[0] != ' ' || !httpguts.ValidHeaderFieldValue(reason) {
 		return Malformed.New("a response begins with %.40q, want a status of three digits", line)
 	}
+	if holdsStatusLine(reason) {
+		return Malformed.New("a response begins with %.60q, which goes on with another one", line)
+	}
 	for _, digit := range []byte(status) {
 		s.status = 10*s.status + int(digit-'0')
 	}
