pass: admission in a file of its own, and a counter of requests admitted by old tables

No behaviour changes but the counter egretshunt_pass_expired_total{why} beside the line `expired`, so that an operator sees on the metrics address how much is served while control is silent.

--- a/pass/entry.go
+++ b/pass/entry.go
@@ -184,14 +184,6 @@
 	triedStores []netip.AddrPort
 }
 
-// decodedSet is a table set with the document it was decoded from.
-type decodedSet struct {
-	document *ctrl.TableSetDocument
-	set      *board.Set
-	// unreadable is set if the document can't be decoded; set is that of an earlier one then, or nil.
-	unreadable bool
-}
-
 // endpointState is what this entry has learned about one endpoint from its own requests.
 type endpointState struct {
 	incarnation int64
@@ -342,59 +334,6 @@
 	}
 }
 
-// tables is the table set in force at an entry, and how current it was when it was read.
-type tables struct {
-	// set is nil before the first.
-	set *board.Set
-	// age is the time since control last confirmed the entry's view.
-	age time.Duration
-	// expired is why the set may be out of date, as the reason of a failure; "" while the lease lasts.
-	expired string
-}
-
-// tables returns the table set in force.
-func (e *Entry) tables() tables {
-	s := e.config.View.Snapshot()
-	t := tables{age: s.Age}
-	if !s.Fresh {
-		t.expired = reasonStale
-	}
-	if s.View.Set == nil {
-		return t
-	}
-	d := e.decode(s.View.Set)
-	if t.set = d.set; d.unreadable {
-		// Control has confirmed the document, not the set before it.
-		t.expired = reasonUnreadable
-	}
-	return t
-}
-
-// decode returns the table set of a document, or of a newer one.
-func (e *Entry) decode(doc *ctrl.TableSetDocument) *decodedSet {
-	if a := e.set.Load(); a != nil && a.document == doc {
-		return a
-	}
-	e.decoding.Lock()
-	defer e.decoding.Unlock()
-	a := e.set.Load()
-	if a != nil && (a.document == doc || a.document.Number >= doc.Number) {
-		return a
-	}
-	next := &decodedSet{document: doc}
-	var err error
-	if next.set, err = e.config.Decode(doc.Body); err != nil {
-		// Control validates each set before it is accepted, but may run another build.
-		e.config.Events.Emit(event.Fault, "set", doc.Number, "err", err)
-		next.set, next.unreadable = nil, true
-		if a != nil {
-			next.set = a.set
-		}
-	}
-	e.set.Store(next)
-	return next
-}
-
 // Ready reports whether the entry can serve requests, and the reason if it can't.
 func (e *Entry) Ready() (reason string, ok bool) {
 	switch t := e.tables(); {
--- a/pass/metrics.go
+++ b/pass/metrics.go
@@ -39,6 +39,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("egretshunt_pass_refusals_total{why=%q}", reason)).Inc()
 }
 
+// expired counts a request that was admitted by tables that may be out of date, by why.
+func (m meters) expired(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("egretshunt_pass_expired_total{why=%q}", reason)).Inc()
+}
+
 // first records the time to the first byte of a response.
 func (m meters) first(kind string, d time.Duration) {
 	m.set.GetOrCreateHistogram(fmt.Sprintf("egretshunt_pass_first_seconds{kind=%q}", kind)).Update(d.Seconds())
--- a/pass/metrics_test.go
+++ b/pass/metrics_test.go
@@ -22,6 +22,8 @@
 	fx.call("/safe/x", "k")
 	fx.call("/once/x", "no key")
 	fx.call("/resume/x", "k", func(c *pass.Call) { c.Model, c.Parts = "m", []pass.Part{{ID: "own", Tokens: 100}} })
+	fx.feed.stale = true
+	fx.call("/public/x", "")
 	var text bytes.Buffer
 	set.WritePrometheus(&text)
 	served := value.SetOf[string]()
--- a/pass/serve.go
+++ b/pass/serve.go
@@ -11,12 +11,10 @@
 	"github.com/joomcode/errorx"
 
 	"egretshunt/board"
-	"egretshunt/clock"
 	"egretshunt/conns"
 	"egretshunt/event"
 	"egretshunt/limit"
 	"egretshunt/member"
-	"egretshunt/route"
 )
 
 const (
@@ -26,13 +24,6 @@
 	stoppingRetryAfter = 10 * time.Millisecond
 	// fullRetryAfter is the Retry-After time if no better estimate is available.
 	fullRetryAfter = 200 * time.Millisecond
-	// maxControlWait bounds how long a request waits for data from control; controlPollInterval
-	// is how often it checks meanwhile.
-	maxControlWait      = time.Second
-	controlPollInterval = 10 * time.Millisecond
-	// maxCatalogWait is how long after its first prompt an entry lets prompts wait for the
-	// catalogue; the leader needs two calls to each store to build it.
-	maxCatalogWait = 300 * time.Millisecond
 	// minTimeLeft is the least time to the deadline with which an attempt is still made.
 	minTimeLeft = 5 * time.Millisecond
 	// responseMargin is how long before its timeout a request gets its final response.
@@ -117,6 +108,7 @@
 	}
 	if j.tables.expired != "" {
 		e.config.Events.Emit(event.AdmittedExpired, "id", c.ID, "route", j.route.Name, "set", j.tables.set.Number, "age", j.tables.age.Milliseconds(), "why", j.tables.expired)
+		e.meters.expired(j.tables.expired)
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
@@ -130,121 +122,6 @@
 	}
 }
 
-// admitWhenReady admits a request. It waits briefly if only data from control is missing: after
-// a restart, or while another control VM becomes leader, that data arrives within a second.
-//
-// This covers a simultaneous restart of all processes while clients keep sending requests.
-func (e *Entry) admitWhenReady(ctx context.Context, c *Call) (*job, *failure) {
-	until := c.Arrived.Add(maxControlWait)
-	if c.ClientTimeout > 0 {
-		until = c.Arrived.Add(min(maxControlWait, c.ClientTimeout/3))
-	}
-	for {
-		j, f := e.admit(c)
-		now := time.Now()
-		waitsForControl := f != nil && (f.reason == reasonNoTables || f.reason == reasonStale) && now.Before(until)
-		if !waitsForControl && (f != nil || !e.shouldAwaitCatalog(j, now)) {
-			return j, f
-		}
-		select {
-		case <-time.After(controlPollInterval):
-		case <-ctx.Done():
-			return j, f
-		}
-	}
-}
-
-// shouldAwaitCatalog reports whether a prompt should wait for the catalogue of cached parts.
-// Without it, an entry that has just started would have the engines recompute everything that
-// stores hold.
-func (e *Entry) shouldAwaitCatalog(j *job, now time.Time) bool {
-	if !j.route.NamesPromptParts || len(j.call.Parts) == 0 || e.config.View.EngineClock(clock.Now()) > 0 {
-		return false
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.firstPromptAt.IsZero() {
-		e.firstPromptAt = now
-	}
-	return now.Sub(e.firstPromptAt) < maxCatalogWait
-}
-
-// deadline returns when a request of a route must be answered.
-func deadline(r *board.Route, c *Call) time.Time {
-	wait := r.Timeout
-	if c.ClientTimeout > 0 && c.ClientTimeout < wait {
-		wait = c.ClientTimeout
-	}
-	return c.Arrived.Add(wait - responseMargin)
-}
-
-// Deadline returns when a request must be answered; it isn't known without a route.
-func (e *Entry) Deadline(c *Call) (at time.Time, known bool) {
-	set := e.tables().set
-	if set == nil {
-		return time.Time{}, false
-	}
-	r := set.Match(c.Host, c.Path)
-	if r == nil {
-		return time.Time{}, false
-	}
-	return deadline(r, c), true
-}
-
-// admit resolves the route, account, pool and deadline of a request from the table set.
-func (e *Entry) admit(c *Call) (*job, *failure) {
-	j := &job{call: c, step: stageAdmission}
-	j.tables = e.tables()
-	set, expired := j.tables.set, j.tables.expired
-	switch {
-	case set == nil && expired == reasonUnreadable:
-		return j, refuse(expired, staleRetryAfter)
-	case set == nil || e.list() == nil:
-		return j, refuse(reasonNoTables, staleRetryAfter)
-	case expired != "" && c.APIKey != "":
-		// The key may have been revoked since the last update. A route that needs no key by these tables may need one now, or be
-		// hidden by a newer one that does.
-		return j, refuse(expired, staleRetryAfter)
-	}
-	// A newer table set may allow what this one doesn't.
-	undecided := expired
-	if undecided == "" && e.config.MaxDenialAge > 0 && j.tables.age > e.config.MaxDenialAge {
-		undecided = reasonStale
-	}
-	j.route = set.Match(c.Host, c.Path)
-	switch {
-	case j.route == nil && undecided != "":
-		return j, refuse(undecided, staleRetryAfter)
-	case j.route == nil:
-		return j, &failure{status: http.StatusNotFound, reason: reasonNoRoute}
-	}
-	j.rank = j.route.Rank
-	j.homes = homesOf(j.route, nil)
-	if set.RequireKeys && !j.route.Public {
-		a := set.Account(c.APIKey)
-		switch {
-		case a == nil && undecided != "":
-			return j, refuse(undecided, staleRetryAfter)
-		case a == nil:
-			return j, &failure{status: http.StatusUnauthorized, reason: reasonKey}
-		}
-		j.account, j.isolated, j.rank = a.Name, a.Isolated, a.Rank.Or(j.route.Rank)
-		j.homes = homesOf(j.route, a)
-	}
-	if j.homes.bound && len(j.homes.regions) == 0 {
-		return j, refuse(reasonHomes, homesRetryAfter)
-	}
-	j.pool = j.route.Pick(route.UniformHash(j.originID()))
-	j.deadline = deadline(j.route, c)
-	if last := e.lastDeadline.Load(); last != nil && j.deadline.After(*last) {
-		return j, refuse(reasonStopping, stoppingRetryAfter)
-	}
-	e.mu.Lock()
-	e.retryBudget(j.pool).CountRequest(time.Now())
-	e.mu.Unlock()
-	return j, nil
-}
-
 // dispatch makes attempts until one has produced a response. A returned failure is still to be
 // written.
 func (e *Entry) dispatch(ctx context.Context, j *job, w http.ResponseWriter) *failure {
