--- a/ctrl/evacuation_test.go
+++ b/ctrl/evacuation_test.go
@@ -55,7 +55,7 @@
 		check.Equal(t, "known", ok, true)
 		return ago
 	}
-	f.copy.Store(&confirmedView{view: &View{Places: []PlaceState{{Place: "a", At: groupStart}, {Place: "b", Evacuated: true, At: groupStart}}}})
+	f.confirmed.Store(&confirmedView{view: &View{Places: []PlaceState{{Place: "a", At: groupStart}, {Place: "b", Evacuated: true, At: groupStart}}}})
 	check.Equal(t, "without the group time", since("a"), time.Duration(0))
 	f.groupClock.Store(groupStart.Add(2*time.Second).UnixNano() - int64(clock.Now()))
 	check.Equal(t, "after two seconds", since("a") >= 2*time.Second && since("a") < 3*time.Second, true)
--- a/ctrl/feed.go
+++ b/ctrl/feed.go
@@ -77,9 +77,9 @@
 	leader                           netip.AddrPort
 	sums                             *tally.Reader
 
-	// Published to readers; the values pointed to are immutable. copy holds the view together with its confirmation.
-	copy atomic.Pointer[confirmedView]
-	list atomic.Pointer[member.List]
+	// Published to readers; the values pointed to are immutable. confirmed holds the view and when control confirmed it.
+	confirmed atomic.Pointer[confirmedView]
+	list      atomic.Pointer[member.List]
 	// engineClock is the offset of the engines' clock from clock.Now in milliseconds; zero if unknown.
 	engineClock atomic.Int64
 	entries     atomic.Int64
@@ -134,7 +134,7 @@
 		c.Events = event.Discard()
 	}
 	f := &Feed{config: c, crashes: newCrashGuard(c.Node, c.Events), rates: newRateGuard(c.Events), streams: newStreamGuard(), cold: newColdGuard(), changed: newNotifier(), catalog: block.NewCatalog(), sums: tally.NewReader(), members: value.SetOf[string](), used: value.SetOf[string]()}
-	f.copy.Store(&confirmedView{view: &View{Suspects: limit.NewSuspects()}})
+	f.confirmed.Store(&confirmedView{view: &View{Suspects: limit.NewSuspects()}})
 	f.stale.Store(true)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
@@ -281,7 +281,7 @@
 		f.rejectSync(to, reply, err)
 		return false, err
 	}
-	f.copy.Store(&confirmedView{f.View(), current - age})
+	f.confirmed.Store(&confirmedView{f.View(), current - age})
 	f.syncedWith.Store(&to)
 	return true, nil
 }
@@ -315,7 +315,7 @@
 			return err
 		}
 		if former := f.View(); v.Rev > former.Rev {
-			f.copy.Store(&confirmedView{v, f.copy.Load().at})
+			f.confirmed.Store(&confirmedView{v, f.confirmed.Load().at})
 			reportPlaces(f.config.Events, former, v)
 			number := uint64(0)
 			if v.Set != nil {
@@ -447,12 +447,12 @@
 }
 
 // View returns the replicated view.
-func (f *Feed) View() *View { return f.copy.Load().view }
+func (f *Feed) View() *View { return f.confirmed.Load().view }
 
 // Snapshot returns the replicated view with its age. A decision that uses both must take them from one snapshot: between two
 // calls a sync may install a newer view, and the age would be that one's.
 func (f *Feed) Snapshot() Snapshot {
-	c := f.copy.Load()
+	c := f.confirmed.Load()
 	age := c.age()
 	return Snapshot{c.view, age, age <= f.config.Lease}
 }
@@ -464,7 +464,7 @@
 func (f *Feed) Changed() <-chan struct{} { return f.changed.wait() }
 
 // Age returns the time since control last confirmed this copy; an hour before the first time.
-func (f *Feed) Age() time.Duration { return f.copy.Load().age() }
+func (f *Feed) Age() time.Duration { return f.confirmed.Load().age() }
 
 // Fresh reports whether control has confirmed the view within the lease.
 func (f *Feed) Fresh() bool { return f.Snapshot().Fresh }
--- a/ctrl/shared_test.go
+++ b/ctrl/shared_test.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		f.rejectSync(netip.AddrPort{}, reply, err)
 	}
-	f.copy.Store(&confirmedView{f.View(), clock.Now()})
+	f.confirmed.Store(&confirmedView{f.View(), clock.Now()})
 	return err
 }
 
