--- a/review/stand3/client.go
+++ b/review/stand3/client.go
@@ -56,7 +56,7 @@
 	for name, value := range q.header {
 		r.Header.Set(name, value)
 	}
-	s.record.line("sent %s %s %s to %s %.200v", a.id, q.method, q.path, to.name, fmt.Sprint(q.header))
+	s.record.line("sent %s %s %s to %s %.100v", a.id, q.method, q.path, to.name, fmt.Sprint(q.header))
 	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableCompression: true, DisableKeepAlives: true}
 	defer transport.CloseIdleConnections()
 	response, err := transport.RoundTrip(r)
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -15,9 +15,7 @@
 
 // cases holds the cases by name.
 var cases = map[string]func(s *site, trouble bool) (broken bool, err error){
-	"builds":  runBuilds,
 	"parts":   runParts,
-	"wall":    runWall,
 	"outside": runOutside,
 }
 
--- a/review/stand3/outside.go
+++ b/review/stand3/outside.go
@@ -22,8 +22,9 @@
 const (
 	// outsideConns is the number of connections that clients from outside hold at each entry, outsideAddrs that of their addresses.
 	outsideConns, outsideAddrs = 800, 16
-	// outsidePause is the time between two pieces of a body, of one byte each.
+	// outsidePause is the time between two pieces of a body, outsidePiece their size.
 	outsidePause = 400 * time.Millisecond
+	outsidePiece = 64
 	// outsideTime is how long they do so, outsideSettle how long after their start ordinary callers are counted.
 	outsideTime, outsideSettle = 30 * time.Second, 5 * time.Second
 )
@@ -41,7 +42,7 @@
 	}
 	for ctx.Err() == nil {
 		time.Sleep(outsidePause)
-		if _, err := c.Write([]byte("x")); err != nil {
+		if _, err := c.Write(make([]byte, outsidePiece)); err != nil {
 			return err
 		}
 	}
--- a/review/stand3/parts.go
+++ b/review/stand3/parts.go
@@ -12,6 +12,13 @@
 	"time"
 )
 
+// partsConfig has one route for prompts.
+const partsConfig = `{"Version":7,"Routes":[
+{"Name":"r-eek22xp","Host":"pule25.example","PathPrefix":"/cufi501/fi50/","Kind":"streaming","TimeoutMs":15000,"GoalMs":1000,"Priority":0,"Service":"huvo11a","MaxAttempts":2,"Public":false,"Sticky":true,"Resumable":true,"GapGoalMs":250}],
+"Services":[{"Name":"huvo11a","HealthPath":"/health","MaxConns":370,"Protocol":"h1","Tls":false,"Engine":{"Slots":64,"KvCapacity":95037,"KvTokenBytes":18432,"LinkMbps":370000.0,"Moves":true,"Backups":true,"Managed":true,"Stride":5,"MaxInflight":12,"PinMs":4000.0,"HoldMs":2000.0,"handle_s":5.0,"Models":[{"Name":"daka510000"}]}}],
+"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
+"Tenants":[{"Name":"jeye930","ApiKeys":["nu6wsjnbanfqasnmgkcu"],"Priority":1}]}`
+
 const (
 	// partsRate is the number of prompts a second; cpsc-shared has 14.7 + 53.8.
 	partsRate = 68
@@ -46,7 +53,7 @@
 			return false, err
 		}
 	}
-	if err := s.startSystem(3, buildsConfig); err != nil {
+	if err := s.startSystem(3, partsConfig); err != nil {
 		return false, err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), partsTime)
--- a/review/stand3/platform.go
+++ b/review/stand3/platform.go
@@ -72,16 +72,6 @@
 	})
 }
 
-// remove removes an entry of the list after a time.
-func (p *platform) remove(id string, after time.Duration) {
-	time.AfterFunc(after, func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		delete(p.shown, id)
-		p.site.record.line("the list no longer shows %s", id)
-	})
-}
-
 // ServeHTTP implements http.Handler.
 func (p *platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != "/instances" {
--- a/review/stand3/site.go
+++ b/review/stand3/site.go
@@ -31,13 +31,9 @@
 
 var zones = []string{"couva", "chaguanas", "claxton"}
 
-// bounds are those of cpsc-shared, as SYSTEM.md gives them.
+// listLag is how long the list lags, as in the example of DEPLOY.md.
 const (
-	contactTime = 3 * time.Second
-	drainTime   = 3 * time.Second
-	configTime  = 2 * time.Second
-	graceTime   = 8 * time.Second
-	listLag     = 800 * time.Millisecond
+	listLag = 800 * time.Millisecond
 )
 
 // site is a deployment with its stand-ins.
@@ -56,7 +52,6 @@
 	mu        sync.Mutex
 	processes []*process
 	workers   []*worker
-	version   int
 	closed    bool
 }
 
@@ -242,18 +237,6 @@
 	return nil
 }
 
-// signal sends a signal to the process.
-func (p *process) signal(sig syscall.Signal) {
-	p.site.record.line("%s gets %v", p.name, sig)
-	_ = p.cmd.Process.Signal(sig)
-}
-
-// kill kills the process and waits for its end.
-func (p *process) kill() {
-	p.signal(syscall.SIGKILL)
-	<-p.ended
-}
-
 // ready reports whether an entry says that it is ready.
 func (s *site) ready(p *process) bool {
 	r, err := s.http.Get(fmt.Sprintf("http://%s:%d/-/readiness", p.ip, s.ports.ready))
--- a/review/stand3/worker.go
+++ b/review/stand3/worker.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"container/list"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -25,10 +26,6 @@
 	gap    time.Duration
 	// work is how long other requests take.
 	work time.Duration
-	// caches, if set, gets the parts that each request used; without it the worker keeps none.
-	caches func(used []cacheUse)
-	// answer, if set, answers a request in place of the worker and reports whether it did.
-	answer func(w *worker, rw http.ResponseWriter, r *http.Request) bool
 
 	mu sync.Mutex
 	// id, build and born are those of the present process; server is nil while there is none.
@@ -40,20 +37,24 @@
 	fence     uint64
 	running   int
 	runs      int
-	// cache holds the prompt parts in the worker's memory by salt and ID, with the tenant whose request made each, and partEvents what it tells of them.
-	cache      map[string]cachedPart
+	// cache holds the prompt parts in the worker's memory by salt and ID, in the order of their use; used are their tokens.
+	cache  map[string]*list.Element
+	recent *list.List
+	used   int
+	// partEvents are the newest changes of the cache, the first of which has the number firstEvent.
 	partEvents [][]any
+	firstEvent int
 }
 
 // cachedPart is a part of a prompt in a worker's memory.
-type cachedPart struct{ tenant, request string }
-
-// cacheUse says that a request used a part that another one had made.
-type cacheUse struct {
-	part, request, tenant string
-	made                  cachedPart
+type cachedPart struct {
+	salt, id string
+	tokens   int
 }
 
+// kvCapacity is the memory of a worker in tokens, maxEvents the number of changes that it keeps.
+const kvCapacity, maxEvents = 95037, 4000
+
 // addWorker adds a worker without starting it.
 func (s *site) addWorker(n int, service string) *worker {
 	w := &worker{
@@ -75,7 +76,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.id, w.build, w.born, w.seq, w.fence = id, build, time.Now().UnixMilli(), 0, 0
-	w.cache, w.partEvents = map[string]cachedPart{}, nil
+	w.cache, w.recent, w.used, w.partEvents, w.firstEvent = map[string]*list.Element{}, list.New(), 0, nil, 1
 	server := &http.Server{Handler: w.handler(id, build)}
 	w.server = server
 	go func() { _ = server.Serve(l) }()
@@ -93,14 +94,6 @@
 	return e
 }
 
-// drain has the list show the worker as draining.
-func (w *worker) drain() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.site.record.line("worker %s leaves", w.id)
-	w.site.platform.show(w.entryLocked("draining"))
-}
-
 // crash ends the worker's process: its connections are closed, and nothing listens any more.
 func (w *worker) crash() {
 	w.mu.Lock()
@@ -122,7 +115,7 @@
 		case r.Method == http.MethodGet && r.URL.Path == "/-/kv-events":
 			w.events(rw, r)
 		case r.Method == http.MethodGet && r.URL.Path == "/-/kv-list":
-			writeJSON(rw, http.StatusOK, map[string]any{"BootEpoch": w.bornNow(), "NextToken": 0, "Held": []any{}, "Partial": []any{}, "born": w.bornNow()})
+			w.list(rw)
 		case r.Method == http.MethodPost && r.URL.Path == "/-/order":
 			w.order(rw, r, id)
 		case r.Method == http.MethodGet && r.URL.Path == "/health":
@@ -150,22 +143,22 @@
 	w.mu.Lock()
 	v := map[string]any{
 		"Stage": "unified", "Models": []modelEntry{{model, w.weights, []string{}}}, "Busy": false, "Seq": w.seq, "Queued": 0, "Running": w.running,
-		"KvUsed": 0, "KvTotal": 95037, "Handles": 0, "born": w.born, "clock_ms": time.Now().UnixMilli(),
+		"KvUsed": 0, "KvTotal": kvCapacity, "Handles": 0, "born": w.born, "clock_ms": time.Now().UnixMilli(),
 	}
 	w.mu.Unlock()
 	writeJSON(rw, http.StatusOK, v)
 }
 
-// events tells of the parts that were stored since a position, once there are some or the call has been held for its time.
+// events tells of the changes of the cache after a position, once there are some or the call has been held for its time.
 func (w *worker) events(rw http.ResponseWriter, r *http.Request) {
 	ms, _ := strconv.Atoi(r.Header.Get("Wait-Ms"))
 	since, _ := strconv.Atoi(r.URL.Query().Get("Since"))
-	news := []any{}
-	next := 0
+	news, next, lost := []any{}, 0, false
 	for until := time.Now().Add(time.Duration(min(ms, 1000)) * time.Millisecond); ; {
 		w.mu.Lock()
-		next = len(w.partEvents)
-		for _, e := range w.partEvents[min(max(since, 0), next):] {
+		next = w.firstEvent + len(w.partEvents) - 1
+		lost = since < w.firstEvent-1
+		for _, e := range w.partEvents[min(max(since+1-w.firstEvent, 0), len(w.partEvents)):] {
 			news = append(news, e)
 		}
 		w.mu.Unlock()
@@ -174,31 +167,54 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	writeJSON(rw, http.StatusOK, map[string]any{"BootEpoch": w.bornNow(), "NextToken": next, "Lost": false, "Events": news, "born": w.bornNow(), "clock_ms": time.Now().UnixMilli()})
+	writeJSON(rw, http.StatusOK, map[string]any{"BootEpoch": w.bornNow(), "NextToken": next, "Lost": lost, "Events": news, "born": w.bornNow(), "clock_ms": time.Now().UnixMilli()})
+}
+
+// list lists the cache.
+func (w *worker) list(rw http.ResponseWriter) {
+	w.mu.Lock()
+	held := []any{}
+	for e := w.recent.Front(); e != nil; e = e.Next() {
+		p := e.Value.(cachedPart)
+		held = append(held, []any{p.salt, p.id, p.tokens, model})
+	}
+	v := map[string]any{"BootEpoch": w.born, "NextToken": w.firstEvent + len(w.partEvents) - 1, "Held": held, "Partial": []any{}, "born": w.born}
+	w.mu.Unlock()
+	writeJSON(rw, http.StatusOK, v)
+}
+
+// addEvent records a change of the cache. The caller holds mu.
+func (w *worker) addEvent(sign string, p cachedPart, tokens int) {
+	w.partEvents = append(w.partEvents, []any{w.firstEvent + len(w.partEvents), sign, p.salt, p.id, tokens, model})
+	if more := len(w.partEvents) - maxEvents; more > 0 {
+		w.partEvents, w.firstEvent = w.partEvents[more:], w.firstEvent+more
+	}
 }
 
-// readPrompt reads the parts of a prompt: those in memory under the request's salt are used as far as all before them are there too. It returns the
-// parts that were used.
-func (w *worker) readPrompt(r *http.Request) (used []cacheUse) {
-	salt, id, by := r.Header.Get("Cache-Salt"), r.Header.Get("Request-Id"), r.Header.Get("Tenant-Id")
+// readPrompt reads the parts of a prompt into the cache; those that were used least recently yield.
+func (w *worker) readPrompt(r *http.Request) {
+	salt := r.Header.Get("Cache-Salt")
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	all := true
 	for _, field := range strings.Split(r.Header.Get("Prefix-Hash"), ",") {
-		part, tokens, _ := strings.Cut(field, ":")
+		id, tokens, _ := strings.Cut(field, ":")
 		n, _ := strconv.Atoi(tokens)
-		key := salt + "/" + part
-		made, held := w.cache[key]
-		if all = all && held; all {
-			used = append(used, cacheUse{part, id, by, made})
+		key := salt + "/" + id
+		if e := w.cache[key]; e != nil {
+			w.recent.MoveToBack(e)
 			continue
 		}
-		w.cache[key] = cachedPart{by, id}
-		if !held {
-			w.partEvents = append(w.partEvents, []any{len(w.partEvents) + 1, "+", salt, part, n, r.Header.Get("Model-Id")})
-		}
+		p := cachedPart{salt, id, n}
+		w.cache[key] = w.recent.PushBack(p)
+		w.used += n
+		w.addEvent("+", p, n)
+	}
+	for w.used > kvCapacity {
+		p := w.recent.Remove(w.recent.Front()).(cachedPart)
+		delete(w.cache, p.salt+"/"+p.id)
+		w.used -= p.tokens
+		w.addEvent("-", p, 0)
 	}
-	return used
 }
 
 // order carries an order out.
@@ -272,9 +288,6 @@
 		w.mu.Unlock()
 	}()
 	w.site.record.line("run of %s at %s, version %s, from event %q, tenant %q", request, id, build, r.Header.Get("Last-Event-Id"), r.Header.Get("Tenant-Id"))
-	if w.answer != nil && w.answer(w, rw, r) {
-		return
-	}
 	h.Set("Response-Seal", "3e1b.07.5a2.600.0."+request)
 	if w.service != engines {
 		time.Sleep(w.work)
@@ -283,9 +296,7 @@
 		_, _ = io.WriteString(rw, text)
 		return
 	}
-	if w.caches != nil {
-		w.caches(w.readPrompt(r))
-	}
+	w.readPrompt(r)
 	h.Set("Content-Type", "text/event-stream")
 	first := 1
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
