--- a/review/stand3/outside.go
+++ b/review/stand3/outside.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -21,10 +22,14 @@
 
 const (
 	// outsideConns is the number of connections that clients from outside hold at each entry, outsideAddrs that of their addresses.
-	outsideConns, outsideAddrs = 800, 16
+	outsideConns, outsideAddrs = 700, 16
 	// outsidePause is the time between two pieces of a body, outsidePiece their size.
 	outsidePause = 400 * time.Millisecond
 	outsidePiece = 64
+	// outsideRetry is the time before one of them connects again.
+	outsideRetry = 500 * time.Millisecond
+	// outsideCallers is the number of ordinary callers at each entry.
+	outsideCallers = 8
 	// outsideTime is how long they do so, outsideSettle how long after their start ordinary callers are counted.
 	outsideTime, outsideSettle = 30 * time.Second, 5 * time.Second
 )
@@ -49,7 +54,8 @@
 	return nil
 }
 
-// runOutside checks that ordinary callers still get answers beside clients from outside, which send many bodies of legal size piece by piece.
+// runOutside checks RECOVER beside clients from outside, which send many bodies of legal size piece by piece: an entry that says that it is ready takes
+// connections of ordinary callers.
 func runOutside(s *site, trouble bool) (broken bool, err error) {
 	for i := range 3 {
 		w := s.addWorker(i, apps)
@@ -81,7 +87,7 @@
 						if errors.Is(err, syscall.ECONNREFUSED) {
 							return
 						}
-						time.Sleep(100 * time.Millisecond)
+						time.Sleep(outsideRetry)
 					}
 				})
 			}
@@ -90,30 +96,90 @@
 	time.Sleep(outsideSettle)
 	var mu sync.Mutex
 	asked, answered := 0, 0
-	for n := range 6 {
+	watches := make([]watch, len(s.entries()))
+	for n := range outsideCallers * len(watches) {
+		at := n % len(watches)
 		work.Go(func() {
 			for ctx.Err() == nil {
-				a := s.send(ctx, s.entries()[n%3], request{method: http.MethodGet, path: "/defi252/2f", timeout: time.Second})
+				began := time.Now()
+				a := s.send(ctx, s.entries()[at], request{method: http.MethodGet, path: "/defi252/2f", timeout: time.Second})
 				if ctx.Err() != nil {
 					return
 				}
+				got := a.status == http.StatusOK && a.seal != "" && a.err == nil
 				mu.Lock()
 				asked++
-				if a.status == http.StatusOK && a.seal != "" && a.err == nil {
+				if got {
 					answered++
 				}
+				watches[at].tries = append(watches[at].tries, try{began, n, a.status != 0})
 				mu.Unlock()
-				time.Sleep(100 * time.Millisecond)
+				time.Sleep(300 * time.Millisecond)
 			}
 		})
 	}
 	for ctx.Err() == nil {
-		time.Sleep(2 * time.Second)
-		for _, p := range s.entries() {
-			s.record.line("%s is ready: %v, holds %.0f MiB; clients from outside have %d connections, %d were closed", p.name, s.ready(p), p.rss(), open.Load(), closed.Load())
+		time.Sleep(500 * time.Millisecond)
+		for i, p := range s.entries() {
+			ready := s.ready(p)
+			s.record.line("%s is ready: %v, holds %.0f MiB; clients from outside have %d connections, %d were closed", p.name, ready, p.rss(), open.Load(), closed.Load())
+			mu.Lock()
+			if !ready {
+				watches[i].unready = append(watches[i].unready, time.Now())
+			}
+			mu.Unlock()
 		}
 	}
 	work.Wait()
 	s.record.line("%d of %d requests of ordinary callers were answered", answered, asked)
-	return asked == 0 || answered < asked/4, nil
+	if asked == 0 {
+		return false, errors.New("no request was sent")
+	}
+	for i, p := range s.entries() {
+		longest := watches[i].closedTime()
+		s.record.line("%s said that it was ready and took no connection of %d callers or more for up to %.1f s", p.name, leastCallers, longest.Seconds())
+		broken = broken || longest >= contactTime
+	}
+	return broken, nil
+}
+
+// contactTime is ContactMs, leastCallers how many clients must try.
+const contactTime, leastCallers = 3 * time.Second, 7
+
+// try is a try of a caller at one entry; took says whether it got an answer of any kind.
+type try struct {
+	at     time.Time
+	caller int
+	took   bool
+}
+
+// watch is what was seen of one entry: the tries in the order of their ends, and when it said that it wasn't ready.
+type watch struct {
+	tries   []try
+	unready []time.Time
+}
+
+// closedTime returns the longest time between two tries without one that got an answer between them, in which enough callers tried and the
+// entry was ready.
+func (w watch) closedTime() (longest time.Duration) {
+	slices.SortFunc(w.tries, func(a, b try) int { return a.at.Compare(b.at) })
+	var first time.Time
+	callers := map[int]bool{}
+	for _, t := range w.tries {
+		unready := slices.ContainsFunc(w.unready, func(at time.Time) bool { return at.After(first) && at.Before(t.at) })
+		if t.took || unready || first.IsZero() {
+			first, callers = time.Time{}, map[int]bool{}
+			if !t.took {
+				first = t.at
+			}
+		}
+		if t.took {
+			continue
+		}
+		callers[t.caller] = true
+		if len(callers) >= leastCallers {
+			longest = max(longest, t.at.Sub(first))
+		}
+	}
+	return longest
 }
