review: case 11, clients from outside take the fronts to twice their memory

600 requests of legal size with 1,984 short header lines each, whose bodies stop one byte short, take each front of 134 MB to 268 to 278 MiB. The budget counts a head by twice its bytes; net/http's map of lines and the copy that platform.decodeCall makes before the body is read take some twenty times that.

--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -16,6 +16,7 @@
 // cases holds the cases by name.
 var cases = map[string]func(s *site, trouble bool) (broken bool, err error){
 	"parts":   runParts,
+	"heads":   runHeads,
 	"outside": runOutside,
 }
 
