--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of cases 11 to 15 start, and the driver that starts them. The programs of the project itself are built by the
+# Builds the stand-ins that the script of case 11 starts, and the driver that starts them. The programs of the project itself are built by the
 # deploy file's build.
 set -euo pipefail
 cd "$(dirname "$0")/.."
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -1,4 +1,4 @@
-// Command stand3 runs the cases 11 to 15 of the review: it starts the programs of the deploy file as processes on loopback
+// Command stand3 runs case 11 of the review: it starts the programs of the deploy file as processes on loopback
 // addresses, with stand-ins for the platform, the workers, the clients and the operator, and checks one rule by what these
 // have seen.
 //
@@ -15,8 +15,6 @@
 
 // cases holds the cases by name.
 var cases = map[string]func(s *site, trouble bool) (broken bool, err error){
-	"parts":   runParts,
-	"heads":   runHeads,
 	"outside": runOutside,
 }
 
--- a/review/stand3/site.go
+++ b/review/stand3/site.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -237,6 +238,21 @@
 	return nil
 }
 
+// rss returns the resident memory of a process, in MiB.
+func (p *process) rss() float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	for line := range bytes.Lines(text) {
+		if rest, ok := bytes.CutPrefix(line, []byte("VmRSS:")); ok {
+			kib, _ := strconv.ParseFloat(string(bytes.Fields(rest)[0]), 64)
+			return kib / 1024
+		}
+	}
+	return 0
+}
+
 // ready reports whether an entry says that it is ready.
 func (s *site) ready(p *process) bool {
 	r, err := s.http.Get(fmt.Sprintf("http://%s:%d/-/readiness", p.ip, s.ports.ready))
